--- /dev/null
+++ b/crates/core/src/config.rs
@@ -0,0 +1,275 @@
+/*!
+The site configuration: what operators change at run time.
+
+The document is kept in the replicated log as a whole. It arrives checked, so
+the reducers rely on it: names are unique, references resolve, and the shares
+of a route add up to 100 percent. Vectors are sorted by name, so that lookups
+use binary search.
+*/
+
+use std::net::SocketAddr;
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::id::{RouteId, TargetId, ZoneId};
+
+/// The whole configuration of a site.
+#[derive(
+    Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema,
+)]
+#[serde(deny_unknown_fields)]
+pub struct Configuration {
+    /// Availability zones, sorted by name.
+    pub availability_zones: Vec<AvailabilityZone>,
+    /// Services and their searchers, sorted by name.
+    pub services: Vec<Service>,
+    /// Query routes, sorted by name.
+    pub routes: Vec<Route>,
+    /// Limits that hold for every route.
+    #[serde(default)]
+    pub limits: Limits,
+}
+
+/// An availability zone and whether it takes new work.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct AvailabilityZone {
+    /// Unique name.
+    pub name: String,
+    /// Whether searchers in the zone get new work.
+    #[serde(default)]
+    pub state: ZoneState,
+}
+
+/// Whether an availability zone takes new work.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    Serialize,
+    Deserialize,
+    JsonSchema,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum ZoneState {
+    /// Searchers in the zone get work.
+    #[default]
+    In,
+    /// Searchers in the zone get no new work.
+    Out,
+}
+
+/// A named group of searchers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Unique name.
+    pub name: String,
+    /// Searchers, sorted by name.
+    pub searchers: Vec<Searcher>,
+}
+
+/// A target that serves shards of the index.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Searcher {
+    /// Unique name across all services.
+    pub name: String,
+    /// Address of its HTTP server.
+    pub address: SocketAddr,
+    /// Name of its availability zone.
+    pub availability_zone: String,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// Connections that it accepts in total.
+    pub connections: u32,
+    /// Cost of a new connection, in milliseconds.
+    #[serde(default)]
+    pub connect_cost_ms: u32,
+}
+
+/// A query route: which services answer, in which zones, with what share.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// Unique name, part of the callers' URL.
+    pub name: String,
+    /// Names of the services that hold the route's index.
+    pub services: Vec<String>,
+    /// Shards to ask; all of the snapshot if absent.
+    #[serde(default)]
+    pub shards: Option<Vec<u32>>,
+    /// Share of the load for each availability zone; the sum is 100.
+    pub shares: Vec<ZoneShare>,
+    /// Default deadline, in milliseconds.
+    pub deadline_ms: u32,
+    /// Order under overload.
+    #[serde(default)]
+    pub priority: Priority,
+    /// When a query is answered.
+    #[serde(default)]
+    pub policy: AnswerPolicy,
+    /// Whether a request may be sent to a target more than once.
+    #[serde(default = "default_repeatable")]
+    pub repeatable: bool,
+}
+
+fn default_repeatable() -> bool {
+    true
+}
+
+/// Part of a route's load that an availability zone takes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct ZoneShare {
+    /// Name of the availability zone.
+    pub availability_zone: String,
+    /// Share in percent.
+    pub percent: u32,
+}
+
+/// Order in which work is dropped under overload; urgent work goes last.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
+    JsonSchema,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Priority {
+    /// Served first.
+    Urgent,
+    /// Served after urgent work.
+    #[default]
+    Normal,
+    /// Served last and refused first.
+    Report,
+}
+
+/// When a query is answered.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    Serialize,
+    Deserialize,
+    JsonSchema,
+)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum AnswerPolicy {
+    /// Waits for full coverage up to the deadline.
+    #[default]
+    Coverage,
+    /// Answers once enough shards have answered and hedges had a chance.
+    Latency {
+        /// Percentage of the asked shards that is enough.
+        enough_percent: u32,
+    },
+}
+
+/// Limits that hold for every route.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct Limits {
+    /// Hedges and retries, in percent of the first requests to targets.
+    pub extra_load_percent: u32,
+    /// Largest request body of a caller, in bytes.
+    pub max_body_bytes: u32,
+    /// Queries that an entry instance serves at the same time.
+    pub max_in_flight: u32,
+    /// Searchers of a service and zone that share one home instance.
+    pub bundle_size: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            extra_load_percent: 5,
+            max_body_bytes: 1 << 20,
+            max_in_flight: 1_000,
+            bundle_size: 1,
+        }
+    }
+}
+
+impl Configuration {
+    /// Sorts every vector that is searched by name.
+    pub fn sort(&mut self) {
+        self.availability_zones.sort_by(|a, b| a.name.cmp(&b.name));
+        self.services.sort_by(|a, b| a.name.cmp(&b.name));
+        self.routes.sort_by(|a, b| a.name.cmp(&b.name));
+        for service in &mut self.services {
+            service.searchers.sort_by(|a, b| a.name.cmp(&b.name));
+        }
+        for route in &mut self.routes {
+            route
+                .shares
+                .sort_by(|a, b| a.availability_zone.cmp(&b.availability_zone));
+        }
+    }
+
+    /// Finds a route by name.
+    pub fn route(&self, name: &str) -> Option<&Route> {
+        let i = self
+            .routes
+            .binary_search_by(|r| r.name.as_str().cmp(name))
+            .ok()?;
+        Some(&self.routes[i])
+    }
+
+    /// Finds a service by name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        let i = self
+            .services
+            .binary_search_by(|s| s.name.as_str().cmp(name))
+            .ok()?;
+        Some(&self.services[i])
+    }
+
+    /// Whether operators have taken the zone out.
+    pub fn zone_is_out(&self, name: &str) -> bool {
+        self.availability_zones
+            .binary_search_by(|z| z.name.as_str().cmp(name))
+            .is_ok_and(|i| self.availability_zones[i].state == ZoneState::Out)
+    }
+
+    /// All searchers, with the service that each belongs to.
+    pub fn searchers(&self) -> impl Iterator<Item = (&Service, &Searcher)> {
+        self.services
+            .iter()
+            .flat_map(|s| s.searchers.iter().map(move |x| (s, x)))
+    }
+}
+
+impl Route {
+    /// The identifier of the route.
+    pub fn id(&self) -> RouteId {
+        RouteId::from_name(&self.name)
+    }
+}
+
+impl Searcher {
+    /// The identifier of the searcher as a target.
+    pub fn id(&self) -> TargetId {
+        TargetId::from_name(&self.name)
+    }
+
+    /// The identifier of its availability zone.
+    pub fn zone(&self) -> ZoneId {
+        ZoneId::from_name(&self.availability_zone)
+    }
+}
--- /dev/null
+++ b/crates/core/src/event/mod.rs
@@ -0,0 +1,92 @@
+/*!
+Numbered log events.
+
+Every line that a daemon logs about a decision has a number, so that
+operators can search for it and look it up in `docs/events.md`. Each area has
+a catalogue in a module of its own; a test compares the catalogues with the
+documentation.
+*/
+
+pub mod config;
+pub mod control;
+pub mod daemon;
+pub mod membership;
+pub mod query;
+pub mod target;
+
+/// Severity of a log event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Level {
+    /// Something is wrong, and an operator should act.
+    Error,
+    /// Something is unusual, and the system has reacted.
+    Warn,
+    /// A decision that changes what the system does.
+    Info,
+    /// A decision on a single request.
+    Debug,
+}
+
+/// A kind of log event: one row of the catalogue.
+#[derive(Debug, PartialEq, Eq)]
+pub struct EventKind {
+    /// Unique number, printed as `PM0101`.
+    pub code: u16,
+    /// Severity.
+    pub level: Level,
+    /// Short name in snake case.
+    pub name: &'static str,
+    /// What it means and what an operator should do.
+    pub meaning: &'static str,
+}
+
+/// One line for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LogEvent {
+    /// What kind of event this is.
+    pub kind: &'static EventKind,
+    /// The particulars, as `key=value` pairs.
+    pub detail: String,
+}
+
+impl LogEvent {
+    /// Builds an event of the given kind.
+    pub fn new(kind: &'static EventKind, detail: String) -> LogEvent {
+        LogEvent { kind, detail }
+    }
+}
+
+/// Declares the event kinds of an area and its catalogue.
+macro_rules! event_kinds {
+    ($($name:ident = ($code:literal, $level:ident, $meaning:literal);)*) => {
+        $(
+            #[doc = $meaning]
+            pub const $name: $crate::event::EventKind =
+                $crate::event::EventKind {
+                    code: $code,
+                    level: $crate::event::Level::$level,
+                    name: stringify!($name),
+                    meaning: $meaning,
+                };
+        )*
+
+        /// All event kinds of this area.
+        pub const CATALOGUE: &[&$crate::event::EventKind] = &[$(&$name),*];
+    };
+}
+pub(crate) use event_kinds;
+
+/// All event kinds, in the order of their numbers.
+pub fn catalogue() -> impl Iterator<Item = &'static EventKind> {
+    [
+        query::CATALOGUE,
+        target::CATALOGUE,
+        membership::CATALOGUE,
+        control::CATALOGUE,
+        config::CATALOGUE,
+        daemon::CATALOGUE,
+    ]
+    .into_iter()
+    .flatten()
+    .copied()
+}
--- /dev/null
+++ b/crates/core/src/node.rs
@@ -0,0 +1,3 @@
+/*!
+The reducer of a daemon, composed of the parts.
+*/
--- /dev/null
+++ b/crates/core/src/verdict.rs
@@ -0,0 +1,34 @@
+/*!
+Whether a failed request may have run.
+
+Every failure that reaches a caller carries a [`Verdict`]. `NotRun` is a
+promise: no target has been given the request, so the caller may send it
+again without the risk of running it twice.
+*/
+
+use serde::{Deserialize, Serialize};
+
+/// What is known about the execution of a request that failed.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Verdict {
+    /// No target ran the request, and none will.
+    NotRun,
+    /// A target may have run the request or may still run it.
+    MayHaveRun,
+    /// A target ran the request, but its answer cannot be delivered.
+    Ran,
+}
+
+impl Verdict {
+    /// The name used in response bodies and logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Verdict::NotRun => "not_run",
+            Verdict::MayHaveRun => "may_have_run",
+            Verdict::Ran => "ran",
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,7 @@
+/*!
+Stand-ins for the systems around the query tier.
+
+They speak the published protocols of targets and of the platform's list, and
+they fail on command, so that tests, the demo and the benchmarks run on
+loopback with nothing else installed.
+*/
