Add the stand-ins, the peer transport and the target client

Cause: the path through separate processes needs something to talk to. Change: searcher, platform list and fault-injecting proxy; Cap'n Proto RPC between instances with a bounded queue for each peer; counted, identified connections to targets over hyper.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,3 +5,8 @@
 they fail on command, so that tests, the demo and the benchmarks run on
 loopback with nothing else installed.
 */
+
+mod http;
+pub mod platform;
+pub mod proxy;
+pub mod searcher;
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,87 @@
+/*!
+The platform's list of live and leaving instances and targets.
+
+The list shows what it was last told, so a test makes it lag by telling it
+late.
+*/
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+};
+
+use http::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+use tokio::{net::TcpListener, task::JoinHandle};
+
+use crate::http::{json, serve, status};
+
+/// Content of the list.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct List {
+    /// Instances of the query tier, by peer address.
+    pub instances: Vec<Listed>,
+    /// Targets, by the address of their HTTP server.
+    pub targets: Vec<Listed>,
+}
+
+/// A row of the list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listed {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Whether it is about to be taken away.
+    pub leaving: bool,
+}
+
+/// A running list; stops when dropped.
+#[derive(Debug)]
+pub struct Platform {
+    address: SocketAddr,
+    list: Arc<Mutex<List>>,
+    task: JoinHandle<()>,
+}
+
+impl Platform {
+    /// Starts the list on a loopback port.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    pub async fn start(list: List) -> std::io::Result<Platform> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let list = Arc::new(Mutex::new(list));
+        let shown = Arc::clone(&list);
+        let task = tokio::spawn(serve(
+            listener,
+            || async { Some(()) },
+            move |req| {
+                let shown = shown.lock().expect("not poisoned").clone();
+                async move {
+                    match (req.method(), req.uri().path()) {
+                        (&Method::GET, "/list") => Ok(json(&shown)),
+                        _ => Ok(status(StatusCode::NOT_FOUND)),
+                    }
+                }
+            },
+        ));
+        Ok(Platform { address, list, task })
+    }
+
+    /// Address of the list; its path is `/list`.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Replaces the content.
+    pub fn set(&self, list: List) {
+        *self.list.lock().expect("not poisoned") = list;
+    }
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
--- /dev/null
+++ b/crates/standin/src/searcher.rs
@@ -0,0 +1,463 @@
+/*!
+A searcher: the target of the query tier.
+
+It counts what it runs, so that tests can compare the tier's claims with what
+really happened, and it misbehaves on command: it straggles, sheds, turns
+cold, loses answers after the work was done, sends crossed or damaged
+answers, and gives misleading health.
+*/
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use tokio::{net::TcpListener, task::JoinHandle};
+
+use crate::http::{Refusal, Reply, json, read_json, serve, status};
+
+/// One shard of one snapshot that the searcher serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    /// Index version.
+    pub index_version: u64,
+    /// Partition map.
+    pub partition_map: u64,
+    /// Shard.
+    pub shard: u32,
+    /// Number of shards in the snapshot.
+    pub shard_count: u32,
+}
+
+/// Size and behaviour of a searcher; can be replaced while it runs.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Behaviour {
+    /// Name, part of every answer.
+    pub name: String,
+    /// What it serves.
+    pub holds: Vec<Held>,
+    /// Requests that it runs at the same time; more are shed.
+    pub slots: u32,
+    /// Connections that it accepts; more are closed at once.
+    pub connections: u32,
+    /// Time to serve a request, in microseconds.
+    pub latency_us: u64,
+    /// Delay before a new connection is served, in microseconds.
+    pub connect_cost_us: u64,
+    /// Requests to serve until a cold searcher is warm; 0 is warm.
+    pub cold_requests: u32,
+    /// Factor on the latency while cold.
+    pub cold_factor: u32,
+    /// Sheds every request.
+    pub shed: bool,
+    /// Runs the request, then closes the connection without an answer.
+    pub lose_answers: bool,
+    /// Damage done to answers.
+    pub damage: Damage,
+    /// Status word of the health endpoint; `None` gives no answer.
+    pub health: Option<String>,
+    /// Identifies the run of the process.
+    pub boot_id: u64,
+}
+
+impl Default for Behaviour {
+    fn default() -> Behaviour {
+        Behaviour {
+            name: String::from("searcher"),
+            holds: Vec::new(),
+            slots: 2,
+            connections: 25,
+            latency_us: 1_000,
+            connect_cost_us: 0,
+            cold_requests: 0,
+            cold_factor: 10,
+            shed: false,
+            lose_answers: false,
+            damage: Damage::None,
+            health: Some(String::from("ok")),
+            boot_id: 1,
+        }
+    }
+}
+
+/// Damage done to answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Damage {
+    /// Answers are sound.
+    None,
+    /// Answers carry the id of another request.
+    WrongId,
+    /// The body does not match its checksum.
+    WrongChecksum,
+    /// The body is shorter than announced.
+    Truncated,
+    /// Answers name another snapshot.
+    WrongSnapshot,
+}
+
+/// What a searcher has counted.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// Search requests received, shed ones included.
+    pub requests: u64,
+    /// Requests run to the end.
+    pub completed: u64,
+    /// Requests shed.
+    pub shed: u64,
+    /// Largest number of requests that were in the searcher at a time.
+    pub max_running: u32,
+    /// Requests that arrived while all slots were taken.
+    pub overruns: u64,
+    /// Requests that arrived while it was cold and already ran one.
+    pub cold_overruns: u64,
+    /// Largest number of open connections.
+    pub max_connections: u32,
+    /// Connections refused over the cap.
+    pub refused_connections: u64,
+    /// How often each request body was run.
+    pub runs: BTreeMap<String, u32>,
+    /// Time since the last search request arrived, in milliseconds.
+    pub last_request_ms: Option<u64>,
+}
+
+#[derive(Default)]
+struct State {
+    behaviour: Behaviour,
+    record: Record,
+    running: u32,
+    connections: u32,
+    last_request: Option<Instant>,
+}
+
+/// A running searcher; stops when dropped.
+#[derive(Debug)]
+pub struct Searcher {
+    address: SocketAddr,
+    state: Shared,
+    task: JoinHandle<()>,
+}
+
+#[derive(Clone, Default)]
+struct Shared(Arc<Mutex<State>>);
+
+impl std::fmt::Debug for Shared {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Shared")
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().expect("no panic while locked")
+    }
+}
+
+impl Searcher {
+    /// Starts a searcher on `listen`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub async fn start(
+        listen: SocketAddr,
+        behaviour: Behaviour,
+    ) -> std::io::Result<Searcher> {
+        let listener = TcpListener::bind(listen).await?;
+        let address = listener.local_addr()?;
+        let state = Shared::default();
+        state.lock().behaviour = behaviour;
+        let (on_connect, on_request) = (state.clone(), state.clone());
+        let task = tokio::spawn(serve(
+            listener,
+            move || accept(on_connect.clone()),
+            move |req| handle(on_request.clone(), req),
+        ));
+        Ok(Searcher { address, state, task })
+    }
+
+    /// Address that it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes its behaviour.
+    pub fn change(&self, change: impl FnOnce(&mut Behaviour)) {
+        change(&mut self.state.lock().behaviour);
+    }
+
+    /// What it has counted.
+    pub fn record(&self) -> Record {
+        record(&self.state)
+    }
+
+    /// Forgets what it has counted.
+    pub fn reset_record(&self) {
+        let mut state = self.state.lock();
+        state.record = Record::default();
+        state.last_request = None;
+    }
+}
+
+impl Drop for Searcher {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+fn record(state: &Shared) -> Record {
+    let state = state.lock();
+    let mut record = state.record.clone();
+    record.last_request_ms =
+        state.last_request.map(|at| at.elapsed().as_millis() as u64);
+    record
+}
+
+/// Holds a place among the open connections.
+struct ConnectionGuard(Shared);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.lock().connections -= 1;
+    }
+}
+
+async fn accept(shared: Shared) -> Option<ConnectionGuard> {
+    let cost = {
+        let mut state = shared.lock();
+        if state.connections >= state.behaviour.connections {
+            state.record.refused_connections += 1;
+            return None;
+        }
+        state.connections += 1;
+        let open = state.connections;
+        let max = &mut state.record.max_connections;
+        *max = open.max(*max);
+        state.behaviour.connect_cost_us
+    };
+    let guard = ConnectionGuard(shared);
+    if cost > 0 {
+        tokio::time::sleep(Duration::from_micros(cost)).await;
+    }
+    Some(guard)
+}
+
+/// Holds a slot while a request runs.
+struct RunGuard(Shared);
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        self.0.lock().running -= 1;
+    }
+}
+
+async fn handle(
+    shared: Shared,
+    req: Request<Incoming>,
+) -> Result<Reply, Refusal> {
+    match (req.method(), req.uri().path()) {
+        (&Method::POST, "/search") => search(shared, req).await,
+        (&Method::POST, "/cancel") => Ok(status(StatusCode::OK)),
+        (&Method::GET, "/health") => health(&shared),
+        (&Method::GET, "/load") => {
+            let running = shared.lock().running;
+            Ok(json(&serde_json::json!({"running": running, "queued": 0})))
+        }
+        (&Method::GET, "/record") => Ok(json(&record(&shared))),
+        (&Method::POST, "/behaviour") => match read_json(req).await {
+            Some(behaviour) => {
+                shared.lock().behaviour = behaviour;
+                Ok(status(StatusCode::OK))
+            }
+            None => Ok(status(StatusCode::BAD_REQUEST)),
+        },
+        _ => Ok(status(StatusCode::NOT_FOUND)),
+    }
+}
+
+fn health(shared: &Shared) -> Result<Reply, Refusal> {
+    let state = shared.lock();
+    let Some(word) = &state.behaviour.health else {
+        return Err(Refusal::Disconnect);
+    };
+    Ok(json(&serde_json::json!({
+        "status": word,
+        "boot_id": state.behaviour.boot_id,
+        "uptime_ms": 1_000,
+        "holds": holds_header(&state.behaviour.holds),
+    })))
+}
+
+fn holds_header(holds: &[Held]) -> String {
+    let items: Vec<String> = holds
+        .iter()
+        .map(|h| {
+            format!(
+                "{}/{}/{}/{}",
+                h.index_version, h.partition_map, h.shard, h.shard_count
+            )
+        })
+        .collect();
+    items.join(",")
+}
+
+/// A search request as its headers describe it.
+struct Search {
+    id: String,
+    held: Held,
+    deadline: Duration,
+}
+
+impl Search {
+    fn parse(headers: &HeaderMap, holds: &[Held]) -> Result<Search, Search> {
+        let text = |name: &str| {
+            headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or("")
+        };
+        let number = |name: &str| text(name).parse().unwrap_or(u64::MAX);
+        let wanted = Held {
+            index_version: number("x-index-version"),
+            partition_map: number("x-partition-map"),
+            shard: number("x-shard") as u32,
+            shard_count: 0,
+        };
+        let found =
+            holds.iter().find(|h| Held { shard_count: 0, ..**h } == wanted);
+        let search = Search {
+            id: text("x-request-id").to_owned(),
+            held: found.copied().unwrap_or(wanted),
+            deadline: Duration::from_millis(
+                number("x-deadline-ms").min(60_000),
+            ),
+        };
+        if found.is_some() { Ok(search) } else { Err(search) }
+    }
+}
+
+async fn search(
+    shared: Shared,
+    req: Request<Incoming>,
+) -> Result<Reply, Refusal> {
+    let (parts, body) = req.into_parts();
+    let Ok(body) = body.collect().await else {
+        return Err(Refusal::Disconnect);
+    };
+    let body = String::from_utf8_lossy(&body.to_bytes()).into_owned();
+    let (search, behaviour, cold, _guard) = {
+        let mut state = shared.lock();
+        state.record.requests += 1;
+        state.last_request = Some(Instant::now());
+        let behaviour = state.behaviour.clone();
+        let cold = behaviour.cold_requests > 0;
+        let search = match Search::parse(&parts.headers, &behaviour.holds) {
+            Ok(search) => search,
+            Err(search) => {
+                return Ok(answer(
+                    StatusCode::CONFLICT,
+                    &search,
+                    &behaviour,
+                    String::new(),
+                ));
+            }
+        };
+        if cold && state.running >= 1 {
+            state.record.cold_overruns += 1;
+        }
+        let full = state.running >= behaviour.slots;
+        if full {
+            state.record.overruns += 1;
+        }
+        if full || behaviour.shed {
+            state.record.shed += 1;
+            return Ok(answer(
+                StatusCode::SERVICE_UNAVAILABLE,
+                &search,
+                &behaviour,
+                String::new(),
+            ));
+        }
+        state.running += 1;
+        let running = state.running;
+        let max = &mut state.record.max_running;
+        *max = running.max(*max);
+        *state.record.runs.entry(body.clone()).or_default() += 1;
+        (search, behaviour, cold, RunGuard(shared.clone()))
+    };
+    let factor = if cold { u64::from(behaviour.cold_factor) } else { 1 };
+    let work = Duration::from_micros(behaviour.latency_us * factor);
+    tokio::time::sleep(work.min(search.deadline)).await;
+    if work > search.deadline {
+        return Ok(answer(
+            StatusCode::GATEWAY_TIMEOUT,
+            &search,
+            &behaviour,
+            String::new(),
+        ));
+    }
+    {
+        let mut state = shared.lock();
+        state.record.completed += 1;
+        let left = state.behaviour.cold_requests.saturating_sub(1);
+        state.behaviour.cold_requests = left;
+    }
+    if behaviour.lose_answers {
+        return Err(Refusal::Disconnect);
+    }
+    let result = serde_json::json!({
+        "searcher": behaviour.name,
+        "shard": search.held.shard,
+        "index_version": search.held.index_version,
+        "echo": body,
+    });
+    Ok(answer(StatusCode::OK, &search, &behaviour, result.to_string()))
+}
+
+fn answer(
+    code: StatusCode,
+    search: &Search,
+    behaviour: &Behaviour,
+    body: String,
+) -> Reply {
+    let damage = behaviour.damage;
+    let mut checksum = crc32fast::hash(body.as_bytes());
+    if damage == Damage::WrongChecksum {
+        checksum ^= 1;
+    }
+    let mut body = body;
+    if damage == Damage::Truncated {
+        body.truncate(body.len() / 2);
+    }
+    let id = match damage {
+        Damage::WrongId => "0000000000000000-0-0",
+        _ => &search.id,
+    };
+    let version = match damage {
+        Damage::WrongSnapshot => search.held.index_version + 1,
+        _ => search.held.index_version,
+    };
+    let verdict = match code {
+        StatusCode::OK => "ran",
+        StatusCode::GATEWAY_TIMEOUT => "may_have_run",
+        _ => "not_run",
+    };
+    Response::builder()
+        .status(code)
+        .header("content-type", "application/json")
+        .header("x-request-id", id)
+        .header("x-index-version", version)
+        .header("x-partition-map", search.held.partition_map)
+        .header("x-shard", search.held.shard)
+        .header("x-boot-id", behaviour.boot_id)
+        .header("x-checksum", format!("{checksum:08x}"))
+        .header("x-holds", holds_header(&behaviour.holds))
+        .header("x-verdict", verdict)
+        .body(Full::new(Bytes::from(body)))
+        .expect("valid response")
+}
--- /dev/null
+++ b/src/peer.rs
@@ -0,0 +1,321 @@
+/*!
+Messages between instances, over Cap'n Proto RPC.
+
+A peer is addressed by its peer address. There is one outgoing connection to
+each, opened on demand. The transport drops messages rather than queue them
+without bound: every protocol above it has timeouts and retries of its own,
+and late messages are worth less than new ones.
+*/
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
+
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty};
+use futures::{StreamExt, stream::FuturesUnordered};
+use primrosemast_core::{id::InstanceId, message::PeerMessage};
+use primrosemast_wire::peer_capnp::{Class, peer};
+use tokio::{
+    net::{TcpListener, TcpSocket, TcpStream},
+    sync::mpsc,
+    task::{AbortHandle, spawn_local},
+    time::timeout,
+};
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+/// Version of the message encoding.
+const PROTOCOL: u16 = 1;
+
+/// Messages that wait for a connection; further ones are dropped.
+const QUEUE: usize = 4_096;
+
+/// Time to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A delivery without an acknowledgement for this long means that the
+/// connection is silent; it is closed and opened again.
+const ACK_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Pause after a failed connection attempt.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Deliveries without an acknowledgement on one connection.
+const MAX_UNACKNOWLEDGED: usize = 1_024;
+
+/// A message from a peer.
+#[derive(Debug)]
+pub(crate) struct Received {
+    /// The sender.
+    pub(crate) from: InstanceId,
+    /// The message.
+    pub(crate) message: PeerMessage,
+}
+
+/// A message for a peer.
+#[derive(Debug)]
+struct Outgoing {
+    to: InstanceId,
+    class: Class,
+    body: Vec<u8>,
+}
+
+/// What the transport tells the daemon.
+pub(crate) trait Events: Clone + 'static {
+    /// A message arrived.
+    fn received(&self, received: Received);
+
+    /// A connection to this instance could not be opened or has failed.
+    fn unreachable(&self, instance: InstanceId);
+}
+
+/// The sending side: one connection to each peer.
+#[derive(Debug)]
+pub(crate) struct Peers<E> {
+    me: InstanceId,
+    source: IpAddr,
+    events: E,
+    links: Vec<Link>,
+}
+
+#[derive(Debug)]
+struct Link {
+    address: SocketAddr,
+    queue: mpsc::Sender<Outgoing>,
+    task: AbortHandle,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl<E: Events> Peers<E> {
+    /// Creates the sending side of the instance `me`. Connections leave from
+    /// the address `source`.
+    pub(crate) fn new(me: InstanceId, source: IpAddr, events: E) -> Peers<E> {
+        Peers { me, source, events, links: Vec::new() }
+    }
+
+    /// Queues a message; returns its size in bytes, or `None` if it was
+    /// dropped.
+    pub(crate) fn send(
+        &mut self,
+        to: InstanceId,
+        address: SocketAddr,
+        message: &PeerMessage,
+    ) -> Option<usize> {
+        let class = match message {
+            PeerMessage::Membership(_) => Class::Membership,
+            PeerMessage::Consensus(_) => Class::Consensus,
+            PeerMessage::Sync(_) => Class::Sync,
+            PeerMessage::Query(_) => Class::Query,
+            PeerMessage::Control(_) => Class::Control,
+        };
+        let body = rmp_serde::to_vec(message).ok()?;
+        let size = body.len();
+        let link = self.link(address);
+        link.queue.try_send(Outgoing { to, class, body }).ok()?;
+        Some(size)
+    }
+
+    /// Closes connections to addresses that `keep` does not name.
+    pub(crate) fn retain(&mut self, keep: impl Fn(SocketAddr) -> bool) {
+        self.links.retain(|link| keep(link.address));
+    }
+
+    fn link(&mut self, address: SocketAddr) -> &Link {
+        let found = self.links.binary_search_by_key(&address, |l| l.address);
+        let i = found.unwrap_or_else(|i| {
+            let (tx, rx) = mpsc::channel(QUEUE);
+            let task = spawn_local(run(
+                self.me,
+                self.source,
+                address,
+                rx,
+                self.events.clone(),
+            ));
+            let task = task.abort_handle();
+            self.links.insert(i, Link { address, queue: tx, task });
+            i
+        });
+        &self.links[i]
+    }
+}
+
+/// Keeps a connection to one peer while there are messages for it.
+async fn run(
+    me: InstanceId,
+    source: IpAddr,
+    address: SocketAddr,
+    mut queue: mpsc::Receiver<Outgoing>,
+    events: impl Events,
+) {
+    while let Some(first) = queue.recv().await {
+        let to = first.to;
+        match timeout(CONNECT_TIMEOUT, connect(source, address)).await {
+            Ok(Ok(stream)) => {
+                converse(me, stream, first, &mut queue).await;
+                events.unreachable(to);
+            }
+            Ok(Err(_)) | Err(_) => {
+                events.unreachable(to);
+                // What was queued in the meantime is as late as the message
+                // that could not be sent.
+                while queue.try_recv().is_ok() {}
+                tokio::time::sleep(RECONNECT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connect(
+    source: IpAddr,
+    address: SocketAddr,
+) -> std::io::Result<TcpStream> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    if !source.is_unspecified() {
+        socket.bind(SocketAddr::new(source, 0))?;
+    }
+    let stream = socket.connect(address).await?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+/// Delivers messages on one connection until it fails or falls silent.
+async fn converse(
+    me: InstanceId,
+    stream: TcpStream,
+    first: Outgoing,
+    queue: &mut mpsc::Receiver<Outgoing>,
+) {
+    let mut system = RpcSystem::new(network(stream, Side::Client), None);
+    let client: peer::Client = system.bootstrap(Side::Server);
+    let driver = AbortOnDrop(spawn_local(system).abort_handle());
+    let mut unacknowledged = FuturesUnordered::new();
+    let mut next = Some(first);
+    loop {
+        if let Some(outgoing) = next.take() {
+            let delivery = deliver(me, &client, outgoing);
+            unacknowledged.push(timeout(ACK_TIMEOUT, delivery));
+        }
+        tokio::select! {
+            Some(ack) = unacknowledged.next() => {
+                if !matches!(ack, Ok(Ok(()))) {
+                    break;
+                }
+            }
+            message = queue.recv(),
+                if unacknowledged.len() < MAX_UNACKNOWLEDGED =>
+            {
+                match message {
+                    Some(message) => next = Some(message),
+                    None => break,
+                }
+            }
+        }
+    }
+    drop(driver);
+}
+
+struct AbortOnDrop(AbortHandle);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+fn deliver(
+    me: InstanceId,
+    client: &peer::Client,
+    outgoing: Outgoing,
+) -> impl Future<Output = Result<(), capnp::Error>> + use<> {
+    let mut request = client.deliver_request();
+    let mut envelope = request.get().init_envelope();
+    envelope.set_protocol(PROTOCOL);
+    envelope.set_sender(me.0);
+    envelope.set_recipient(outgoing.to.0);
+    envelope.set_class(outgoing.class);
+    envelope.set_body(&outgoing.body);
+    let promise = request.send().promise;
+    async move { promise.await.map(drop) }
+}
+
+fn network(
+    stream: TcpStream,
+    side: Side,
+) -> Box<twoparty::VatNetwork<impl futures::AsyncRead + Unpin + 'static>> {
+    let (reader, writer) = stream.into_split();
+    Box::new(twoparty::VatNetwork::new(
+        futures::io::BufReader::new(reader.compat()),
+        futures::io::BufWriter::new(writer.compat_write()),
+        side,
+        Default::default(),
+    ))
+}
+
+/// Accepts connections from peers until the task ends.
+pub(crate) async fn serve(
+    me: InstanceId,
+    listener: TcpListener,
+    events: impl Events,
+) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        let _ = stream.set_nodelay(true);
+        let service = Service { me, events: events.clone() };
+        let client: peer::Client = capnp_rpc::new_client(service);
+        let network = network(stream, Side::Server);
+        let system = RpcSystem::new(network, Some(client.client));
+        spawn_local(async move {
+            let _ = system.await;
+        });
+    }
+}
+
+struct Service<E> {
+    me: InstanceId,
+    events: E,
+}
+
+impl<E: Events> peer::Server for Service<E> {
+    fn deliver(
+        self: Rc<Self>,
+        params: peer::DeliverParams,
+        _results: peer::DeliverResults,
+    ) -> impl Future<Output = Result<(), capnp::Error>> + 'static {
+        let result = self.accept(&params);
+        std::future::ready(result)
+    }
+}
+
+impl<E: Events> Service<E> {
+    fn accept(
+        &self,
+        params: &peer::DeliverParams,
+    ) -> Result<(), capnp::Error> {
+        let envelope = params.get()?.get_envelope()?;
+        if envelope.get_protocol() != PROTOCOL {
+            let version = envelope.get_protocol();
+            return Err(capnp::Error::failed(format!(
+                "unknown protocol version {version}"
+            )));
+        }
+        let recipient = envelope.get_recipient();
+        // A message for the former owner of this address is not for us.
+        if recipient != 0 && recipient != self.me.0 {
+            return Ok(());
+        }
+        let message = rmp_serde::from_slice(envelope.get_body()?)
+            .map_err(|e| capnp::Error::failed(e.to_string()))?;
+        let from = InstanceId(envelope.get_sender());
+        self.events.received(Received { from, message });
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/target_client.rs
@@ -0,0 +1,351 @@
+/*!
+Connections to targets.
+
+Each connection is identified by a [`ConnId`] that the reducer has chosen,
+carries one request at a time, and is a task of its own. The tasks report
+what they see and decide nothing: timeouts, reuse and retries belong to the
+reducer.
+*/
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use primrosemast_core::{
+    id::{ConnId, QueryId, TargetId},
+    snapshot::{Holding, Snapshot},
+    target::{
+        CloseReason, HealthReport, HealthStatus, Job, TargetAnswer,
+        TargetEvent,
+    },
+    verdict::Verdict,
+};
+use serde::Deserialize;
+use tokio::{
+    net::TcpStream,
+    sync::{mpsc, oneshot},
+    task::{AbortHandle, spawn_local},
+    time::timeout,
+};
+
+/// Time to open a connection. A target that takes longer is treated as one
+/// that refuses connections.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time for a whole health probe, including its connection.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time to deliver a cancellation, which is best effort.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Largest body that is accepted from a target, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// Where connection tasks report to.
+pub(crate) trait Events: Clone + 'static {
+    /// Hands over an event.
+    fn report(&self, event: TargetEvent);
+}
+
+/// A request on its way to a target, with the remaining time.
+#[derive(Debug)]
+pub(crate) struct Outgoing {
+    /// The request.
+    pub(crate) job: Job,
+    /// Time until its deadline.
+    pub(crate) budget: Duration,
+}
+
+/// All open connections, sorted by identifier.
+#[derive(Debug, Default)]
+pub(crate) struct Connections {
+    open: Vec<Connection>,
+}
+
+#[derive(Debug)]
+struct Connection {
+    id: ConnId,
+    requests: mpsc::UnboundedSender<Outgoing>,
+    task: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Connections {
+    /// Opens a connection in the background.
+    pub(crate) fn open(
+        &mut self,
+        id: ConnId,
+        address: SocketAddr,
+        events: impl Events,
+    ) {
+        let (tx, rx) = mpsc::unbounded_channel();
+        let task = spawn_local(run(id, address, rx, events)).abort_handle();
+        let connection = Connection { id, requests: tx, task };
+        match self.position(id) {
+            Ok(i) => self.open[i] = connection,
+            Err(i) => self.open.insert(i, connection),
+        }
+    }
+
+    /// Sends a request on an open connection.
+    pub(crate) fn send(&self, id: ConnId, outgoing: Outgoing) {
+        if let Ok(i) = self.position(id) {
+            // A closed channel means that the task has reported the end of
+            // the connection, so the reducer learns of it.
+            let _ = self.open[i].requests.send(outgoing);
+        }
+    }
+
+    /// Closes a connection, in whatever state it is.
+    pub(crate) fn close(&mut self, id: ConnId) {
+        if let Ok(i) = self.position(id) {
+            self.open.remove(i);
+        }
+    }
+
+    fn position(&self, id: ConnId) -> Result<usize, usize> {
+        self.open.binary_search_by_key(&id, |c| c.id)
+    }
+}
+
+async fn run(
+    id: ConnId,
+    address: SocketAddr,
+    mut requests: mpsc::UnboundedReceiver<Outgoing>,
+    events: impl Events,
+) {
+    let Some((mut sender, mut ended)) = connect(address).await else {
+        events.report(TargetEvent::ConnectFailed(id));
+        return;
+    };
+    events.report(TargetEvent::Connected(id));
+    loop {
+        let outgoing = tokio::select! {
+            biased;
+            outgoing = requests.recv() => outgoing,
+            _ = &mut ended => {
+                events.report(TargetEvent::ConnClosed(id, CloseReason::Idle));
+                return;
+            }
+        };
+        let Some(Outgoing { job, budget }) = outgoing else { return };
+        let job_id = job.id;
+        let result = exchange(&mut sender, address, job, budget).await;
+        match result {
+            Ok(answer) => {
+                events.report(TargetEvent::Answer(id, job_id, answer));
+            }
+            Err(reason) => {
+                events.report(TargetEvent::ConnClosed(id, reason));
+                return;
+            }
+        }
+    }
+}
+
+type Sender = SendRequest<Full<Bytes>>;
+
+/// Opens a connection. The receiver resolves when the connection has ended.
+async fn connect(
+    address: SocketAddr,
+) -> Option<(Sender, oneshot::Receiver<()>)> {
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        .await
+        .ok()?
+        .ok()?;
+    let _ = stream.set_nodelay(true);
+    let (sender, connection) =
+        http1::handshake(TokioIo::new(stream)).await.ok()?;
+    let (tx, rx) = oneshot::channel();
+    // The connection task ends when the sender is dropped.
+    spawn_local(async move {
+        let _ = connection.await;
+        let _ = tx.send(());
+    });
+    Some((sender, rx))
+}
+
+async fn exchange(
+    sender: &mut Sender,
+    address: SocketAddr,
+    job: Job,
+    budget: Duration,
+) -> Result<TargetAnswer, CloseReason> {
+    let req = request(address, job, budget);
+    if sender.ready().await.is_err() {
+        return Err(CloseReason::NothingSent);
+    }
+    let response = sender.send_request(req).await.map_err(|e| {
+        // hyper reports `canceled` only if it never took the request.
+        if e.is_canceled() {
+            CloseReason::NothingSent
+        } else {
+            CloseReason::MayHaveSent
+        }
+    })?;
+    let (parts, body) = response.into_parts();
+    let body = Limited::new(body, MAX_ANSWER_BYTES)
+        .collect()
+        .await
+        .map_err(|_| CloseReason::MayHaveSent)?
+        .to_bytes();
+    Ok(parse(parts.status.as_u16(), &parts.headers, body))
+}
+
+fn request(
+    address: SocketAddr,
+    job: Job,
+    budget: Duration,
+) -> Request<Full<Bytes>> {
+    let id = format!("{}-{}-{}", job.query, job.attempt, job.shard);
+    let repeatable = if job.repeatable { "yes" } else { "no" };
+    // Rounds up, so that a request with a fraction of a millisecond left is
+    // not refused by the target as already late.
+    let deadline_ms = budget.as_micros().div_ceil(1_000) as u64;
+    Request::post("/search")
+        .header(header::HOST, address.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .header("x-request-id", id)
+        .header("x-index-version", job.snapshot.index_version)
+        .header("x-partition-map", job.snapshot.partition_map)
+        .header("x-shard", job.shard)
+        .header("x-deadline-ms", deadline_ms)
+        .header("x-repeatable", repeatable)
+        .body(Full::new(job.body))
+        .expect("header values are numbers and fixed words")
+}
+
+fn parse(status: u16, headers: &HeaderMap, body: Bytes) -> TargetAnswer {
+    let text = |name| headers.get(name).and_then(|v| v.to_str().ok());
+    let number = |name| text(name).and_then(|s| s.parse::<u64>().ok());
+    let snapshot = number("x-index-version")
+        .zip(number("x-partition-map"))
+        .map(|(index_version, partition_map)| Snapshot {
+            index_version,
+            partition_map,
+        });
+    TargetAnswer {
+        status,
+        request_id: text("x-request-id").unwrap_or("").to_owned(),
+        snapshot,
+        shard: number("x-shard").and_then(|n| u32::try_from(n).ok()),
+        boot_id: number("x-boot-id"),
+        checksum: text("x-checksum")
+            .and_then(|s| u32::from_str_radix(s, 16).ok()),
+        body_checksum: crc32fast::hash(&body),
+        holds: text("x-holds").and_then(parse_holds),
+        verdict: text("x-verdict").and_then(parse_verdict),
+        body,
+    }
+}
+
+fn parse_verdict(text: &str) -> Option<Verdict> {
+    match text {
+        "not-run" | "not_run" => Some(Verdict::NotRun),
+        "may-have-run" | "may_have_run" => Some(Verdict::MayHaveRun),
+        "ran" => Some(Verdict::Ran),
+        _ => None,
+    }
+}
+
+/// Parses `version/partition/shard/shard_count`, separated by commas.
+fn parse_holds(text: &str) -> Option<Vec<Holding>> {
+    if text.is_empty() {
+        return Some(Vec::new());
+    }
+    let mut holds = text
+        .split(',')
+        .map(|item| {
+            let mut parts = item.trim().split('/');
+            let mut next = || parts.next()?.parse::<u64>().ok();
+            let snapshot =
+                Snapshot { index_version: next()?, partition_map: next()? };
+            let shard = u32::try_from(next()?).ok()?;
+            let shard_count = u32::try_from(next()?).ok()?;
+            let holding = Holding { snapshot, shard, shard_count };
+            (parts.next().is_none() && shard < shard_count).then_some(holding)
+        })
+        .collect::<Option<Vec<Holding>>>()?;
+    holds.sort_unstable();
+    holds.dedup();
+    Some(holds)
+}
+
+/// Asks a health endpoint on a connection of its own.
+pub(crate) fn probe_health(
+    target: TargetId,
+    address: SocketAddr,
+    events: impl Events,
+) {
+    spawn_local(async move {
+        let probe = timeout(PROBE_TIMEOUT, health(address));
+        let report = probe.await.ok().flatten();
+        events.report(TargetEvent::Health(target, report));
+    });
+}
+
+async fn health(address: SocketAddr) -> Option<HealthReport> {
+    #[derive(Deserialize)]
+    struct Health {
+        status: HealthStatus,
+        boot_id: u64,
+        #[serde(default)]
+        uptime_ms: u64,
+        #[serde(default)]
+        holds: String,
+    }
+
+    let req = Request::get("/health")
+        .header(header::HOST, address.to_string())
+        .header(header::CONNECTION, "close")
+        .body(Full::new(Bytes::new()))
+        .expect("valid request");
+    let response = one_shot(address, req).await?;
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+    let body = body.collect().await.ok()?.to_bytes();
+    let health: Health = serde_json::from_slice(&body).ok()?;
+    Some(HealthReport {
+        status: health.status,
+        boot_id: health.boot_id,
+        uptime_ms: health.uptime_ms,
+        holds: parse_holds(&health.holds)?,
+    })
+}
+
+/// Tells a target that an answer is no longer wanted.
+pub(crate) fn cancel(
+    address: SocketAddr,
+    query: QueryId,
+    attempt: u32,
+    shard: u32,
+) {
+    spawn_local(timeout(CANCEL_TIMEOUT, async move {
+        let req = Request::post("/cancel")
+            .header(header::HOST, address.to_string())
+            .header(header::CONNECTION, "close")
+            .header("x-request-id", format!("{query}-{attempt}-{shard}"))
+            .body(Full::new(Bytes::new()))
+            .expect("valid request");
+        one_shot(address, req).await;
+    }));
+}
+
+/// Sends one request on a connection that is closed afterwards.
+async fn one_shot(
+    address: SocketAddr,
+    req: Request<Full<Bytes>>,
+) -> Option<Response<Incoming>> {
+    let (mut sender, _ended) = connect(address).await?;
+    sender.send_request(req).await.ok()
+}
