--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,3 +5,6 @@
 towards callers, operators and targets, messages between instances, files,
 settings and logs.
 */
+
+pub mod api;
+pub mod settings;
