--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,5 +6,8 @@
 settings and logs.
 */
 
+pub mod api;
+pub mod settings;
+
 mod peer;
 mod target_client;
