--- a/crates/core/src/node.rs
+++ /dev/null
@@ -1,3 +0,0 @@
-/*!
-The reducer of a daemon, composed of the parts.
-*/
--- /dev/null
+++ b/crates/core/src/node/mod.rs
@@ -0,0 +1,623 @@
+/*!
+The reducer of a daemon, composed of the reducers of its parts.
+
+[`Node::step`] takes one event, lets the parts exchange what they have to
+tell each other, and returns the effects for the daemon to carry out. Parts
+never call each other: everything between them goes through the queue of
+internal events, so the order is the same on every run.
+*/
+
+mod home;
+mod lifecycle;
+mod replica;
+mod roles;
+mod types;
+
+use std::{collections::VecDeque, sync::Arc, time::Duration};
+
+pub use self::types::{
+    Effect, Event, NodeOptions, OperatorReply, OperatorRequest, PlatformList,
+    TargetHome,
+};
+use self::{home::Homes, lifecycle::Lifecycle, replica::ReplicaNode};
+use crate::{
+    config::Configuration,
+    config_sync::{ConfigRecord, ConfigSync, SyncEffect, SyncEvent},
+    control::client::{Client, ClientEffect, ClientEvent},
+    control::{ControlReply, ControlRequest, Settle},
+    event::{LogEvent, config::CONFIG_REJECTED},
+    id::{ConfigVersion, InstanceId, TargetId, Token},
+    membership::{Member, Membership, MembershipEffect, MembershipEvent},
+    message::PeerMessage,
+    query::{self, ClaimResult, Queries, QueryEffect, QueryEvent},
+    target::{TargetEffect, TargetEvent, TargetReport, Targets},
+    time::Time,
+    verdict::Verdict,
+};
+
+/// Reports wait this long to be sent together.
+const REPORT_DELAY: Duration = Duration::from_millis(20);
+
+/// All reports are sent again at this interval, because a report that was
+/// lost on the way is not sent a second time otherwise.
+const REPORT_REFRESH: Duration = Duration::from_secs(5);
+
+/// An event between the parts.
+#[derive(Debug)]
+enum Internal {
+    Membership(MembershipEvent),
+    Sync(SyncEvent),
+    Query(QueryEvent),
+    Target(TargetEvent),
+    Client(ClientEvent),
+    /// Messages of roots for the homes on this instance.
+    Home(InstanceId, query::Message),
+}
+
+/// The state of a daemon.
+#[derive(Debug)]
+pub struct Node {
+    me: Member,
+    options: NodeOptions,
+    membership: Membership,
+    sync: ConfigSync,
+    queries: Queries,
+    targets: Targets,
+    homes: Homes,
+    client: Client,
+    replica: Option<ReplicaNode>,
+    configuration: Option<(ConfigVersion, Arc<Configuration>)>,
+    /// Bundles of the configuration with their homes.
+    bundles: Vec<roles::Bundle>,
+    candidates: Vec<crate::placement::Candidate>,
+    /// Instances that could not be reached, and until when they are passed
+    /// over; sorted.
+    unreachable: Vec<(InstanceId, Time)>,
+    lifecycle: Lifecycle,
+    serving: bool,
+    reports: Vec<TargetReport>,
+    flush_reports_at: Option<Time>,
+    refresh_reports_at: Time,
+    next_claim: u64,
+    claims: Vec<PendingClaim>,
+    queue: VecDeque<Internal>,
+}
+
+/// A claim that the control client works on.
+#[derive(Debug)]
+struct PendingClaim {
+    token: Token,
+    query: crate::id::QueryId,
+}
+
+/// Tokens of the node's own control requests have this bit, so that they
+/// never collide with those of operators.
+const INTERNAL_TOKEN: u64 = 1 << 63;
+
+impl Node {
+    /// Creates the state of a daemon.
+    pub fn new(me: Member, options: NodeOptions, seed: u64) -> Node {
+        let queries =
+            Queries::new(me.id, me.zone, options.query.clone(), seed ^ 1);
+        Node {
+            membership: Membership::new(
+                me.clone(),
+                options.membership.clone(),
+                seed ^ 2,
+            ),
+            sync: ConfigSync::new(me.id, options.sync.clone(), seed ^ 3),
+            queries,
+            targets: Targets::new(options.target.clone(), seed ^ 4),
+            homes: Homes::default(),
+            client: Client::new(options.client.clone(), seed ^ 5),
+            replica: None,
+            configuration: None,
+            bundles: Vec::new(),
+            candidates: Vec::new(),
+            unreachable: Vec::new(),
+            lifecycle: Lifecycle::default(),
+            serving: false,
+            reports: Vec::new(),
+            flush_reports_at: None,
+            refresh_reports_at: Time::ZERO,
+            next_claim: 0,
+            claims: Vec::new(),
+            queue: VecDeque::new(),
+            me,
+            options,
+        }
+    }
+
+    /// Handles one event.
+    pub fn step(
+        &mut self,
+        now: Time,
+        event: Event,
+        out: &mut impl Extend<Effect>,
+    ) {
+        match event {
+            Event::Start { recovered } => {
+                self.start_replica(now, recovered, out);
+                self.push(Internal::Membership(MembershipEvent::Hint(
+                    self.options.seeds.clone(),
+                )));
+            }
+            Event::Caller(token, req) => {
+                self.push(Internal::Query(QueryEvent::Submit(token, req)));
+            }
+            Event::CallerGone(token) => {
+                self.push(Internal::Query(QueryEvent::CallerGone(token)));
+            }
+            Event::Operator(token, req) => {
+                self.operator(now, token, req, out);
+            }
+            Event::Peer(from, message) => {
+                self.peer_message(now, from, message, out);
+            }
+            Event::Unreachable(id) => self.mark_unreachable(now, id),
+            Event::Target(event) => self.push(Internal::Target(event)),
+            Event::Persisted(ticket) => {
+                self.replica_persisted(now, ticket, out);
+            }
+            Event::Platform(list) => self.platform_list(&list),
+            Event::Shutdown => self.shut_down(now, out),
+            Event::Tick => {}
+        }
+        self.tick(now, out);
+        self.run(now, out);
+        self.finish_shutdown(now, out);
+    }
+
+    /// When the next `Tick` is due.
+    pub fn next_deadline(&self) -> Option<Time> {
+        [
+            self.membership.next_deadline(),
+            self.sync.next_deadline(),
+            self.queries.next_deadline(),
+            self.targets.next_deadline(),
+            self.client.next_deadline(),
+            self.replica.as_ref().and_then(ReplicaNode::next_deadline),
+            self.flush_reports_at,
+            Some(self.refresh_reports_at),
+            self.lifecycle.next_deadline(),
+            self.unreachable.iter().map(|&(_, until)| until).min(),
+        ]
+        .into_iter()
+        .flatten()
+        .min()
+    }
+
+    fn push(&mut self, event: Internal) {
+        self.queue.push_back(event);
+    }
+
+    /// Gives every part its tick and does the node's own periodic work.
+    fn tick(&mut self, now: Time, out: &mut impl Extend<Effect>) {
+        let due = |at: Option<Time>| at.is_some_and(|at| at <= now);
+        if due(self.membership.next_deadline()) {
+            self.push(Internal::Membership(MembershipEvent::Tick));
+        }
+        if due(self.sync.next_deadline()) {
+            self.push(Internal::Sync(SyncEvent::Tick));
+        }
+        if due(self.client.next_deadline()) {
+            self.push(Internal::Client(ClientEvent::Tick));
+        }
+        if due(self.queries.next_deadline()) {
+            self.push(Internal::Query(QueryEvent::Tick));
+        }
+        if due(self.targets.next_deadline()) {
+            self.push(Internal::Target(TargetEvent::Tick));
+        }
+        self.replica_tick(now, out);
+        self.forget_unreachable(now);
+        self.flush_reports(now, out);
+    }
+
+    /// Runs the parts until they have nothing more to tell each other.
+    fn run(&mut self, now: Time, out: &mut impl Extend<Effect>) {
+        while let Some(event) = self.queue.pop_front() {
+            match event {
+                Internal::Membership(event) => {
+                    self.run_membership(now, event, out);
+                }
+                Internal::Sync(event) => self.run_sync(now, event, out),
+                Internal::Query(event) => self.run_query(now, event, out),
+                Internal::Target(event) => self.run_target(now, event, out),
+                Internal::Client(event) => self.run_client(now, event, out),
+                Internal::Home(from, message) => {
+                    self.run_home(now, from, message, out);
+                }
+            }
+        }
+    }
+
+    fn run_membership(
+        &mut self,
+        now: Time,
+        event: MembershipEvent,
+        out: &mut impl Extend<Effect>,
+    ) {
+        let mut effects = Vec::new();
+        self.membership.step(now, event, &mut effects);
+        let mut changed = false;
+        for effect in effects {
+            match effect {
+                MembershipEffect::Send(to, message) => {
+                    out.extend([Effect::send_to(
+                        to,
+                        PeerMessage::Membership(message),
+                    )]);
+                }
+                MembershipEffect::Changed(member) => {
+                    changed = true;
+                    self.member_changed(&member);
+                }
+                MembershipEffect::Log(event) => {
+                    out.extend([Effect::Log(event)]);
+                }
+            }
+        }
+        if changed {
+            self.members_changed(now, out);
+        }
+    }
+
+    fn run_sync(
+        &mut self,
+        now: Time,
+        event: SyncEvent,
+        out: &mut impl Extend<Effect>,
+    ) {
+        let mut effects = Vec::new();
+        self.sync.step(now, event, &mut effects);
+        for effect in effects {
+            match effect {
+                SyncEffect::Send(to, message) => {
+                    self.send(to, PeerMessage::Sync(message), out);
+                }
+                SyncEffect::Install(record) => {
+                    self.install(now, &record, out);
+                }
+                SyncEffect::Serving(serving) => {
+                    self.serving = serving;
+                    self.serving_changed(now, out);
+                }
+                SyncEffect::Log(event) => out.extend([Effect::Log(event)]),
+            }
+        }
+    }
+
+    fn run_query(
+        &mut self,
+        now: Time,
+        event: QueryEvent,
+        out: &mut impl Extend<Effect>,
+    ) {
+        let mut effects = Vec::new();
+        self.queries.step(now, event, &mut effects);
+        for effect in effects {
+            match effect {
+                QueryEffect::Send(to, message) if to == self.me.id => {
+                    self.push(Internal::Home(to, message));
+                }
+                QueryEffect::Send(to, message) => {
+                    self.send(to, PeerMessage::Query(message), out);
+                }
+                QueryEffect::Claim { query, request_id, budget_us } => {
+                    self.claim(query, request_id, budget_us);
+                }
+                QueryEffect::Settle { query, request_id, verdict } => {
+                    self.settle(query, request_id, verdict);
+                }
+                QueryEffect::Respond(token, response) => {
+                    out.extend([Effect::Respond(token, response)]);
+                }
+                QueryEffect::Log(event) => out.extend([Effect::Log(event)]),
+            }
+        }
+    }
+
+    fn run_target(
+        &mut self,
+        now: Time,
+        event: TargetEvent,
+        out: &mut impl Extend<Effect>,
+    ) {
+        let mut effects = Vec::new();
+        self.targets.step(now, event, &mut effects);
+        for effect in effects {
+            match effect {
+                TargetEffect::Done(job, outcome) => {
+                    let targets = &self.targets;
+                    let reply = self
+                        .homes
+                        .complete(job, outcome, |t| targets.report(t));
+                    if let Some((root, message)) = reply {
+                        self.send_query(root, message, out);
+                    }
+                }
+                TargetEffect::Report(report) => self.report(now, report),
+                TargetEffect::Log(event) => out.extend([Effect::Log(event)]),
+                effect => out.extend([Effect::Target(effect)]),
+            }
+        }
+    }
+
+    fn run_home(
+        &mut self,
+        now: Time,
+        from: InstanceId,
+        message: query::Message,
+        out: &mut impl Extend<Effect>,
+    ) {
+        match message {
+            query::Message::Request(req) => {
+                let accepted = query::Message::Accepted {
+                    query: req.query,
+                    attempt: req.attempt,
+                };
+                self.send_query(from, accepted, out);
+                for job in self.homes.accept(now, from, req) {
+                    self.push(Internal::Target(TargetEvent::Submit(job)));
+                }
+            }
+            query::Message::Cancel { query, attempts } => {
+                for job in self.homes.jobs_of(from, query, &attempts) {
+                    self.push(Internal::Target(TargetEvent::Cancel(job)));
+                }
+            }
+            query::Message::Accepted { .. }
+            | query::Message::Reply(_)
+            | query::Message::Reports(_) => {
+                self.push(Internal::Query(QueryEvent::Message(
+                    from, message,
+                )));
+            }
+        }
+    }
+
+    fn run_client(
+        &mut self,
+        now: Time,
+        event: ClientEvent,
+        out: &mut impl Extend<Effect>,
+    ) {
+        let mut effects = Vec::new();
+        self.client.step(now, event, &mut effects);
+        for effect in effects {
+            match effect {
+                ClientEffect::Send(to, message) => {
+                    self.send_control(now, to, message, out);
+                }
+                ClientEffect::Done(token, reply) => {
+                    self.control_reply(token, reply, out);
+                }
+                ClientEffect::Log(event) => out.extend([Effect::Log(event)]),
+            }
+        }
+    }
+
+    fn control_reply(
+        &mut self,
+        token: Token,
+        reply: ControlReply,
+        out: &mut impl Extend<Effect>,
+    ) {
+        if token.0 & INTERNAL_TOKEN == 0 {
+            let reply = OperatorReply::Control(reply);
+            out.extend([Effect::Reply(token, reply)]);
+            return;
+        }
+        let Ok(i) = self.claims.binary_search_by_key(&token, |c| c.token)
+        else {
+            return;
+        };
+        let claim = self.claims.remove(i);
+        let result = match reply {
+            ControlReply::Claim(result) => result,
+            _ => ClaimResult::Unavailable,
+        };
+        self.push(Internal::Query(QueryEvent::Claimed(claim.query, result)));
+    }
+
+    fn claim(
+        &mut self,
+        query: crate::id::QueryId,
+        request_id: String,
+        budget_us: u64,
+    ) {
+        let token = self.internal_token();
+        self.claims.push(PendingClaim { token, query });
+        let request = ControlRequest::Claim(crate::control::Claim {
+            request_id,
+            query,
+            at_ms: 0,
+        });
+        self.push(Internal::Client(ClientEvent::Request {
+            token,
+            request,
+            budget: Duration::from_micros(budget_us),
+        }));
+    }
+
+    fn settle(
+        &mut self,
+        query: crate::id::QueryId,
+        request_id: String,
+        verdict: Verdict,
+    ) {
+        let token = self.internal_token();
+        let settle = Settle { request_id, query, verdict };
+        self.push(Internal::Client(ClientEvent::Request {
+            token,
+            request: ControlRequest::Settle(settle),
+            budget: self.options.settle_budget,
+        }));
+    }
+
+    fn internal_token(&mut self) -> Token {
+        self.next_claim += 1;
+        Token(INTERNAL_TOKEN | self.next_claim)
+    }
+
+    fn peer_message(
+        &mut self,
+        now: Time,
+        from: InstanceId,
+        message: PeerMessage,
+        out: &mut impl Extend<Effect>,
+    ) {
+        self.mark_reachable(from);
+        match message {
+            PeerMessage::Membership(message) => self.push(
+                Internal::Membership(MembershipEvent::Message(from, message)),
+            ),
+            PeerMessage::Sync(message) => {
+                self.push(Internal::Sync(SyncEvent::Message(from, message)));
+            }
+            PeerMessage::Query(message) => {
+                self.push(Internal::Home(from, message));
+            }
+            PeerMessage::Consensus(envelope) => {
+                self.consensus_message(now, envelope, out);
+            }
+            PeerMessage::Control(message) => {
+                self.control_message(now, from, message, out);
+            }
+        }
+    }
+
+    /// Brings a configuration into force.
+    fn install(
+        &mut self,
+        now: Time,
+        record: &ConfigRecord,
+        out: &mut impl Extend<Effect>,
+    ) {
+        let Ok(mut configuration) =
+            rmp_serde::from_slice::<Configuration>(&record.document)
+        else {
+            // The leader has checked the document, so this instance runs an
+            // older version of the daemon that does not know all of it.
+            out.extend([Effect::Log(LogEvent::new(
+                &CONFIG_REJECTED,
+                format!("version={}", record.version),
+            ))]);
+            return;
+        };
+        configuration.sort();
+        let configuration = Arc::new(configuration);
+        self.configuration =
+            Some((record.version, Arc::clone(&configuration)));
+        self.push(Internal::Query(QueryEvent::Configure(configuration)));
+        self.place(now, out);
+    }
+
+    /// Sends a message of the query path, which may be for this instance.
+    fn send_query(
+        &mut self,
+        to: InstanceId,
+        message: query::Message,
+        out: &mut impl Extend<Effect>,
+    ) {
+        if to == self.me.id {
+            self.push(Internal::Home(to, message));
+        } else {
+            self.send(to, PeerMessage::Query(message), out);
+        }
+    }
+
+    /// Sends a message to a member; messages to unknown members are dropped.
+    fn send(
+        &self,
+        to: InstanceId,
+        message: PeerMessage,
+        out: &mut impl Extend<Effect>,
+    ) {
+        if let Some(member) = self.member(to) {
+            let address = member.address;
+            out.extend([Effect::Send { to, address, message }]);
+        }
+    }
+
+    fn report(&mut self, now: Time, report: TargetReport) {
+        match self.reports.binary_search_by_key(&report.target, |r| r.target) {
+            Ok(i) => self.reports[i] = report,
+            Err(i) => self.reports.insert(i, report),
+        }
+        self.flush_reports_at.get_or_insert(now + REPORT_DELAY);
+    }
+
+    fn flush_reports(&mut self, now: Time, out: &mut impl Extend<Effect>) {
+        if self.refresh_reports_at <= now {
+            self.refresh_reports_at = now + REPORT_REFRESH;
+            let all: Vec<TargetReport> = self.targets.reports().collect();
+            self.broadcast_reports(all, out);
+        }
+        if self.flush_reports_at.is_some_and(|at| at <= now) {
+            self.flush_reports_at = None;
+            let reports = std::mem::take(&mut self.reports);
+            self.broadcast_reports(reports, out);
+        }
+    }
+
+    fn broadcast_reports(
+        &mut self,
+        reports: Vec<TargetReport>,
+        out: &mut impl Extend<Effect>,
+    ) {
+        if reports.is_empty() {
+            return;
+        }
+        let message = query::Message::Reports(reports);
+        self.push(Internal::Home(self.me.id, message.clone()));
+        let fellows: Vec<InstanceId> = self.entry_fellows().collect();
+        for id in fellows {
+            self.send(id, PeerMessage::Query(message.clone()), out);
+        }
+    }
+
+    /// Members, sorted by identifier.
+    pub fn members(&self) -> &[Member] {
+        self.membership.members()
+    }
+
+    /// The configuration in force and its version.
+    pub fn configuration(
+        &self,
+    ) -> Option<(ConfigVersion, &Arc<Configuration>)> {
+        self.configuration.as_ref().map(|(v, c)| (*v, c))
+    }
+
+    /// Hash of the document in force; 0 if there is none.
+    pub fn configuration_hash(&self) -> u64 {
+        self.sync.current().map_or(0, |record| record.hash)
+    }
+
+    /// Whether the lease allows this instance to serve.
+    pub fn serving(&self) -> bool {
+        self.serving
+    }
+
+    /// Whether new requests should be sent here.
+    pub fn ready(&self) -> bool {
+        self.serving && self.configuration.is_some() && !self.draining()
+    }
+
+    /// Explains the decisions on a recent request, if it was served here.
+    pub fn explain(&self, request_id: &str) -> Option<query::Explanation> {
+        self.queries.explain(request_id)
+    }
+
+    /// The last report of a target that this instance knows.
+    pub fn target_report(&self, target: TargetId) -> Option<&TargetReport> {
+        self.queries.report(target)
+    }
+
+    fn member(&self, id: InstanceId) -> Option<&Member> {
+        let members = self.membership.members();
+        let i = members.binary_search_by_key(&id, |m| m.id).ok()?;
+        Some(&members[i])
+    }
+}
--- /dev/null
+++ b/crates/standin/src/fleet.rs
@@ -0,0 +1,512 @@
+/*!
+A fleet of daemons as real processes on loopback.
+
+Each instance has an IP address of its own (127.0.1.1, 127.0.1.2, ...), so
+that a proxy can tell the instances apart by the source of a connection. The
+peer address of every instance is behind a [`Proxy`]. Ports are chosen by the
+system at the first start and kept for restarts.
+*/
+
+use std::{
+    io::{self, BufRead, BufReader},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+use http::Method;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+use crate::{
+    client::{self, Reply},
+    proxy::Proxy,
+};
+
+/// Longest wait for a condition. Generous, so that a busy machine does not
+/// fail a test.
+const WAIT_LIMIT: Duration = Duration::from_secs(60);
+
+/// Pause between two looks at a condition.
+const WAIT_STEP: Duration = Duration::from_millis(20);
+
+/// What an instance is.
+#[derive(Clone, Debug)]
+pub struct InstanceOptions {
+    /// Name of its availability zone.
+    pub zone: String,
+    /// Whether it serves callers.
+    pub entry: bool,
+    /// Whether it runs a control replica.
+    pub control: bool,
+}
+
+/// What a fleet is.
+#[derive(Clone, Debug)]
+pub struct FleetOptions {
+    /// The instances.
+    pub instances: Vec<InstanceOptions>,
+    /// Log filter of the daemons.
+    pub log: String,
+    /// Merged into the settings of every instance.
+    pub settings: Value,
+}
+
+impl FleetOptions {
+    /// Entry instances spread over zones; the first `control` of them also
+    /// run control replicas.
+    pub fn spread(entries: usize, control: usize, zones: &[&str]) -> Self {
+        let instances = (0..entries)
+            .map(|i| InstanceOptions {
+                zone: zones[i % zones.len()].to_owned(),
+                entry: true,
+                control: i < control,
+            })
+            .collect();
+        FleetOptions { instances, log: "info".into(), settings: json!({}) }
+    }
+}
+
+/// Addresses of an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Addresses {
+    /// For callers.
+    pub caller: SocketAddr,
+    /// For operators.
+    pub operator: SocketAddr,
+    /// For other instances, behind the proxy.
+    pub peer: SocketAddr,
+}
+
+/// An instance of the fleet.
+#[derive(Debug)]
+pub struct Instance {
+    name: String,
+    options: InstanceOptions,
+    ip: IpAddr,
+    addresses: Addresses,
+    proxy: Proxy,
+    child: Option<Child>,
+    log: PathBuf,
+}
+
+impl Instance {
+    /// Its name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Its addresses.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Source address of its connections to others.
+    pub fn ip(&self) -> IpAddr {
+        self.ip
+    }
+
+    /// The proxy in front of its peer address.
+    pub fn proxy(&self) -> &Proxy {
+        &self.proxy
+    }
+
+    /// Process id, while it runs.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    /// What it has logged so far.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+/// A running fleet; every process is ended when dropped.
+#[derive(Debug)]
+pub struct Fleet {
+    folder: TempDir,
+    command: Vec<PathBuf>,
+    options: FleetOptions,
+    instances: Vec<Instance>,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for instance in &mut self.instances {
+            if let Some(mut child) = instance.child.take() {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+    }
+}
+
+impl Fleet {
+    /// Starts a fleet. `command` is the daemon's program and its first
+    /// arguments; `--settings FILE` is added.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process cannot be started or does not announce its
+    /// addresses.
+    pub async fn start(
+        command: &[&Path],
+        options: FleetOptions,
+    ) -> io::Result<Fleet> {
+        let mut fleet = Fleet {
+            folder: TempDir::new()?,
+            command: command.iter().map(|p| p.to_path_buf()).collect(),
+            options: options.clone(),
+            instances: Vec::new(),
+        };
+        for (i, instance) in options.instances.into_iter().enumerate() {
+            let proxy = Proxy::start(([127, 0, 0, 1], 0).into(), None).await?;
+            let ip = Ipv4Addr::new(127, 0, 1, i as u8 + 1).into();
+            let any = SocketAddr::new(ip, 0);
+            let peer = proxy.address();
+            let addresses = Addresses { caller: any, operator: any, peer };
+            let name = format!("instance-{}", i + 1);
+            let log = fleet.folder.path().join(format!("{name}.log"));
+            fleet.instances.push(Instance {
+                name,
+                options: instance,
+                ip,
+                addresses,
+                proxy,
+                child: None,
+                log,
+            });
+            fleet.restart(i)?;
+        }
+        Ok(fleet)
+    }
+
+    /// The instances, in the order of the options.
+    pub fn instances(&self) -> &[Instance] {
+        &self.instances
+    }
+
+    /// Folder with the settings, logs and data folders.
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
+    /// Data folder of an instance.
+    pub fn data_folder(&self, i: usize) -> PathBuf {
+        self.folder.path().join(format!("{}.data", self.instances[i].name))
+    }
+
+    /// Starts an instance that does not run.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process cannot be started or does not announce its
+    /// addresses.
+    pub fn restart(&mut self, i: usize) -> io::Result<()> {
+        let settings = self.write_settings(i)?;
+        let instance = &mut self.instances[i];
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&instance.log)?;
+        let mut command = Command::new(&self.command[0]);
+        let mut child = command
+            .args(&self.command[1..])
+            .arg("--settings")
+            .arg(&settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(log)
+            .spawn()?;
+        let stdout = child.stdout.take().expect("stdout is piped");
+        let mut line = String::new();
+        let read = BufReader::new(stdout).read_line(&mut line);
+        let announced = read.ok().and_then(|_| parse_addresses(&line));
+        let Some([caller, operator, peer]) = announced else {
+            let _ = child.kill();
+            let _ = child.wait();
+            return Err(io::Error::other(format!(
+                "{} did not start: {}",
+                instance.name,
+                instance.log()
+            )));
+        };
+        instance.addresses.caller = caller;
+        instance.addresses.operator = operator;
+        instance.proxy.change(|f| f.server = Some(peer));
+        instance.child = Some(child);
+        Ok(())
+    }
+
+    fn write_settings(&self, i: usize) -> io::Result<PathBuf> {
+        let instance = &self.instances[i];
+        let peer = instance
+            .proxy
+            .server()
+            .unwrap_or_else(|| SocketAddr::new(instance.ip, 0));
+        let peers: Vec<String> = self
+            .instances
+            .iter()
+            .map(|other| other.addresses.peer.to_string())
+            .collect();
+        let mut roles = Vec::new();
+        if instance.options.entry {
+            roles.push("entry");
+        }
+        if instance.options.control {
+            roles.push("control");
+        }
+        let mut settings = json!({
+            "name": instance.name,
+            "availability_zone": instance.options.zone,
+            "roles": roles,
+            "listen": {
+                "caller": instance.addresses.caller,
+                "operator": instance.addresses.operator,
+                "peer": peer,
+            },
+            "advertise_peer": instance.addresses.peer,
+            "peers": peers,
+            "log": self.options.log,
+        });
+        if instance.options.control {
+            settings["data_folder"] = json!(self.data_folder(i));
+        }
+        if let (Some(all), Some(more)) =
+            (settings.as_object_mut(), self.options.settings.as_object())
+        {
+            all.extend(more.clone());
+        }
+        let path = self.folder.path().join(format!("{}.jsonc", instance.name));
+        std::fs::write(&path, settings.to_string())?;
+        Ok(path)
+    }
+
+    /// Ends an instance with SIGKILL.
+    pub fn kill(&mut self, i: usize) {
+        if let Some(mut child) = self.instances[i].child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Sends SIGTERM.
+    pub fn terminate(&self, i: usize) {
+        self.signal(i, Signal::TERM);
+    }
+
+    /// Stops an instance from running with SIGSTOP.
+    pub fn freeze(&self, i: usize) {
+        self.signal(i, Signal::STOP);
+    }
+
+    /// Lets a frozen instance go on.
+    pub fn thaw(&self, i: usize) {
+        self.signal(i, Signal::CONT);
+    }
+
+    fn signal(&self, i: usize, signal: Signal) {
+        let pid = self.instances[i].pid().expect("the instance runs");
+        let pid = Pid::from_raw(pid as i32).expect("not zero");
+        kill_process(pid, signal).expect("our own process");
+    }
+
+    /// Waits for an instance to end; returns its exit code.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not end in time.
+    pub async fn wait_exit(&mut self, i: usize) -> io::Result<Option<i32>> {
+        let start = Instant::now();
+        loop {
+            let child = self.instances[i].child.as_mut();
+            let Some(child) = child else { return Ok(None) };
+            if let Some(status) = child.try_wait()? {
+                self.instances[i].child = None;
+                return Ok(status.code());
+            }
+            if start.elapsed() > WAIT_LIMIT {
+                return Err(io::Error::other("the instance does not end"));
+            }
+            tokio::time::sleep(WAIT_STEP).await;
+        }
+    }
+
+    /// Cuts or restores all traffic between two instances.
+    pub fn cut(&self, a: usize, b: usize, cut: bool) {
+        for (x, y) in [(a, b), (b, a)] {
+            self.cut_one_way(x, y, cut);
+        }
+    }
+
+    /// Cuts or restores the connections that `from` opens to `to`, in both
+    /// directions of their bytes. Instances use connections of their own for
+    /// what they send, so this stops the messages of `from` only.
+    pub fn cut_one_way(&self, from: usize, to: usize, cut: bool) {
+        let source = self.instances[from].ip;
+        self.instances[to].proxy.change(|f| {
+            f.cut_sources.retain(|&s| s != source);
+            if cut {
+                f.cut_sources.push(source);
+            }
+        });
+    }
+
+    /// Cuts or restores all traffic between one instance and the others.
+    pub fn isolate(&self, i: usize, cut: bool) {
+        for other in (0..self.instances.len()).filter(|&o| o != i) {
+            self.cut(i, other, cut);
+        }
+    }
+
+    /// Founds the control group on the first control instance, waits until
+    /// all control instances vote, and applies the first configuration.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a step is refused or takes too long.
+    pub async fn bootstrap(&self, configuration: &Value) -> io::Result<()> {
+        let first = self
+            .instances
+            .iter()
+            .position(|i| i.options.control)
+            .ok_or_else(|| io::Error::other("no control instance"))?;
+        let operator = self.instances[first].addresses.operator;
+        let req = json!({"action": "bootstrap"});
+        let reply = client::post(operator, "/v1/replicas", &req).await?;
+        expect(&reply, 200)?;
+        let control =
+            self.instances.iter().filter(|i| i.options.control).count();
+        wait_for("all control instances vote", || async {
+            let status = self.status(first).await.ok()?;
+            let members = status["control"]["members"].as_array()?;
+            let voters = members.iter().filter(|m| m["voter"] == true);
+            (voters.count() == control).then_some(())
+        })
+        .await?;
+        let reply = self
+            .change(first, "first-configuration", 0, configuration)
+            .await?;
+        expect(&reply, 200)?;
+        self.wait_version(1).await
+    }
+
+    /// Sends a change of the configuration to an instance.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the instance cannot be reached.
+    pub async fn change(
+        &self,
+        i: usize,
+        id: &str,
+        expected_version: u64,
+        configuration: &Value,
+    ) -> io::Result<Reply> {
+        let req = json!({
+            "change_id": id,
+            "expected_version": expected_version,
+            "configuration": configuration,
+        });
+        let operator = self.instances[i].addresses.operator;
+        client::post(operator, "/v1/changes", &req).await
+    }
+
+    /// Reads the status of an instance.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the instance cannot be reached.
+    pub async fn status(&self, i: usize) -> io::Result<Value> {
+        let operator = self.instances[i].addresses.operator;
+        let reply = client::get(operator, "/v1/status").await?;
+        expect(&reply, 200)?;
+        Ok(reply.body)
+    }
+
+    /// Waits until every running instance has the version in force and the
+    /// entry instances among them are ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it takes too long.
+    pub async fn wait_version(&self, version: u64) -> io::Result<()> {
+        for (i, instance) in self.instances.iter().enumerate() {
+            if instance.child.is_none() {
+                continue;
+            }
+            let what = format!("{} has version {version}", instance.name);
+            wait_for(&what, || async {
+                let status = self.status(i).await.ok()?;
+                let ready = status["ready"] == true;
+                let current = status["version"].as_u64()? >= version;
+                (current && ready).then_some(())
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
+    /// Sends a query to an instance.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the instance cannot be reached or the connection breaks.
+    pub async fn query(
+        &self,
+        i: usize,
+        route: &str,
+        headers: &[(&str, &str)],
+        body: &Value,
+    ) -> io::Result<Reply> {
+        let path = format!("/v1/routes/{route}/query");
+        let caller = self.instances[i].addresses.caller;
+        client::request(caller, Method::POST, &path, headers, body.to_string())
+            .await
+    }
+}
+
+/// Waits until `condition` gives a value.
+///
+/// # Errors
+///
+/// Fails if it takes too long.
+pub async fn wait_for<T, F, C>(what: &str, condition: C) -> io::Result<T>
+where
+    C: Fn() -> F,
+    F: Future<Output = Option<T>>,
+{
+    let start = Instant::now();
+    loop {
+        if let Some(value) = condition().await {
+            return Ok(value);
+        }
+        if start.elapsed() > WAIT_LIMIT {
+            return Err(io::Error::other(format!("timeout: {what}")));
+        }
+        tokio::time::sleep(WAIT_STEP).await;
+    }
+}
+
+fn expect(reply: &Reply, status: u16) -> io::Result<()> {
+    if reply.status == status {
+        return Ok(());
+    }
+    Err(io::Error::other(format!("{}: {}", reply.status, reply.body)))
+}
+
+/// Parses `listening caller=A operator=B peer=C`.
+fn parse_addresses(line: &str) -> Option<[SocketAddr; 3]> {
+    let mut words = line.split_whitespace();
+    if words.next() != Some("listening") {
+        return None;
+    }
+    let mut next = |name: &str| {
+        let value = words.next()?.strip_prefix(name)?;
+        value.strip_prefix('=')?.parse().ok()
+    };
+    Some([next("caller")?, next("operator")?, next("peer")?])
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,8 @@
 loopback with nothing else installed.
 */
 
+pub mod client;
+pub mod fleet;
 mod http;
 pub mod platform;
 pub mod proxy;
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -37,6 +37,8 @@
     pub silent_before: u64,
     /// Connections opened before this count are closed.
     pub closed_before: u64,
+    /// Where to forward to; new connections wait until it is known.
+    pub server: Option<SocketAddr>,
 }
 
 /// A running proxy; stops when dropped.
@@ -49,21 +51,22 @@
 }
 
 impl Proxy {
-    /// Starts a proxy on `listen` in front of `server`.
+    /// Starts a proxy on `listen` in front of `server`, which may become
+    /// known later.
     ///
     /// # Errors
     ///
     /// Fails if the address cannot be bound.
     pub async fn start(
         listen: SocketAddr,
-        server: SocketAddr,
+        server: Option<SocketAddr>,
     ) -> std::io::Result<Proxy> {
         let listener = TcpListener::bind(listen).await?;
         let address = listener.local_addr()?;
-        let (faults, watch) = watch::channel(Faults::default());
+        let (faults, watch) =
+            watch::channel(Faults { server, ..Faults::default() });
         let opened = Arc::new(Mutex::new(0));
-        let task =
-            tokio::spawn(run(listener, server, watch, Arc::clone(&opened)));
+        let task = tokio::spawn(run(listener, watch, Arc::clone(&opened)));
         Ok(Proxy { address, faults, opened, task })
     }
 
@@ -72,6 +75,11 @@
         self.address
     }
 
+    /// Where it forwards to, if that is known.
+    pub fn server(&self) -> Option<SocketAddr> {
+        self.faults.borrow().server
+    }
+
     /// Changes the faults.
     pub fn change(&self, change: impl FnOnce(&mut Faults)) {
         self.faults.send_modify(change);
@@ -98,7 +106,6 @@
 
 async fn run(
     listener: TcpListener,
-    server: SocketAddr,
     faults: watch::Receiver<Faults>,
     opened: Arc<Mutex<u64>>,
 ) {
@@ -116,7 +123,7 @@
         };
         let connection =
             Connection { number, source: source.ip(), faults: faults.clone() };
-        connections.spawn(connection.forward(client, server));
+        connections.spawn(connection.forward(client));
     }
 }
 
@@ -127,7 +134,16 @@
 }
 
 impl Connection {
-    async fn forward(mut self, client: TcpStream, server: SocketAddr) {
+    async fn forward(mut self, client: TcpStream) {
+        let Ok(server) = self
+            .faults
+            .wait_for(|f| f.server.is_some())
+            .await
+            .map(|f| f.server)
+        else {
+            return;
+        };
+        let Some(server) = server else { return };
         let Ok(server) = TcpStream::connect(server).await else { return };
         let _ = client.set_nodelay(true);
         let _ = server.set_nodelay(true);
--- /dev/null
+++ b/src/daemon/metrics.rs
@@ -0,0 +1,189 @@
+//! Metrics, by OpenTelemetry with a Prometheus page.
+
+use std::time::Duration;
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use primrosemast_core::{
+    event::LogEvent,
+    query::{CallerResponse, FailureReason},
+};
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// All instruments of a daemon.
+#[derive(Clone, Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Keeps the reader that feeds the registry.
+    _provider: SdkMeterProvider,
+    queries: Counter<u64>,
+    latency: Histogram<f64>,
+    shards: Counter<u64>,
+    target_requests: Counter<u64>,
+    target_connections: Counter<u64>,
+    peer_messages: Counter<u64>,
+    peer_bytes: Counter<u64>,
+    events: Counter<u64>,
+    version: Gauge<u64>,
+    serving: Gauge<u64>,
+    in_flight: Gauge<u64>,
+}
+
+impl Metrics {
+    /// Creates the instruments.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the exporter cannot register with the registry.
+    pub(crate) fn new() -> anyhow::Result<Metrics> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_scope_info()
+            .without_target_info()
+            .build()?;
+        let provider =
+            SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("primrosemast");
+        let counter = |name: &'static str, text: &'static str| {
+            meter.u64_counter(name).with_description(text).build()
+        };
+        let gauge = |name: &'static str, text: &'static str| {
+            meter.u64_gauge(name).with_description(text).build()
+        };
+        Ok(Metrics {
+            queries: counter(
+                "primrosemast_queries",
+                "Callers' requests by result",
+            ),
+            latency: meter
+                .f64_histogram("primrosemast_query_seconds")
+                .with_description("Time from request to response")
+                .with_boundaries(vec![
+                    0.001, 0.002, 0.005, 0.01, 0.02, 0.035, 0.05, 0.067, 0.1,
+                    0.2, 0.5, 1.0, 2.0, 5.0,
+                ])
+                .build(),
+            shards: counter(
+                "primrosemast_shards",
+                "Shards of answered queries by result",
+            ),
+            target_requests: counter(
+                "primrosemast_target_requests",
+                "Requests sent to targets",
+            ),
+            target_connections: counter(
+                "primrosemast_target_connections",
+                "Connections opened to targets",
+            ),
+            peer_messages: counter(
+                "primrosemast_peer_messages",
+                "Messages sent to other instances by class",
+            ),
+            peer_bytes: counter(
+                "primrosemast_peer_bytes",
+                "Bytes of messages sent to other instances by class",
+            ),
+            events: counter(
+                "primrosemast_log_events",
+                "Log events by number",
+            ),
+            version: gauge(
+                "primrosemast_configuration_version",
+                "Configuration version in force",
+            ),
+            serving: gauge(
+                "primrosemast_serving",
+                "1 while the lease allows the instance to serve",
+            ),
+            in_flight: gauge(
+                "primrosemast_queries_in_flight",
+                "Callers' requests in progress",
+            ),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// The metrics page.
+    pub(crate) fn render(&self) -> String {
+        let mut buf = Vec::new();
+        let families = self.registry.gather();
+        if TextEncoder::new().encode(&families, &mut buf).is_err() {
+            return String::new();
+        }
+        String::from_utf8(buf).unwrap_or_default()
+    }
+
+    /// A caller got its response.
+    pub(crate) fn responded(&self, response: &CallerResponse, took: Duration) {
+        self.latency.record(took.as_secs_f64(), &[]);
+        match response {
+            CallerResponse::Answer(answer) => {
+                let coverage = &answer.coverage;
+                self.queries.add(1, &[KeyValue::new("result", "answered")]);
+                self.shards.add(
+                    u64::from(coverage.answered),
+                    &[KeyValue::new("result", "answered")],
+                );
+                self.shards.add(
+                    coverage.missing.len() as u64,
+                    &[KeyValue::new("result", "missing")],
+                );
+            }
+            CallerResponse::Failure(failure) => {
+                let reason = reason_name(failure.reason);
+                self.queries.add(1, &[KeyValue::new("result", reason)]);
+            }
+        }
+    }
+
+    /// A request went to a target.
+    pub(crate) fn target_request(&self) {
+        self.target_requests.add(1, &[]);
+    }
+
+    /// A connection to a target is being opened.
+    pub(crate) fn target_connection(&self) {
+        self.target_connections.add(1, &[]);
+    }
+
+    /// A message went to another instance.
+    pub(crate) fn peer_message(&self, class: &'static str, bytes: usize) {
+        let class = [KeyValue::new("class", class)];
+        self.peer_messages.add(1, &class);
+        self.peer_bytes.add(bytes as u64, &class);
+    }
+
+    /// A line was logged.
+    pub(crate) fn log_event(&self, event: &LogEvent) {
+        let code = format!("PM{:04}", event.kind.code);
+        self.events.add(1, &[KeyValue::new("code", code)]);
+    }
+
+    /// The state after a step.
+    pub(crate) fn state(&self, version: u64, serving: bool, in_flight: usize) {
+        self.version.record(version, &[]);
+        self.serving.record(u64::from(serving), &[]);
+        self.in_flight.record(in_flight as u64, &[]);
+    }
+}
+
+fn reason_name(reason: FailureReason) -> &'static str {
+    match reason {
+        FailureReason::UnknownRoute => "unknown_route",
+        FailureReason::MissingRequestId => "missing_request_id",
+        FailureReason::BadRequest => "bad_request",
+        FailureReason::BodyTooLarge => "body_too_large",
+        FailureReason::NotServing => "not_serving",
+        FailureReason::Overloaded => "overloaded",
+        FailureReason::NoReplica => "no_replica",
+        FailureReason::DuplicateRequestId => "duplicate_request_id",
+        FailureReason::NoQuorum => "no_quorum",
+        FailureReason::DeadlineExceeded => "deadline_exceeded",
+        FailureReason::TargetFailed => "target_failed",
+    }
+}
--- /dev/null
+++ b/src/daemon/platform.rs
@@ -0,0 +1,75 @@
+//! Reads the platform's list of live and leaving instances and targets.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Uri, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use primrosemast_core::node::{Event, PlatformList};
+use serde::Deserialize;
+use tokio::{net::TcpStream, task::spawn_local, time::timeout};
+
+use super::Handle;
+
+/// Time to read the list.
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Largest list that is read, in bytes.
+const MAX_LIST_BYTES: usize = 16 << 20;
+
+/// Reads the list at an interval until the task ends.
+pub(super) async fn poll(url: String, interval: Duration, handle: Handle) {
+    loop {
+        match timeout(READ_TIMEOUT, read(&url)).await {
+            Ok(Some(list)) => handle.event(Event::Platform(list)),
+            // The list is only a hint, so nothing else happens.
+            Ok(None) | Err(_) => {
+                log::warn!("the platform's list at {url} cannot be read");
+            }
+        }
+        tokio::time::sleep(interval).await;
+    }
+}
+
+async fn read(url: &str) -> Option<PlatformList> {
+    #[derive(Deserialize)]
+    struct List {
+        #[serde(default)]
+        instances: Vec<Row>,
+        #[serde(default)]
+        targets: Vec<Row>,
+    }
+
+    #[derive(Deserialize)]
+    struct Row {
+        address: SocketAddr,
+        #[serde(default)]
+        leaving: bool,
+    }
+
+    let uri: Uri = url.parse().ok()?;
+    let address: SocketAddr = uri.authority()?.as_str().parse().ok()?;
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (mut sender, connection) =
+        http1::handshake(TokioIo::new(stream)).await.ok()?;
+    spawn_local(async move {
+        let _ = connection.await;
+    });
+    let req = Request::get(uri.path())
+        .header(header::HOST, address.to_string())
+        .body(Full::new(Bytes::new()))
+        .ok()?;
+    let response = sender.send_request(req).await.ok()?;
+    let body = Limited::new(response.into_body(), MAX_LIST_BYTES);
+    let body = body.collect().await.ok()?.to_bytes();
+    let list: List = serde_json::from_slice(&body).ok()?;
+    let rows = |rows: Vec<Row>| {
+        rows.into_iter().map(|r| (r.address, r.leaving)).collect()
+    };
+    Some(PlatformList {
+        instances: rows(list.instances),
+        targets: rows(list.targets),
+    })
+}
--- /dev/null
+++ b/src/daemon/views.rs
@@ -0,0 +1,145 @@
+//! What operators get to see of the daemon's state.
+
+use primrosemast_core::{
+    config::Configuration,
+    id::{InstanceId, ZoneId},
+    node::Node,
+};
+
+use super::handle::{Query, View};
+use crate::api::{
+    ChangeResponse, ConfigurationResponse, MemberView, Outcome,
+    StatusResponse, TargetView,
+};
+
+/// Names that the state only knows by their hash.
+#[derive(Debug)]
+pub(super) struct Names {
+    /// Name of this instance.
+    pub(super) instance: String,
+    /// Name of its availability zone.
+    pub(super) zone: String,
+}
+
+/// Answers an operator's question.
+pub(super) fn view(node: &Node, names: &Names, query: &Query) -> View {
+    match query {
+        Query::Status => found(&status(node, names)),
+        Query::Configuration => match node.configuration() {
+            Some((version, configuration)) => found(&ConfigurationResponse {
+                version,
+                hash: format!("{:016x}", node.configuration_hash()),
+                configuration: Configuration::clone(configuration),
+            }),
+            None => View::NotFound("no configuration is in force".into()),
+        },
+        Query::Explain(request_id) => match node.explain(request_id) {
+            Some(explanation) => found(&explanation),
+            None => View::NotFound(format!(
+                "this instance did not serve request `{request_id}`, or too \
+                 many others since"
+            )),
+        },
+        Query::Change(change_id) => match node.change_outcome(change_id) {
+            Some(outcome) => found(&change_response(outcome)),
+            None => View::NotFound(format!(
+                "no outcome of change `{change_id}` is known here"
+            )),
+        },
+    }
+}
+
+fn change_response(
+    outcome: primrosemast_core::control::ChangeOutcome,
+) -> ChangeResponse {
+    use primrosemast_core::control::ChangeOutcome;
+    let (outcome, version) = match outcome {
+        ChangeOutcome::Accepted(version) => (Outcome::Accepted, version),
+        ChangeOutcome::Conflict(version) => (Outcome::Conflict, version),
+    };
+    ChangeResponse { outcome, version: Some(version), message: String::new() }
+}
+
+fn found(value: &impl serde::Serialize) -> View {
+    match serde_json::to_value(value) {
+        Ok(value) => View::Found(value),
+        Err(e) => View::NotFound(e.to_string()),
+    }
+}
+
+fn status(node: &Node, names: &Names) -> StatusResponse {
+    let version = node.configuration().map_or_else(Default::default, |c| c.0);
+    let me = InstanceId::from_name(&names.instance);
+    let mut members: Vec<MemberView> = node
+        .members()
+        .iter()
+        .map(|m| MemberView {
+            name: m.name.clone(),
+            id: m.id,
+            state: m.state,
+            availability_zone: zone_name(node, names, m.zone),
+            entry: m.entry,
+            control: m.replica,
+            address: m.address,
+            operator_address: m.operator_address,
+            version: (m.id == me).then_some(version),
+        })
+        .collect();
+    members.sort_by(|a, b| a.name.cmp(&b.name));
+    StatusResponse {
+        instance: me,
+        name: names.instance.clone(),
+        availability_zone: names.zone.clone(),
+        version,
+        serving: node.serving(),
+        ready: node.ready(),
+        draining: node.draining(),
+        control: node.control_status().cloned(),
+        members,
+        targets: targets(node),
+    }
+}
+
+fn targets(node: &Node) -> Vec<TargetView> {
+    let Some((_, configuration)) = node.configuration() else {
+        return Vec::new();
+    };
+    let homes = node.target_homes();
+    let name = |id: Option<InstanceId>| {
+        let id = id?;
+        let member = node.members().iter().find(|m| m.id == id)?;
+        Some(member.name.clone())
+    };
+    let mut targets: Vec<TargetView> = configuration
+        .searchers()
+        .map(|(_, searcher)| {
+            let id = searcher.id();
+            let home = homes
+                .binary_search_by_key(&id, |h| h.0)
+                .map_or_else(|_| Default::default(), |i| homes[i].1);
+            TargetView {
+                name: searcher.name.clone(),
+                availability_zone: searcher.availability_zone.clone(),
+                home: name(home.home),
+                standby: name(home.standby),
+                report: node.target_report(id).cloned(),
+            }
+        })
+        .collect();
+    targets.sort_by(|a, b| a.name.cmp(&b.name));
+    targets
+}
+
+fn zone_name(node: &Node, names: &Names, zone: ZoneId) -> String {
+    if zone == ZoneId::from_name(&names.zone) {
+        return names.zone.clone();
+    }
+    let known = node.configuration().and_then(|(_, configuration)| {
+        configuration
+            .availability_zones
+            .iter()
+            .find(|z| ZoneId::from_name(&z.name) == zone)
+            .map(|z| z.name.clone())
+    });
+    known.unwrap_or_else(|| zone.to_string())
+}
--- /dev/null
+++ b/src/http/caller.rs
@@ -0,0 +1,219 @@
+//! The callers' API.
+
+use bytes::Bytes;
+use http::{HeaderMap, StatusCode};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use primrosemast_core::{
+    query::{
+        Answer, CallerRequest, CallerResponse, Failure, FailureReason,
+    },
+    verdict::Verdict,
+};
+use serde::{Serialize, de::IgnoredAny};
+use serde_json::value::RawValue;
+use volo_http::{
+    body::Body,
+    request::Request,
+    response::Response,
+    server::{
+        param::PathParams,
+        route::{Router, get, post},
+    },
+};
+
+use super::{json, text};
+use crate::daemon::Handle;
+
+/// Longest request id or key that is accepted, in bytes. Request ids are
+/// kept in the replicated state, so their size is bounded.
+const MAX_ID_BYTES: usize = 200;
+
+/// Longest deadline that is accepted, in milliseconds.
+const MAX_DEADLINE_MS: u64 = 600_000;
+
+/// Routes of the callers' listener.
+pub(crate) fn router(handle: &Handle) -> Router {
+    let query = {
+        let handle = handle.clone();
+        move |PathParams(route): PathParams<String>, req: Request| {
+            let handle = handle.clone();
+            async move { serve(&handle, route, req).await }
+        }
+    };
+    let ready = {
+        let handle = handle.clone();
+        move || {
+            let ready = handle.ready();
+            async move {
+                if ready {
+                    text(StatusCode::OK, "ready\n")
+                } else {
+                    text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+                }
+            }
+        }
+    };
+    Router::new()
+        .route("/v1/routes/{route}/query", post(query))
+        .route("/health", get(|| async { text(StatusCode::OK, "alive\n") }))
+        .route("/ready", get(ready))
+}
+
+async fn serve(handle: &Handle, route: String, req: Request) -> Response {
+    let (parts, body) = req.into_parts();
+    let req = match parse(handle, route, &parts.headers, body).await {
+        Ok(req) => req,
+        Err(failure) => return failure_response(&failure),
+    };
+    match handle.call(req).await {
+        Some(CallerResponse::Answer(answer)) => answer_response(&answer),
+        Some(CallerResponse::Failure(failure)) => failure_response(&failure),
+        // The process is ending and its reducer is gone.
+        None => failure_response(&Failure {
+            request_id: String::new(),
+            verdict: Verdict::MayHaveRun,
+            reason: FailureReason::NotServing,
+            message: "the instance stopped".into(),
+        }),
+    }
+}
+
+/// Checks the form of a request. Nothing has been sent to a target when it
+/// fails, so every failure is "not run".
+async fn parse(
+    handle: &Handle,
+    route: String,
+    headers: &HeaderMap,
+    body: Body,
+) -> Result<CallerRequest, Failure> {
+    let request_id = id_header(headers, "x-request-id")?;
+    let fail = |reason, message: &str| Failure {
+        request_id: request_id.clone().unwrap_or_default(),
+        verdict: Verdict::NotRun,
+        reason,
+        message: message.into(),
+    };
+    let key = id_header(headers, "x-key")?;
+    let deadline_us = match headers.get("x-deadline-ms") {
+        None => None,
+        Some(value) => {
+            let ms = value.to_str().ok().and_then(|s| s.parse::<u64>().ok());
+            match ms {
+                Some(ms @ 1..=MAX_DEADLINE_MS) => Some(ms * 1_000),
+                _ => {
+                    return Err(fail(
+                        FailureReason::BadRequest,
+                        "x-deadline-ms must be a whole number of \
+                         milliseconds from 1 to 600000",
+                    ));
+                }
+            }
+        }
+    };
+    let limit = handle.max_body_bytes();
+    let body = match Limited::new(body, limit).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(e) if e.is::<LengthLimitError>() => {
+            return Err(fail(
+                FailureReason::BodyTooLarge,
+                &format!("the body exceeds {limit} bytes"),
+            ));
+        }
+        Err(_) => {
+            return Err(fail(
+                FailureReason::BadRequest,
+                "the body could not be read",
+            ));
+        }
+    };
+    if serde_json::from_slice::<IgnoredAny>(&body).is_err() {
+        return Err(fail(FailureReason::BadRequest, "the body is not JSON"));
+    }
+    Ok(CallerRequest { route, request_id, deadline_us, key, body })
+}
+
+fn id_header(
+    headers: &HeaderMap,
+    name: &'static str,
+) -> Result<Option<String>, Failure> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    match value.to_str() {
+        Ok(id) if (1..=MAX_ID_BYTES).contains(&id.len()) => {
+            Ok(Some(id.to_owned()))
+        }
+        _ => Err(Failure {
+            request_id: String::new(),
+            verdict: Verdict::NotRun,
+            reason: FailureReason::BadRequest,
+            message: format!(
+                "{name} must be 1 to {MAX_ID_BYTES} visible ASCII characters"
+            ),
+        }),
+    }
+}
+
+fn answer_response(answer: &Answer) -> Response {
+    #[derive(Serialize)]
+    struct Body<'a> {
+        request_id: &'a str,
+        snapshot: primrosemast_core::snapshot::Snapshot,
+        coverage: &'a primrosemast_core::query::Coverage,
+        results: Vec<ResultBody<'a>>,
+    }
+
+    #[derive(Serialize)]
+    struct ResultBody<'a> {
+        shard: u32,
+        body: Document<'a>,
+    }
+
+    let results = answer
+        .results
+        .iter()
+        .map(|r| ResultBody { shard: r.shard, body: Document::new(&r.body) })
+        .collect();
+    json(
+        StatusCode::OK,
+        &Body {
+            request_id: &answer.request_id,
+            snapshot: answer.snapshot,
+            coverage: &answer.coverage,
+            results,
+        },
+    )
+}
+
+/// A target's body, embedded as it is if it is JSON.
+#[derive(Serialize)]
+#[serde(untagged)]
+enum Document<'a> {
+    Json(&'a RawValue),
+    Text(std::borrow::Cow<'a, str>),
+}
+
+impl Document<'_> {
+    fn new(body: &Bytes) -> Document<'_> {
+        match serde_json::from_slice(body) {
+            Ok(raw) => Document::Json(raw),
+            Err(_) => Document::Text(String::from_utf8_lossy(body)),
+        }
+    }
+}
+
+fn failure_response(failure: &Failure) -> Response {
+    let status = match failure.reason {
+        FailureReason::UnknownRoute => StatusCode::NOT_FOUND,
+        FailureReason::MissingRequestId | FailureReason::BadRequest => {
+            StatusCode::BAD_REQUEST
+        }
+        FailureReason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        FailureReason::DuplicateRequestId => StatusCode::CONFLICT,
+        FailureReason::Overloaded => StatusCode::TOO_MANY_REQUESTS,
+        FailureReason::NotServing
+        | FailureReason::NoReplica
+        | FailureReason::NoQuorum => StatusCode::SERVICE_UNAVAILABLE,
+        FailureReason::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
+        FailureReason::TargetFailed => StatusCode::BAD_GATEWAY,
+    };
+    json(status, failure)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,7 +7,10 @@
 */
 
 pub mod api;
+pub mod daemon;
 pub mod settings;
+pub mod storage;
 
+mod http;
 mod peer;
 mod target_client;
