Detect failures, distribute the configuration and hold the lease

Cause: the interfaces of membership and configuration sync had no logic behind them.

Change: `Membership` implements SWIM with indirect probes, suspicion, refutation, bounded piggybacking, rejoining and a repair by digest that sends only the differing buckets. `ConfigSync` implements push, comparison and pull, the confirmation by a control quorum, the lease, and the fallback on a majority of the fleet. `Message` gains `Buckets` and `Difference`.

Configuration sync compiles and has no tests yet.

--- /dev/null
+++ b/crates/core/src/config_sync/lease.rs
@@ -0,0 +1,159 @@
+use crate::{
+    config_sync::SyncOptions,
+    id::{ConfigVersion, InstanceId},
+    membership::{Member, MemberState},
+    time::Time,
+};
+
+/// One answer to a question for confirmation.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Answer {
+    pub(crate) from: InstanceId,
+    pub(crate) version: ConfigVersion,
+    pub(crate) logged: Option<ConfigVersion>,
+    pub(crate) voters: u32,
+    pub(crate) control_group: u64,
+}
+
+/// One round of questions.
+#[derive(Clone, Debug)]
+pub(crate) struct Round {
+    pub(crate) sequence: u64,
+    /// When the questions were sent; the lease counts from here.
+    pub(crate) started: Time,
+    pub(crate) answers: Vec<Answer>,
+    /// Number of fleet members chosen for the fallback, this instance
+    /// included; 0 if the fleet was not asked.
+    pub(crate) fleet_asked: usize,
+    pub(crate) confirmed: bool,
+}
+
+impl Round {
+    /// Keeps one answer of each instance.
+    pub(crate) fn record(&mut self, answer: Answer) {
+        self.answers.retain(|x| x.from != answer.from);
+        self.answers.push(answer);
+    }
+
+    /// Whether a majority of the voters of `group` has logged nothing newer
+    /// than `version`.
+    pub(crate) fn control_confirms(
+        &self,
+        group: u64,
+        version: ConfigVersion,
+        own: Option<Answer>,
+    ) -> bool {
+        let answers = self.answers.iter().chain(&own);
+        let of_group =
+            answers.filter(|x| x.control_group == group && x.logged.is_some());
+        // Replicas may know different numbers of voters while the group
+        // changes; the largest is the safe one.
+        let voters = of_group.clone().map(|x| x.voters).max().unwrap_or(0);
+        let agreeing =
+            of_group.filter(|x| x.logged <= Some(version)).count() as u64;
+        voters > 0 && agreeing * 2 > u64::from(voters)
+    }
+
+    /// Whether any control replica denies that `version` is the newest.
+    pub(crate) fn control_denies(&self, version: ConfigVersion) -> bool {
+        self.answers.iter().any(|x| x.logged > Some(version))
+    }
+
+    /// Number of fleet members that hold a configuration, but none newer.
+    pub(crate) fn fleet_agreeing(
+        &self,
+        fleet: &Fleet,
+        version: ConfigVersion,
+    ) -> usize {
+        let agrees = |x: &&Answer| {
+            x.version > ConfigVersion(0)
+                && x.version <= version
+                && fleet.contains(x.from)
+        };
+        self.answers.iter().filter(agrees).count()
+    }
+}
+
+/// The last known fleet: members that are not leaving, and those that died.
+///
+/// Dead members are dropped after a while, but only while this instance
+/// holds its lease, that is, while the rest is a majority. A minority
+/// therefore never shrinks the fleet to itself.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Fleet {
+    /// Sorted by identifier, with the time at which the member was lost.
+    entries: Vec<(InstanceId, Option<Time>)>,
+}
+
+impl Fleet {
+    fn contains(&self, id: InstanceId) -> bool {
+        self.entries.binary_search_by_key(&id, |x| x.0).is_ok()
+    }
+
+    pub(crate) fn ids(&self) -> impl Iterator<Item = InstanceId> {
+        self.entries.iter().map(|x| x.0)
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    pub(crate) fn present(&self) -> usize {
+        self.entries.iter().filter(|x| x.1.is_none()).count()
+    }
+
+    /// Takes over a new list of the members that are not dead.
+    pub(crate) fn update(&mut self, now: Time, members: &[Member]) {
+        let find = |id| {
+            members.binary_search_by_key(&id, |x| x.id).map(|at| &members[at])
+        };
+        self.entries.retain(|x| {
+            find(x.0).is_ok_and(|x| x.state != MemberState::Leaving)
+                || find(x.0).is_err()
+        });
+        for entry in &mut self.entries {
+            if find(entry.0).is_ok() {
+                entry.1 = None;
+            } else {
+                entry.1.get_or_insert(now);
+            }
+        }
+        for member in members {
+            if member.state != MemberState::Leaving
+                && let Err(at) =
+                    self.entries.binary_search_by_key(&member.id, |x| x.0)
+            {
+                self.entries.insert(at, (member.id, None));
+            }
+        }
+    }
+
+    /// Drops members that were lost before `limit`.
+    pub(crate) fn drop_lost(&mut self, limit: Time) {
+        self.entries.retain(|x| x.1.is_none_or(|lost| lost >= limit));
+    }
+}
+
+/// Whether the fleet confirms at the end of a round: more than half of the
+/// last known fleet agreed.
+///
+/// In fleets above `direct_limit` a sample is asked to keep the cost
+/// constant. More than half of the sample must agree, and more than half of
+/// the fleet must not be dead. The second condition is exact once the failure
+/// detector has seen the cut; the first one is statistical until then.
+pub(crate) fn fleet_confirms(
+    round: &Round,
+    fleet: &Fleet,
+    version: ConfigVersion,
+    options: &SyncOptions,
+) -> bool {
+    if round.fleet_asked == 0 || round.control_denies(version) {
+        return false;
+    }
+    let agreeing = 1 + round.fleet_agreeing(fleet, version);
+    if fleet.len() <= options.direct_limit {
+        agreeing * 2 > fleet.len()
+    } else {
+        agreeing * 2 > round.fleet_asked && fleet.present() * 2 > fleet.len()
+    }
+}
--- a/crates/core/src/config_sync.rs
+++ b/crates/core/src/config_sync/mod.rs
@@ -6,6 +6,11 @@
 intervals that it has not missed a version. See section 7 of the design page.
 */
 
+mod lease;
+mod options;
+mod reducer;
+mod tree;
+
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -17,6 +22,9 @@
     membership::Member,
 };
 
+pub use options::{LEASE, OUTDATED_BOUND, SyncOptions};
+pub use reducer::ConfigSync;
+
 /// A committed configuration.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigRecord {
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership/mod.rs
@@ -5,6 +5,13 @@
 the size of the fleet. See section 8 of the design page.
 */
 
+mod exchange;
+mod gossip;
+mod options;
+mod probe;
+mod reducer;
+mod table;
+
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -14,6 +21,9 @@
     id::{InstanceId, ReplicaId, ZoneId},
 };
 
+pub use options::MembershipOptions;
+pub use reducer::Membership;
+
 /// An instance as the fleet knows it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
@@ -96,6 +106,24 @@
         /// Whether the receiver should answer with its own.
         reply: bool,
     },
+    /// Answer to a `Digest` that differs: hashes of parts of the table, so
+    /// that only the parts that differ are sent whatever the fleet's size.
+    Buckets {
+        /// Hash of each bucket; their number is a power of two.
+        hashes: Vec<u32>,
+    },
+    /// The members of the buckets that differ.
+    Difference {
+        /// The buckets.
+        buckets: Vec<u16>,
+        /// Number of buckets in all.
+        count: u16,
+        /// The sender's members in these buckets; in an answer, those that
+        /// the receiver lacks.
+        members: Vec<Member>,
+        /// Whether the receiver should answer with its own.
+        reply: bool,
+    },
 }
 
 /// Whom a message is for.
--- /dev/null
+++ b/crates/core/tests/support/mod.rs
@@ -0,0 +1,487 @@
+//! An in-memory fleet with simulated time and a faulty network.
+
+use std::{
+    collections::{BTreeMap, HashSet},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use primrosemast_core::{
+    config_sync::{
+        self, ConfigRecord, ConfigSync, SyncEffect, SyncEvent, SyncOptions,
+    },
+    id::{ConfigVersion, InstanceId, ReplicaId, ZoneId},
+    membership::{
+        self, Member, MemberState, Membership, MembershipEffect,
+        MembershipEvent, MembershipOptions, Recipient,
+    },
+    message::PeerMessage,
+    time::Time,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+pub const GROUP: u64 = 77;
+
+pub struct Node {
+    pub id: InstanceId,
+    pub membership: Membership,
+    pub sync: ConfigSync,
+    pub up: bool,
+    pub frozen: bool,
+    pub replica: Option<Replica>,
+    /// Versions installed in this life of the node.
+    pub installed: Vec<ConfigVersion>,
+    pub serving_since: Option<Time>,
+    pub membership_sent: (u64, u64),
+    pub sync_sent: (u64, u64),
+    incarnation: u64,
+    inbox: Vec<(InstanceId, PeerMessage)>,
+    wake: Option<Time>,
+}
+
+#[derive(Clone, Copy)]
+pub struct Replica {
+    pub group: u64,
+    pub voters: u32,
+    pub logged: ConfigVersion,
+}
+
+enum Item {
+    Packet { from: usize, to: usize, message: PeerMessage },
+    Wake(usize),
+}
+
+pub struct Net {
+    pub seed: u64,
+    pub now: Time,
+    pub nodes: Vec<Node>,
+    pub loss: f64,
+    pub duplicates: f64,
+    pub delay_us: (u64, u64),
+    /// Length of a message, where bytes and processor time are measured.
+    pub measure: Option<fn(&PeerMessage) -> usize>,
+    pub membership_time: Duration,
+    pub sync_time: Duration,
+    options: (MembershipOptions, SyncOptions),
+    cut: HashSet<(usize, usize)>,
+    rng: Pcg64,
+    queue: BTreeMap<(Time, u64), Item>,
+    order: u64,
+}
+
+impl Drop for Net {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("network seed {} at {:?}", self.seed, self.now);
+        }
+    }
+}
+
+pub fn address(index: usize) -> SocketAddr {
+    let ip = Ipv4Addr::new(10, 0, (index >> 8) as u8, index as u8);
+    SocketAddr::new(IpAddr::V4(ip), 7000)
+}
+
+fn index_of(address: SocketAddr) -> usize {
+    let IpAddr::V4(ip) = address.ip() else { unreachable!("all are IPv4") };
+    let [_, _, high, low] = ip.octets();
+    usize::from(high) << 8 | usize::from(low)
+}
+
+pub fn member(index: usize, replica: Option<Replica>) -> Member {
+    Member {
+        id: InstanceId(index as u64 + 1),
+        name: format!("instance-{index}"),
+        address: address(index),
+        operator_address: address(index),
+        zone: ZoneId(index as u64 % 4),
+        entry: true,
+        replica: replica.map(|_| ReplicaId(index as u64 + 1_000)),
+        control_group: replica.map_or(0, |x| x.group),
+        incarnation: 1,
+        state: MemberState::Alive,
+    }
+}
+
+pub fn record(version: u64, length: usize) -> ConfigRecord {
+    ConfigRecord {
+        version: ConfigVersion(version),
+        hash: version * 31,
+        document: Bytes::from(vec![version as u8; length]),
+    }
+}
+
+impl Net {
+    /// A fleet whose first `replicas` nodes are voters, with the members
+    /// already known to each other if `joined`.
+    pub fn new(seed: u64, size: usize, replicas: usize, joined: bool) -> Net {
+        let options = (MembershipOptions::default(), SyncOptions::default());
+        Net::with_options(seed, size, replicas, joined, options)
+    }
+
+    pub fn with_options(
+        seed: u64,
+        size: usize,
+        replicas: usize,
+        joined: bool,
+        options: (MembershipOptions, SyncOptions),
+    ) -> Net {
+        let mut net = Net {
+            seed,
+            now: Time::from_millis(1),
+            nodes: Vec::new(),
+            loss: 0.0,
+            duplicates: 0.0,
+            delay_us: (500, 1_000),
+            measure: None,
+            membership_time: Duration::ZERO,
+            sync_time: Duration::ZERO,
+            options,
+            cut: HashSet::new(),
+            rng: Pcg64::seed_from_u64(seed),
+            queue: BTreeMap::new(),
+            order: 0,
+        };
+        for index in 0..size {
+            let replica = (index < replicas).then_some(Replica {
+                group: GROUP,
+                voters: replicas as u32,
+                logged: ConfigVersion(0),
+            });
+            let node = net.make_node(index, replica, 1);
+            net.nodes.push(node);
+        }
+        let all: Vec<Member> =
+            (0..size).map(|x| member(x, net.nodes[x].replica)).collect();
+        for index in 0..size {
+            net.start(index);
+            if joined {
+                let members = all.clone();
+                let full = membership::Message::Full { members, reply: false };
+                let from = InstanceId((index as u64 + 1) % size as u64 + 1);
+                let event = MembershipEvent::Message(from, full);
+                net.step_membership(index, event);
+            }
+        }
+        net
+    }
+
+    fn make_node(
+        &mut self,
+        index: usize,
+        replica: Option<Replica>,
+        incarnation: u64,
+    ) -> Node {
+        let me = Member { incarnation, ..member(index, replica) };
+        let (membership, sync) = self.options.clone();
+        Node {
+            id: me.id,
+            sync: ConfigSync::new(me.id, sync, self.rng.random()),
+            membership: Membership::new(me, membership, self.rng.random()),
+            up: true,
+            frozen: false,
+            replica,
+            installed: Vec::new(),
+            serving_since: None,
+            membership_sent: (0, 0),
+            sync_sent: (0, 0),
+            incarnation,
+            inbox: Vec::new(),
+            wake: None,
+        }
+    }
+
+    fn start(&mut self, index: usize) {
+        // The addresses of three instances, as in a settings file.
+        let hints = (0..3.min(self.nodes.len())).map(address).collect();
+        self.step_membership(index, MembershipEvent::Hint(hints));
+        self.tell_members(index);
+        self.tell_replica(index);
+    }
+
+    pub fn crash(&mut self, index: usize) {
+        self.nodes[index].up = false;
+    }
+
+    /// Starts a crashed node again, without its memory.
+    pub fn restart(&mut self, index: usize) {
+        let replica = self.nodes[index].replica;
+        let incarnation = self.nodes[index].incarnation + 1_000_000;
+        self.nodes[index] = self.make_node(index, replica, incarnation);
+        self.start(index);
+    }
+
+    pub fn freeze(&mut self, index: usize) {
+        self.nodes[index].frozen = true;
+    }
+
+    /// Lets a frozen node go on. What waited in its buffers arrives before
+    /// or after its timers, at random.
+    pub fn resume(&mut self, index: usize) {
+        self.nodes[index].frozen = false;
+        if self.rng.random() {
+            self.tick(index);
+        }
+        for (from, message) in std::mem::take(&mut self.nodes[index].inbox) {
+            self.receive(index, from, message);
+        }
+        self.tick(index);
+    }
+
+    /// Cuts all links from `from` to `to`, in this direction only.
+    pub fn cut_one_way(&mut self, from: &[usize], to: &[usize]) {
+        for &a in from {
+            self.cut.extend(to.iter().map(|&b| (a, b)));
+        }
+    }
+
+    pub fn cut(&mut self, left: &[usize], right: &[usize]) {
+        self.cut_one_way(left, right);
+        self.cut_one_way(right, left);
+    }
+
+    pub fn heal(&mut self) {
+        self.cut.clear();
+    }
+
+    pub fn live(&self) -> Vec<usize> {
+        let runs = |x: &usize| self.nodes[*x].up && !self.nodes[*x].frozen;
+        (0..self.nodes.len()).filter(runs).collect()
+    }
+
+    /// State of node `of` as node `at` knows it.
+    pub fn state(&self, at: usize, of: usize) -> Option<MemberState> {
+        let id = self.nodes[of].id;
+        let members = self.nodes[at].membership.members();
+        members.iter().find(|x| x.id == id).map(|x| x.state)
+    }
+
+    /// Whether every running node other than `of` sees it in this state.
+    pub fn all_see(&self, of: usize, state: MemberState) -> bool {
+        let live = self.live();
+        live.iter().all(|&x| x == of || self.state(x, of) == Some(state))
+    }
+
+    pub fn everyone_alive(&self) -> bool {
+        self.live().iter().all(|&x| self.all_see(x, MemberState::Alive))
+    }
+
+    /// Logs the version at the voters in `at`, and commits it there.
+    pub fn commit(&mut self, version: u64, length: usize, at: &[usize]) {
+        for &index in at {
+            let node = &mut self.nodes[index];
+            if let Some(replica) = &mut node.replica {
+                replica.logged = ConfigVersion(version);
+            }
+            self.tell_replica(index);
+        }
+        for &index in at {
+            let event = SyncEvent::Committed(record(version, length));
+            self.step_sync(index, event);
+        }
+    }
+
+    fn tell_replica(&mut self, index: usize) {
+        if let Some(Replica { voters, logged, .. }) = self.nodes[index].replica
+        {
+            let voter = true;
+            let event = SyncEvent::Replica { voter, voters, logged };
+            self.step_sync(index, event);
+        }
+    }
+
+    fn tell_members(&mut self, index: usize) {
+        let members = self.nodes[index].membership.members();
+        let live = members.iter().filter(|x| x.state != MemberState::Dead);
+        let event = SyncEvent::Members(live.cloned().collect());
+        self.step_sync(index, event);
+    }
+
+    pub fn run(&mut self, span: Duration) {
+        self.run_until(span, |_| false);
+    }
+
+    /// Runs until the condition holds, at most for `span`; returns whether
+    /// it came to hold.
+    pub fn run_until(
+        &mut self,
+        span: Duration,
+        mut done: impl FnMut(&Net) -> bool,
+    ) -> bool {
+        let end = self.now + span;
+        let mut next_check = self.now;
+        loop {
+            if self.now >= next_check {
+                if done(self) {
+                    return true;
+                }
+                next_check = self.now + Duration::from_millis(5);
+            }
+            let Some(entry) = self.queue.first_entry() else { break };
+            if entry.key().0 > end {
+                break;
+            }
+            self.now = entry.key().0;
+            match entry.remove() {
+                Item::Wake(index) => {
+                    let node = &self.nodes[index];
+                    if node.wake == Some(self.now) && !node.frozen && node.up {
+                        self.tick(index);
+                    }
+                }
+                Item::Packet { from, to, message } => {
+                    if self.nodes[to].up && !self.cut.contains(&(from, to)) {
+                        let from = self.nodes[from].id;
+                        if self.nodes[to].frozen {
+                            self.nodes[to].inbox.push((from, message));
+                        } else {
+                            self.receive(to, from, message);
+                        }
+                    }
+                }
+            }
+        }
+        self.now = end;
+        done(self)
+    }
+
+    fn tick(&mut self, index: usize) {
+        self.step_sync(index, SyncEvent::Tick);
+        self.step_membership(index, MembershipEvent::Tick);
+    }
+
+    fn receive(&mut self, to: usize, from: InstanceId, message: PeerMessage) {
+        match message {
+            PeerMessage::Membership(message) => {
+                let event = MembershipEvent::Message(from, message);
+                self.step_membership(to, event);
+            }
+            PeerMessage::Sync(message) => {
+                self.step_sync(to, SyncEvent::Message(from, message));
+            }
+            _ => unreachable!("only two protocols run here"),
+        }
+    }
+
+    pub fn step_membership(&mut self, index: usize, event: MembershipEvent) {
+        let mut effects = Vec::new();
+        let started = self.measure.map(|_| Instant::now());
+        self.nodes[index].membership.step(self.now, event, &mut effects);
+        if let Some(started) = started {
+            self.membership_time += started.elapsed();
+        }
+        let mut changed = false;
+        for effect in effects {
+            match effect {
+                MembershipEffect::Send(to, message) => {
+                    let to = match to {
+                        Recipient::Member(_, to) | Recipient::Address(to) => {
+                            index_of(to)
+                        }
+                    };
+                    self.send(index, to, PeerMessage::Membership(message));
+                }
+                MembershipEffect::Changed(_) => changed = true,
+                MembershipEffect::Log(_) => {}
+            }
+        }
+        if changed {
+            self.tell_members(index);
+        }
+        self.schedule(index);
+    }
+
+    pub fn step_sync(&mut self, index: usize, event: SyncEvent) {
+        let mut effects = Vec::new();
+        let started = self.measure.map(|_| Instant::now());
+        self.nodes[index].sync.step(self.now, event, &mut effects);
+        if let Some(started) = started {
+            self.sync_time += started.elapsed();
+        }
+        for effect in effects {
+            match effect {
+                SyncEffect::Send(to, message) => {
+                    let to = to.0 as usize - 1;
+                    self.send(index, to, PeerMessage::Sync(message));
+                }
+                SyncEffect::Install(record) => {
+                    self.nodes[index].installed.push(record.version);
+                }
+                SyncEffect::Serving(serving) => {
+                    self.nodes[index].serving_since =
+                        serving.then_some(self.now);
+                }
+                SyncEffect::Log(_) => {}
+            }
+        }
+        self.schedule(index);
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: PeerMessage) {
+        let length =
+            self.measure.map_or(0, |measure| measure(&message)) as u64;
+        let node = &mut self.nodes[from];
+        let sent = match &message {
+            PeerMessage::Membership(_) => &mut node.membership_sent,
+            _ => &mut node.sync_sent,
+        };
+        sent.0 += 1;
+        sent.1 += length;
+        let copies = 1 + u32::from(self.rng.random_bool(self.duplicates));
+        for _ in 0..copies {
+            if to < self.nodes.len() && !self.rng.random_bool(self.loss) {
+                let (low, high) = self.delay_us;
+                let delay = self.rng.random_range(low..=high);
+                let at = self.now + Duration::from_micros(delay);
+                let message = message.clone();
+                self.enqueue(at, Item::Packet { from, to, message });
+            }
+        }
+    }
+
+    fn enqueue(&mut self, at: Time, item: Item) {
+        self.order += 1;
+        self.queue.insert((at, self.order), item);
+    }
+
+    fn schedule(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        let deadlines =
+            [node.membership.next_deadline(), node.sync.next_deadline()];
+        let next = deadlines.into_iter().flatten().min();
+        if node.wake != next {
+            node.wake = next;
+            if let Some(at) = next {
+                let at = at.max(self.now);
+                self.nodes[index].wake = Some(at);
+                self.enqueue(at, Item::Wake(index));
+            }
+        }
+    }
+
+    /// Sends a message of the synchronisation protocol from a stranger.
+    pub fn inject(
+        &mut self,
+        to: usize,
+        from: usize,
+        message: config_sync::Message,
+    ) {
+        let from = InstanceId(from as u64 + 1);
+        self.step_sync(to, SyncEvent::Message(from, message));
+    }
+
+    pub fn serving(&self, index: usize) -> bool {
+        self.nodes[index].sync.serving()
+    }
+
+    pub fn version(&self, index: usize) -> u64 {
+        self.nodes[index].sync.version().0
+    }
+
+    pub fn current(&self, index: usize) -> Option<&Arc<ConfigRecord>> {
+        self.nodes[index].sync.current()
+    }
+}
