--- /dev/null
+++ b/crates/core/tests/config_sync.rs
@@ -0,0 +1,289 @@
+//! Distribution of the configuration and the lease in a simulated fleet.
+
+#[allow(dead_code)]
+mod support;
+
+use std::time::Duration;
+
+use primrosemast_core::{
+    config_sync::{
+        ConfigSync, LEASE, Message, OUTDATED_BOUND, SyncEffect, SyncEvent,
+        SyncOptions,
+    },
+    id::{ConfigVersion, InstanceId},
+    membership::{Member, MembershipOptions},
+    message::PeerMessage,
+    time::Time,
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+use support::{GROUP, Net, Replica, member, record};
+
+/// The simulation looks at the nodes every 5 ms.
+const LOOK: Duration = Duration::from_millis(10);
+
+const fn secs(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+/// A fixed seed gives the same verdict in every run.
+fn config(cases: u32) -> Config {
+    Config { cases, rng_seed: RngSeed::Fixed(9), ..Config::default() }
+}
+
+fn all_serve(net: &Net, version: u64) -> bool {
+    let live = net.live();
+    live.iter().all(|&x| net.serving(x) && net.version(x) == version)
+}
+
+/// Ten instances, three of them control replicas, that serve version 1.
+fn serving(seed: u64) -> Net {
+    let mut net = Net::new(seed, 10, 3, true);
+    net.run(secs(1));
+    assert!(net.nodes.iter().all(|x| !x.sync.serving()));
+    net.commit(1, 2_000, &[0, 1, 2]);
+    assert!(net.run_until(secs(2), |x| all_serve(x, 1)));
+    net.run(secs(5));
+    net
+}
+
+proptest! {
+    #![proptest_config(config(60))]
+
+    /// Guards against an accepted change that is not in force in time.
+    #[test]
+    fn a_change_is_in_force_within_two_seconds(
+        seed: u64, loss in 0.0..0.1, quorum in 0..3usize,
+    ) {
+        let mut net = serving(seed);
+        net.loss = loss;
+        let at: Vec<usize> = (0..3).filter(|x| *x != quorum).collect();
+        net.commit(2, 2_000, &at);
+        let in_force =
+            |net: &Net| (0..10).all(|x| net.version(x) == 2);
+        prop_assert!(net.run_until(secs(2), in_force));
+    }
+
+    /// Guards against a configuration that is replaced by an older one when
+    /// messages are late or instances come and go.
+    #[test]
+    fn versions_never_revert(
+        seed: u64, steps in prop::collection::vec((0..5u8, 0..10usize), 30),
+    ) {
+        let mut net = serving(seed);
+        net.loss = 0.05;
+        net.duplicates = 0.2;
+        net.delay_us = (500, 300_000);
+        let mut version = 1;
+        for (action, node) in steps {
+            match action {
+                0 => {
+                    version += 1;
+                    net.commit(version, 100, &[0, 1]);
+                }
+                1 if node > 2 => net.restart(node),
+                2 => net.cut(&[node], &[(node + 3) % 10, (node + 5) % 10]),
+                3 => net.heal(),
+                _ => net.inject(node, 0, Message::Push(record(1, 9).into())),
+            }
+            net.run(Duration::from_millis(200));
+            for node in &net.nodes {
+                prop_assert!(node.installed.is_sorted_by(|a, b| a < b));
+            }
+        }
+    }
+
+    /// Guards against the use of a zone after it was taken out: in each
+    /// partition that has a control quorum or no majority of the fleet.
+    #[test]
+    fn outdated_configurations_end_with_the_lease(
+        seed: u64, away in prop::collection::btree_set(2..10usize, 1..5),
+        one_way: bool, loss in 0.0..0.1,
+    ) {
+        let mut net = serving(seed);
+        net.loss = loss;
+        let away: Vec<usize> = away.into_iter().collect();
+        let rest: Vec<usize> = (0..10).filter(|x| !away.contains(x)).collect();
+        if one_way {
+            net.cut_one_way(&rest, &away);
+        } else {
+            net.cut(&away, &rest);
+        }
+        net.run(Duration::from_millis(seed % 700));
+        net.commit(2, 2_000, &[0, 1]);
+        net.run(OUTDATED_BOUND + LOOK);
+        let outdated = |net: &Net| {
+            (0..10).any(|x| net.serving(x) && net.version(x) < 2)
+        };
+        prop_assert!(!net.run_until(secs(150), outdated));
+    }
+}
+
+/// Guards against instances that miss changes when they reach only other
+/// instances, and against a stop of service there.
+#[test]
+fn changes_travel_around_a_cut_to_all_control_replicas() {
+    let mut net = serving(1);
+    net.cut(&[8, 9], &[0, 1, 2]);
+    net.run(secs(10));
+    net.commit(2, 2_000, &[0, 1, 2]);
+    assert!(net.run_until(secs(2), |x| all_serve(x, 2)));
+    assert!(!net.run_until(secs(60), |x| !all_serve(x, 2)));
+}
+
+/// Guards against service on an outdated configuration by an instance that
+/// is cut off from all others.
+#[test]
+fn an_isolated_instance_stops_within_the_lease() {
+    let mut net = serving(2);
+    let rest: Vec<usize> = (0..9).collect();
+    net.cut(&[9], &rest);
+    let stopped = |net: &Net| !net.serving(9);
+    assert!(net.run_until(LEASE + LOOK, stopped));
+    assert!(!net.run_until(secs(300), |x| x.serving(9)));
+    net.heal();
+    assert!(net.run_until(secs(40), |x| all_serve(x, 1)));
+}
+
+/// Guards against a minority that counts itself as the whole fleet once the
+/// others are forgotten.
+#[test]
+fn a_minority_does_not_shrink_the_fleet_to_itself() {
+    let mut net = serving(3);
+    net.cut(&[6, 7, 8, 9], &[0, 1, 2, 3, 4, 5]);
+    net.run(LEASE + LOOK);
+    let minority = |net: &Net| (6..10).any(|x| net.serving(x));
+    assert!(!net.run_until(secs(600), minority));
+    assert!((0..6).all(|x| net.serving(x)));
+}
+
+/// Guards against an outage of queries when all control replicas are lost,
+/// and against service of a new instance that no quorum has confirmed.
+#[test]
+fn queries_go_on_without_control_replicas() {
+    let mut net = serving(4);
+    (0..3).for_each(|x| net.crash(x));
+    assert!(!net.run_until(secs(180), |x| !all_serve(x, 1)));
+    net.restart(9);
+    net.run(secs(20));
+    assert_eq!(net.version(9), 1);
+    assert!(!net.serving(9));
+    net.restart(0);
+    net.restart(1);
+    // Control replicas recover their log from disk.
+    net.commit(1, 2_000, &[0, 1]);
+    assert!(net.run_until(secs(20), |x| all_serve(x, 1)));
+}
+
+/// Guards against a resumed instance that serves on its lease of old.
+#[test]
+fn a_resumed_instance_serves_only_once_confirmed() {
+    let mut net = serving(5);
+    let rest: Vec<usize> = (0..9).collect();
+    net.freeze(9);
+    net.run(secs(1));
+    net.commit(2, 2_000, &[0, 1, 2]);
+    net.run(secs(20));
+    net.cut(&[9], &rest);
+    assert!(net.serving(9));
+    let mut out = Vec::new();
+    let event = SyncEvent::Members(Vec::new());
+    net.nodes[9].sync.step(net.now, event, &mut out);
+    assert!(out.contains(&SyncEffect::Serving(false)));
+    net.resume(9);
+    assert!(!net.run_until(secs(20), |x| x.serving(9)));
+    net.heal();
+    assert!(net.run_until(secs(40), |x| all_serve(x, 2)));
+}
+
+/// A reducer with a configuration, asked to confirm by three members.
+fn asking(members: Vec<Member>) -> (ConfigSync, u64) {
+    let mut sync = ConfigSync::new(InstanceId(10), SyncOptions::default(), 3);
+    let mut out = Vec::new();
+    let now = Time::from_millis(1);
+    sync.step(now, SyncEvent::Members(members), &mut out);
+    let push = Message::Push(record(5, 9).into());
+    sync.step(now, SyncEvent::Message(InstanceId(1), push), &mut out);
+    out.clear();
+    sync.step(now, SyncEvent::Tick, &mut out);
+    let sequence = out.iter().find_map(|x| match x {
+        SyncEffect::Send(_, Message::Compare { sequence, .. }) => {
+            Some(*sequence)
+        }
+        _ => None,
+    });
+    (sync, sequence.expect("a confirmation is asked for"))
+}
+
+fn replica(group: u64) -> Option<Replica> {
+    Some(Replica { group, voters: 3, logged: ConfigVersion(5) })
+}
+
+/// Guards against confirmation by less than a majority of the voters, by
+/// replicas that have logged a newer version, by the same replica twice, by
+/// replicas of a second group, and by answers to an earlier question.
+#[test]
+fn only_a_majority_of_one_group_confirms() {
+    let answer = |sequence, logged, voters, control_group| Message::Compared {
+        sequence,
+        version: ConfigVersion(5),
+        logged: Some(ConfigVersion(logged)),
+        voters,
+        control_group,
+    };
+    let cases: [(&[(u64, u64, u32, u64, u64)], bool); 7] = [
+        (&[(1, 5, 3, GROUP, 0), (2, 5, 3, GROUP, 0)], true),
+        (&[(1, 5, 3, GROUP, 0), (2, 6, 3, GROUP, 0)], false),
+        (&[(1, 5, 3, GROUP, 0), (1, 5, 3, GROUP, 0)], false),
+        (&[(1, 5, 3, GROUP, 0), (4, 0, 1, 99, 0)], false),
+        (&[(4, 0, 1, 99, 0)], false),
+        (&[(1, 5, 3, GROUP, 0), (2, 5, 3, GROUP, 1)], false),
+        // The replica that knows fewer voters is behind.
+        (&[(2, 6, 3, GROUP, 0), (1, 5, 1, GROUP, 0)], false),
+    ];
+    for (answers, expected) in cases {
+        let mut members: Vec<Member> =
+            (0..3).map(|x| member(x, replica(GROUP))).collect();
+        members.push(member(3, replica(99)));
+        members.push(member(9, None));
+        let (mut sync, sequence) = asking(members);
+        for &(from, logged, voters, group, age) in answers {
+            let message = answer(sequence - age, logged, voters, group);
+            let event = SyncEvent::Message(InstanceId(from), message);
+            sync.step(Time::from_millis(3), event, &mut Vec::new());
+        }
+        assert_eq!(sync.serving(), expected, "{answers:?}");
+    }
+}
+
+/// Guards against members that the tree leaves out or serves twice.
+#[test]
+fn the_tree_reaches_each_member_once() {
+    for size in [20, 33, 300, 1_000] {
+        let hour = secs(3_600);
+        let options = SyncOptions {
+            compare_interval: hour,
+            renew_interval: hour,
+            ..SyncOptions::default()
+        };
+        let quiet = MembershipOptions {
+            probe_interval: hour,
+            ..MembershipOptions::default()
+        };
+        let mut net = Net::with_options(6, size, 3, true, (quiet, options));
+        net.measure = Some(|message| {
+            let push = |x: &Message| matches!(x, Message::Push(_));
+            matches!(message, PeerMessage::Sync(x) if push(x)).into()
+        });
+        net.commit(1, 100, &[0, 1, 2]);
+        net.run(Duration::from_millis(50));
+        let reached = (0..size).filter(|x| net.version(*x) == 1).count();
+        let pushes: u64 = net.nodes.iter().map(|x| x.sync_sent.1).sum();
+        assert_eq!(reached, size);
+        assert_eq!(pushes, size as u64 - 3);
+        let most = net.nodes.iter().map(|x| x.sync_sent.1).max();
+        assert!(most <= Some(16), "{most:?} pushes by one of {size}");
+    }
+}
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -5,12 +5,20 @@
 
 use std::time::Duration;
 
-use primrosemast_core::membership::{MemberState, MembershipEvent};
+use primrosemast_core::{
+    config_sync::SyncOptions,
+    membership::{
+        Member, MemberState, Membership, MembershipEffect, MembershipEvent,
+        MembershipOptions, Message,
+    },
+    message::PeerMessage,
+    time::Time,
+};
 use proptest::{
     prelude::*,
     test_runner::{Config, RngSeed},
 };
-use support::Net;
+use support::{Net, address, member};
 
 /// Stated bound from a crash to `Dead` at every instance, ten instances.
 const DEAD_BOUND: Duration = Duration::from_secs(6);
@@ -84,3 +92,199 @@
         prop_assert!(known);
     }
 }
+
+proptest! {
+    #![proptest_config(config(20))]
+
+    /// Guards against live members that are removed because messages are
+    /// lost, repeated and reordered.
+    #[test]
+    fn no_live_member_is_removed_under_loss(seed: u64) {
+        let mut net = joined(seed, 10);
+        net.loss = 0.1;
+        net.duplicates = 0.1;
+        net.delay_us = (500, 20_000);
+        let removed = net.run_until(secs(60), any_dead);
+        prop_assert!(!removed);
+    }
+
+    /// Guards against halves of the fleet that stay apart after a cut, also
+    /// when only one direction was cut.
+    #[test]
+    fn a_partition_heals(seed: u64, left in 1..6usize, one_way: bool) {
+        let mut net = joined(seed, 10);
+        let (a, b): (Vec<_>, Vec<_>) = (0..10).partition(|x| *x < left);
+        if one_way {
+            net.cut_one_way(&a, &b);
+        } else {
+            net.cut(&a, &b);
+        }
+        net.run(secs(20));
+        if !one_way {
+            prop_assert_eq!(net.state(0, 9), Some(MemberState::Dead));
+            prop_assert_eq!(net.state(9, 0), Some(MemberState::Dead));
+        }
+        net.heal();
+        prop_assert!(net.run_until(secs(30), Net::everyone_alive));
+    }
+
+    /// Guards against a resumed instance that declares the fleet dead by
+    /// the timers that ran out while it was frozen.
+    #[test]
+    fn a_resumed_instance_blames_nobody(seed: u64, frozen_ms in 200..60_000u64) {
+        let mut net = joined(seed, 10);
+        net.freeze(4);
+        net.run(Duration::from_millis(frozen_ms));
+        net.resume(4);
+        let blames = |net: &Net| {
+            (0..10).any(|x| x != 4 && net.state(4, x) == Some(MemberState::Dead))
+        };
+        prop_assert!(!net.run_until(secs(15), blames));
+        prop_assert!(net.everyone_alive());
+    }
+}
+
+fn any_dead(net: &Net) -> bool {
+    let live = net.live();
+    live.iter().any(|&at| {
+        live.iter().any(|&of| net.state(at, of) == Some(MemberState::Dead))
+    })
+}
+
+fn incarnation(net: &Net, at: usize, of: usize) -> u64 {
+    let id = net.nodes[of].id;
+    let members = net.nodes[at].membership.members();
+    members.iter().find(|x| x.id == id).map_or(0, |x| x.incarnation)
+}
+
+/// Guards against the removal of a live member that one instance suspects.
+#[test]
+fn a_false_suspicion_is_refuted() {
+    let mut net = joined(5, 10);
+    let state = MemberState::Suspect;
+    let members = vec![Member { state, ..member(7, None) }];
+    let message = Message::Full { members, reply: false };
+    let from = net.nodes[1].id;
+    net.step_membership(2, MembershipEvent::Message(from, message));
+    assert_eq!(net.state(2, 7), Some(MemberState::Suspect));
+    assert!(!net.run_until(secs(10), any_dead));
+    assert!((0..10).all(|x| incarnation(&net, x, 7) == 2));
+    assert!(net.everyone_alive());
+}
+
+/// Guards against suspicion of a member that only some links fail to reach.
+#[test]
+fn indirect_probes_bridge_a_broken_link() {
+    let mut net = joined(6, 10);
+    net.cut(&[1], &[7]);
+    net.run(secs(60));
+    assert!(net.everyone_alive());
+    // A suspicion, even if it was refuted, would have raised it.
+    assert!((0..10).all(|x| incarnation(&net, x, 7) == 1));
+}
+
+/// Guards against a new life of an instance that is taken for the old one.
+#[test]
+fn a_restarted_instance_replaces_its_record() {
+    let mut net = joined(7, 10);
+    net.crash(3);
+    net.run(Duration::from_millis(100));
+    net.restart(3);
+    net.run(secs(10));
+    assert!(net.everyone_alive());
+    assert!((0..10).all(|x| incarnation(&net, x, 3) > 1_000_000));
+}
+
+/// Guards against a wrong entry in the platform's list that moves homes at
+/// each poll.
+#[test]
+fn a_wrong_platform_hint_is_refuted_once() {
+    let mut net = joined(8, 10);
+    let hint = MembershipEvent::PlatformLeaving(address(6));
+    net.step_membership(0, hint.clone());
+    assert_eq!(net.state(0, 6), Some(MemberState::Leaving));
+    net.run(secs(5));
+    assert!(net.everyone_alive());
+    net.step_membership(0, hint);
+    assert_eq!(net.state(0, 6), Some(MemberState::Alive));
+}
+
+/// Guards against a table that grows with every instance there ever was,
+/// and against dead records that instances pass around forever.
+#[test]
+fn dead_members_are_forgotten() {
+    let forget_after = secs(60);
+    let options =
+        MembershipOptions { forget_after, ..MembershipOptions::default() };
+    let all = (options, SyncOptions::default());
+    let mut net = Net::with_options(9, 10, 0, true, all);
+    net.run(secs(1));
+    net.crash(9);
+    net.run(secs(30));
+    assert!(net.all_see(9, MemberState::Dead));
+    net.run(secs(60));
+    let live = net.live();
+    assert!(live.iter().all(|&x| net.state(x, 9).is_none()));
+    net.run(secs(60));
+    assert!(live.iter().all(|&x| net.state(x, 9).is_none()));
+}
+
+/// Guards against records that differ forever because their updates were
+/// lost, and against an exchange whose size grows with the fleet.
+#[test]
+fn an_exchange_by_digest_repairs_only_what_differs() {
+    let all: Vec<Member> = (0..500).map(|x| member(x, None)).collect();
+    let mut nodes = [0, 1].map(|x| {
+        let options = MembershipOptions::default();
+        Membership::new(member(x, None), options, x as u64)
+    });
+    let mut stale = all.clone();
+    stale[300].incarnation = 0;
+    stale.remove(400);
+    let mut step = |to: usize, message| {
+        let mut out = Vec::new();
+        let from = member(1 - to, None).id;
+        let event = MembershipEvent::Message(from, message);
+        nodes[to].step(Time::from_millis(5), event, &mut out);
+        let sent = out.into_iter().filter_map(|x| match x {
+            MembershipEffect::Send(_, message) => Some(message),
+            _ => None,
+        });
+        (sent.collect::<Vec<_>>(), nodes[to].members().to_vec())
+    };
+    step(0, Message::Full { members: stale, reply: false });
+    step(1, Message::Full { members: all.clone(), reply: false });
+    let mut message = Message::Digest { hash: 0, count: 0 };
+    let mut sent_members = 0;
+    for to in [1, 0, 1, 0] {
+        let (sent, _) = step(to, message);
+        message = sent
+            .into_iter()
+            .find(|x| !matches!(x, Message::Full { .. }))
+            .unwrap_or(Message::Digest { hash: 0, count: 0 });
+        if let Message::Difference { members, .. } = &message {
+            sent_members += members.len();
+        }
+    }
+    let (_, repaired) =
+        step(0, Message::Full { members: vec![], reply: false });
+    assert_eq!(repaired, all);
+    assert!(sent_members <= 100, "{sent_members} of 500 members sent");
+}
+
+/// Guards against messages that grow with the number of changes.
+#[test]
+fn messages_stay_bounded_when_half_the_fleet_is_lost() {
+    let mut net = joined(10, 100);
+    net.measure = Some(|message| match message {
+        PeerMessage::Membership(Message::Ping { updates, .. })
+        | PeerMessage::Membership(Message::Ack { updates, .. }) => {
+            assert!(updates.len() <= 10, "{} updates", updates.len());
+            1
+        }
+        _ => 1,
+    });
+    (0..50).for_each(|x| net.crash(x));
+    let dead = |net: &Net| (0..50).all(|x| net.all_see(x, MemberState::Dead));
+    assert!(net.run_until(secs(30), dead));
+}
