Add the replicated log

Cause: control replicas need a log that survives crashes and partitions. Envelope carries the address to answer to, since a replica with an empty log knows no members; Status says which members are active.

--- /dev/null
+++ b/crates/core/src/consensus/mod.rs
@@ -0,0 +1,615 @@
+/*!
+A replicated log among the control replicas.
+
+The protocol follows Raft (Ongaro and Ousterhout, 2014) with pre-vote,
+check-quorum and learners. Nothing leaves the reducer that depends on state
+which is not yet synced to disk: such messages wait in `pending` for the
+ticket of their write. A leader counts its own entries towards a majority
+only once they are synced, too. See section 6 of the design page.
+*/
+
+mod election;
+mod log;
+mod members;
+mod replication;
+mod transfer;
+mod types;
+
+use std::{collections::VecDeque, time::Duration};
+
+use bytes::Bytes;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+
+pub use types::*;
+
+use self::{log::Log, replication::Progress, transfer::Incoming};
+use crate::{
+    event::{EventKind, LogEvent, control as kinds},
+    id::{ReplicaId, Token},
+    time::Time,
+};
+
+/// Times and limits of the protocol.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConsensusOptions {
+    /// Time between heartbeats of a leader.
+    pub heartbeat: Duration,
+    /// Shortest time without a leader after which a replica stands for
+    /// election. A leader that has not heard a majority for this time steps
+    /// down.
+    pub election_min: Duration,
+    /// Longest such time.
+    pub election_max: Duration,
+    /// Number of applied entries after which a snapshot is taken.
+    pub snapshot_entries: u64,
+    /// Entries before a snapshot that stay in memory for slow followers.
+    pub keep_entries: u64,
+    /// Largest payload of one append message, in bytes.
+    pub append_bytes: u64,
+    /// Largest part of a snapshot in one message, in bytes.
+    pub snapshot_part: usize,
+    /// Append messages to one follower that may be unanswered.
+    pub in_flight: usize,
+    /// Uncommitted bytes at which a leader refuses proposals.
+    pub uncommitted_bytes: u64,
+    /// Entries that a learner may lack and still count as caught up.
+    pub caught_up_entries: u64,
+}
+
+impl Default for ConsensusOptions {
+    fn default() -> ConsensusOptions {
+        ConsensusOptions {
+            heartbeat: Duration::from_millis(100),
+            election_min: Duration::from_millis(500),
+            election_max: Duration::from_millis(1_000),
+            snapshot_entries: 1_000,
+            keep_entries: 100,
+            append_bytes: 256 * 1024,
+            snapshot_part: 64 * 1024,
+            in_flight: 4,
+            uncommitted_bytes: 16 * 1024 * 1024,
+            caught_up_entries: 100,
+        }
+    }
+}
+
+/// A message that waits for a write.
+struct Pending {
+    ticket: u64,
+    effect: ConsensusEffect,
+}
+
+/// A proposal that waits for its entry to commit.
+struct Proposal {
+    token: Token,
+    index: u64,
+    bytes: u64,
+}
+
+/// What a replica does, with the state that only this role has.
+enum State {
+    /// Follower, learner, or in no group.
+    Follower {
+        /// Replicas that would vote for this one, while it asks them.
+        pre_votes: Option<Vec<ReplicaId>>,
+    },
+    Candidate {
+        votes: Vec<ReplicaId>,
+        /// The own vote counts once this write is synced.
+        own_vote: u64,
+    },
+    Leader(Leader),
+}
+
+/// State of a leader.
+struct Leader {
+    /// Sorted by identifier; has every member but this replica.
+    progress: Vec<Progress>,
+    /// First index of its term; changes of the members wait for it.
+    first_index: u64,
+    heartbeat_at: Time,
+    round: u64,
+    /// When recent rounds were sent, the last one at the back.
+    rounds: VecDeque<Time>,
+    /// Sorted by index.
+    proposals: VecDeque<Proposal>,
+    /// Bytes of the proposals.
+    uncommitted: u64,
+}
+
+/// A control replica.
+pub struct Consensus {
+    id: ReplicaId,
+    options: ConsensusOptions,
+    rng: Pcg32,
+    group: u64,
+    term: u64,
+    vote: Option<ReplicaId>,
+    log: Log,
+    commit: u64,
+    applied: u64,
+    state: State,
+    leader: Option<ReplicaId>,
+    /// When a message of the current leader last arrived.
+    leader_heard: Option<Time>,
+    election_at: Time,
+    last_ticket: u64,
+    persisted: u64,
+    /// Ticket of the last write of term and vote.
+    hard_ticket: u64,
+    pending: VecDeque<Pending>,
+    incoming: Option<Incoming>,
+    /// Whether a snapshot of the state machine has been asked for.
+    snapshot_asked: bool,
+    /// The last foreign group that was logged, to log each only once.
+    foreign_group: u64,
+    reported: Option<Status>,
+    out: Vec<ConsensusEffect>,
+}
+
+impl Consensus {
+    /// Builds a replica from what its data folder held.
+    pub fn new(
+        id: ReplicaId,
+        options: ConsensusOptions,
+        recovered: Recovered,
+        seed: u64,
+    ) -> Consensus {
+        let (group, term, vote) =
+            (recovered.group, recovered.term, recovered.vote);
+        let log = Log::new(recovered);
+        let commit = log.snapshot_index();
+        Consensus {
+            id,
+            options,
+            rng: Pcg32::seed_from_u64(seed),
+            group,
+            term,
+            vote,
+            log,
+            commit,
+            applied: commit,
+            state: State::Follower { pre_votes: None },
+            leader: None,
+            leader_heard: None,
+            election_at: Time::ZERO,
+            last_ticket: 0,
+            persisted: 0,
+            hard_ticket: 0,
+            pending: VecDeque::new(),
+            incoming: None,
+            snapshot_asked: false,
+            foreign_group: 0,
+            reported: None,
+            out: Vec::new(),
+        }
+    }
+
+    /// Starts the replica: restores the state machine from the recovered
+    /// snapshot and reports the status.
+    pub fn start(
+        &mut self,
+        now: Time,
+        out: &mut impl Extend<ConsensusEffect>,
+    ) {
+        if let Some(s) = &self.log.snapshot {
+            self.out.push(ConsensusEffect::Restore {
+                index: s.index,
+                data: s.data.clone(),
+            });
+        }
+        self.log(
+            &kinds::REPLICA_RECOVERED,
+            format!(
+                "replica={} group={:016x} term={} snapshot={} last={}",
+                self.id,
+                self.group,
+                self.term,
+                self.log.snapshot_index(),
+                self.log.last_index()
+            ),
+        );
+        self.reset_election(now);
+        self.finish(out);
+    }
+
+    /// Handles an event.
+    pub fn step(
+        &mut self,
+        now: Time,
+        event: ConsensusEvent,
+        out: &mut impl Extend<ConsensusEffect>,
+    ) {
+        // A message that arrived first may remove the reason for a timeout.
+        // Anything else must not be handled by a leader whose time is over.
+        if !matches!(event, ConsensusEvent::Message(_)) {
+            self.tick(now);
+        }
+        match event {
+            ConsensusEvent::Bootstrap { group, replica } => {
+                self.bootstrap(now, group, replica);
+            }
+            ConsensusEvent::Message(envelope) => {
+                self.receive(now, envelope);
+                self.tick(now);
+            }
+            ConsensusEvent::Persisted(ticket) => {
+                self.persisted(now, ticket);
+            }
+            ConsensusEvent::Propose(token, command) => {
+                self.propose(now, token, command);
+            }
+            ConsensusEvent::ChangeMembers(token, change) => {
+                self.change_members(now, token, change);
+            }
+            ConsensusEvent::Snapshot { index, data } => {
+                self.take_snapshot(index, data);
+            }
+            ConsensusEvent::Tick => {}
+        }
+        self.apply();
+        self.leave_if_removed(now);
+        self.finish(out);
+    }
+
+    /// When `Tick` is due.
+    pub fn next_deadline(&self) -> Option<Time> {
+        match &self.state {
+            State::Leader(leader) => Some(leader.heartbeat_at),
+            _ if self.is_voter() => Some(self.election_at),
+            _ => None,
+        }
+    }
+
+    /// The present status.
+    pub fn status(&self) -> Status {
+        let members = self.log.members().to_vec();
+        let (mut progress, mut active) = (Vec::new(), Vec::new());
+        if let State::Leader(leader) = &self.state {
+            let since = leader.active_since(self.options.election_min);
+            for member in &members {
+                let p = leader.progress(member.id);
+                progress.push(match p {
+                    Some(p) => p.matched,
+                    None => self.log.synced(),
+                });
+                active.push(p.is_none_or(|p| p.heard >= since));
+            }
+        }
+        let role = match &self.state {
+            State::Leader(_) => Role::Leader,
+            State::Candidate { .. } => Role::Candidate,
+            State::Follower { .. } if self.group == 0 => Role::Idle,
+            State::Follower { .. } if self.is_voter() => Role::Follower,
+            State::Follower { .. } => Role::Learner,
+        };
+        Status {
+            group: self.group,
+            role,
+            term: self.term,
+            leader: self.leader,
+            last_index: self.log.last_index(),
+            commit: self.commit,
+            members,
+            progress,
+            active,
+        }
+    }
+
+    /// The commands in the log that are not applied yet.
+    pub fn unapplied(&self) -> impl Iterator<Item = &Bytes> {
+        self.log.after(self.applied).filter_map(|e| match &e.payload {
+            Payload::Command(command) => Some(command),
+            _ => None,
+        })
+    }
+
+    fn bootstrap(&mut self, now: Time, group: u64, replica: Replica) {
+        let fresh = self.group == 0 && self.log.last_index() == 0;
+        if !fresh || group == 0 || replica.id != self.id {
+            self.log(
+                &kinds::BOOTSTRAP_REFUSED,
+                format!("replica={} group={:016x}", self.id, self.group),
+            );
+            return;
+        }
+        self.group = group;
+        self.term = 1;
+        self.write_hard_state();
+        self.log.push(Entry {
+            index: 1,
+            term: 1,
+            payload: Payload::Members(vec![Replica {
+                voter: true,
+                ..replica
+            }]),
+        });
+        self.write_log();
+        self.log(
+            &kinds::GROUP_FOUNDED,
+            format!("replica={} group={group:016x}", self.id),
+        );
+        self.campaign(now);
+    }
+
+    fn receive(&mut self, now: Time, envelope: Envelope) {
+        let Envelope { group, from, to, answer_to, message } = envelope;
+        if to != self.id || group == 0 {
+            return;
+        }
+        if self.group == 0 {
+            // A replica in no group joins the first leader that writes to
+            // it; a leader does so only after adding it as a learner.
+            let leads = matches!(
+                message,
+                Message::Append { .. } | Message::Snapshot { .. }
+            );
+            if !leads {
+                return;
+            }
+            self.group = group;
+            self.write_hard_state();
+            self.log(
+                &kinds::GROUP_JOINED,
+                format!("replica={} group={group:016x}", self.id),
+            );
+        }
+        if group != self.group {
+            if self.foreign_group != group {
+                self.foreign_group = group;
+                self.log(
+                    &kinds::FOREIGN_GROUP,
+                    format!(
+                        "from={from} group={group:016x} own={:016x}",
+                        self.group
+                    ),
+                );
+            }
+            return;
+        }
+        let peer = Peer { id: from, answer_to };
+        if let Message::Append { term, .. } | Message::Snapshot { term, .. } =
+            &message
+            && !self.accept_leader(now, from, *term)
+        {
+            self.refuse_leader(peer, &message);
+            return;
+        }
+        match message {
+            Message::PreVote { term, last_index, last_term } => {
+                self.pre_vote(now, peer, term, last_index, last_term);
+            }
+            Message::PreVoteReply { term, granted, current } => {
+                self.pre_vote_reply(now, from, term, granted, current);
+            }
+            Message::Vote { term, last_index, last_term } => {
+                self.vote(now, peer, term, last_index, last_term);
+            }
+            Message::VoteReply { term, granted } => {
+                self.vote_reply(now, from, term, granted);
+            }
+            Message::Append {
+                previous_index,
+                previous_term,
+                entries,
+                commit,
+                round,
+                ..
+            } => {
+                let previous = (previous_index, previous_term);
+                self.append(peer, previous, entries, commit, round);
+            }
+            Message::AppendReply { term, success, index, round } => {
+                self.append_reply(now, from, term, success, index, round);
+            }
+            Message::Snapshot {
+                index,
+                index_term,
+                members,
+                offset,
+                data,
+                done,
+                ..
+            } => {
+                let part =
+                    StoredSnapshot { index, term: index_term, members, data };
+                self.snapshot_part(peer, part, offset, done);
+            }
+            Message::SnapshotReply { term, index, offset } => {
+                self.snapshot_reply(now, from, term, index, offset);
+            }
+        }
+    }
+
+    fn persisted(&mut self, now: Time, ticket: u64) {
+        self.persisted = self.persisted.max(ticket);
+        self.log.persisted(self.persisted);
+        while let Some(p) = self.pending.front() {
+            if p.ticket > self.persisted {
+                break;
+            }
+            if let Some(p) = self.pending.pop_front() {
+                self.out.push(p.effect);
+            }
+        }
+        match &mut self.state {
+            State::Candidate { votes, own_vote }
+                if *own_vote <= self.persisted
+                    && !votes.contains(&self.id) =>
+            {
+                votes.push(self.id);
+                self.count_votes(now);
+            }
+            State::Leader(_) => {
+                if !self.log.is_writing() {
+                    self.write_log();
+                }
+                self.advance_commit();
+            }
+            _ => {}
+        }
+    }
+
+    /// Applies what is committed and ends the proposals.
+    fn apply(&mut self) {
+        while self.applied < self.commit {
+            let index = self.applied + 1;
+            let Some(entry) = self.log.entry(index) else { break };
+            if let Payload::Command(command) = &entry.payload {
+                let command = command.clone();
+                self.out.push(ConsensusEffect::Apply { index, command });
+            }
+            self.applied = index;
+            if let State::Leader(leader) = &mut self.state {
+                while let Some(p) = leader.proposals.front() {
+                    if p.index > index {
+                        break;
+                    }
+                    leader.uncommitted -= p.bytes;
+                    self.out
+                        .push(ConsensusEffect::Outcome(p.token, Ok(index)));
+                    leader.proposals.pop_front();
+                }
+            }
+        }
+        self.ask_snapshot();
+    }
+
+    fn is_voter(&self) -> bool {
+        self.log.members().iter().any(|m| m.id == self.id && m.voter)
+    }
+
+    fn voters(&self) -> impl Iterator<Item = &Replica> {
+        self.log.members().iter().filter(|m| m.voter)
+    }
+
+    /// The other members.
+    fn others(&self) -> Vec<Replica> {
+        let mut members = self.log.members().to_vec();
+        members.retain(|m| m.id != self.id);
+        members
+    }
+
+    /// Whether `count` voters are a majority of the members now.
+    fn is_majority(&self, count: usize) -> bool {
+        count > self.voters().count() / 2
+    }
+
+    fn random(&mut self, min: Duration, max: Duration) -> Duration {
+        let (min, max) = (min.as_micros() as u64, max.as_micros() as u64);
+        Duration::from_micros(self.rng.random_range(min..=max.max(min)))
+    }
+
+    fn reset_election(&mut self, now: Time) {
+        let (min, max) =
+            (self.options.election_min, self.options.election_max);
+        self.election_at = now + self.random(min, max);
+    }
+
+    fn persist(&mut self, write: Write) -> u64 {
+        self.last_ticket += 1;
+        let ticket = self.last_ticket;
+        self.out.push(ConsensusEffect::Persist { ticket, write });
+        ticket
+    }
+
+    fn write_hard_state(&mut self) {
+        let (group, term, vote) = (self.group, self.term, self.vote);
+        self.hard_ticket =
+            self.persist(Write::HardState { group, term, vote });
+    }
+
+    fn write_log(&mut self) {
+        if let Some(write) = self.log.write(self.last_ticket + 1) {
+            self.persist(write);
+        }
+    }
+
+    /// Sends a message to a member once the write `ticket` is synced.
+    fn send(&mut self, to: &Replica, ticket: u64, message: Message) {
+        let own = self.log.members().iter().find(|m| m.id == self.id);
+        let answer_to = own.map(|m| (m.instance, m.address));
+        let peer =
+            Peer { id: to.id, answer_to: Some((to.instance, to.address)) };
+        self.post(&peer, answer_to, ticket, message);
+    }
+
+    /// Answers a message once the write `ticket` is synced.
+    fn answer(&mut self, to: &Peer, ticket: u64, message: Message) {
+        self.post(to, None, ticket, message);
+    }
+
+    fn post(
+        &mut self,
+        to: &Peer,
+        answer_to: Option<(crate::id::InstanceId, std::net::SocketAddr)>,
+        ticket: u64,
+        message: Message,
+    ) {
+        let known = || {
+            let members = self.log.members();
+            let member = members.iter().find(|m| m.id == to.id)?;
+            Some((member.instance, member.address))
+        };
+        let Some((instance, address)) = to.answer_to.or_else(known) else {
+            return;
+        };
+        let envelope = Envelope {
+            group: self.group,
+            from: self.id,
+            to: to.id,
+            answer_to,
+            message,
+        };
+        let effect = ConsensusEffect::Send { instance, address, envelope };
+        // The term that a message states must be synced as well.
+        let ticket = ticket.max(self.hard_ticket);
+        if ticket <= self.persisted {
+            self.out.push(effect);
+        } else {
+            // Kept in the order of tickets: a reply to a heartbeat does not
+            // wait for an append behind which it was queued.
+            let at = self.pending.partition_point(|p| p.ticket <= ticket);
+            self.pending.insert(at, Pending { ticket, effect });
+        }
+    }
+
+    fn log(&mut self, kind: &'static EventKind, detail: String) {
+        self.out.push(ConsensusEffect::Log(LogEvent::new(kind, detail)));
+    }
+
+    /// Hands out the effects, with the status if it has changed.
+    fn finish(&mut self, out: &mut impl Extend<ConsensusEffect>) {
+        let status = self.status();
+        let same = self.reported.as_ref().is_some_and(|r| {
+            r.group == status.group
+                && r.role == status.role
+                && r.term == status.term
+                && r.leader == status.leader
+                && r.members == status.members
+        });
+        if !same {
+            self.log(
+                &kinds::ROLE_CHANGED,
+                format!(
+                    "replica={} role={:?} term={} leader={} members={}",
+                    self.id,
+                    status.role,
+                    status.term,
+                    status.leader.map_or("-".into(), |l| l.to_string()),
+                    status.members.len()
+                ),
+            );
+            self.out.push(ConsensusEffect::Status(status.clone()));
+            self.reported = Some(status);
+        }
+        out.extend(self.out.drain(..));
+    }
+}
+
+/// The sender of a message, and where to answer it.
+struct Peer {
+    id: ReplicaId,
+    answer_to: Option<(crate::id::InstanceId, std::net::SocketAddr)>,
+}
--- a/crates/core/src/consensus.rs
+++ b/crates/core/src/consensus/types.rs
@@ -1,10 +1,4 @@
-/*!
-A replicated log among the control replicas.
-
-The protocol follows Raft (Ongaro and Ousterhout, 2014) with pre-vote and
-learners. Nothing leaves the reducer that depends on state which is not yet
-synced to disk. See section 6 of the design page.
-*/
+//! Messages, events, effects and stored forms of the replicated log.
 
 use std::net::SocketAddr;
 
@@ -64,6 +58,9 @@
     pub from: ReplicaId,
     /// Receiver.
     pub to: ReplicaId,
+    /// Where the sender is, in messages that ask for an answer. A replica
+    /// with an empty log knows no members and could not answer otherwise.
+    pub answer_to: Option<(InstanceId, SocketAddr)>,
     /// The message.
     pub message: Message,
 }
@@ -294,6 +291,41 @@
     pub entries: Vec<Entry>,
 }
 
+impl Recovered {
+    /// Follows a write, as the data folder does.
+    ///
+    /// A snapshot whose last entry differs from the stored one drops the
+    /// whole log, because the entries behind it belong to another history.
+    pub fn follow(&mut self, write: Write) {
+        match write {
+            Write::HardState { group, term, vote } => {
+                self.group = group;
+                self.term = term;
+                self.vote = vote;
+            }
+            Write::Append { after, entries } => {
+                let keep = self.entries.partition_point(|e| e.index <= after);
+                self.entries.truncate(keep);
+                self.entries.extend(entries);
+            }
+            Write::Snapshot(snapshot) => {
+                let at =
+                    self.entries.partition_point(|e| e.index < snapshot.index);
+                match self.entries.get(at) {
+                    Some(e)
+                        if e.index == snapshot.index
+                            && e.term == snapshot.term =>
+                    {
+                        self.entries.drain(..=at);
+                    }
+                    _ => self.entries.clear(),
+                }
+                self.snapshot = Some(snapshot);
+            }
+        }
+    }
+}
+
 /// Why a proposal failed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ProposeError {
@@ -343,4 +375,8 @@
     pub members: Vec<Replica>,
     /// At the leader: last matching index of each member, in their order.
     pub progress: Vec<u64>,
+    /// At the leader: whether each member has answered within an election
+    /// timeout, in their order.
+    #[serde(default)]
+    pub active: Vec<bool>,
 }
--- /dev/null
+++ b/crates/core/src/control/mod.rs
@@ -0,0 +1,11 @@
+/*!
+The replicated state machine: configuration, change outcomes and claims.
+
+Commands are applied in the order of the log and have the same effect on
+every replica, so nothing here depends on a clock or on randomness of its
+own. See section 6 of the design page.
+*/
+
+mod types;
+
+pub use types::*;
