Add the control state machine and a simulated control group

Cause: the log needs a state machine and a test bench with faults. Change: ControlState with bounded outcomes and claims; a simulation that keeps unsynced writes apart and checks the invariants at each effect.

--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -6,6 +6,8 @@
 own. See section 6 of the design page.
 */
 
+mod state;
 mod types;
 
+pub use state::*;
 pub use types::*;
--- /dev/null
+++ b/crates/core/src/control/state.rs
@@ -0,0 +1,237 @@
+//! The state that the log's commands build.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{Change, ChangeOutcome, Claim, Command, Settle};
+use crate::{
+    config_sync::ConfigRecord,
+    id::{ConfigVersion, QueryId},
+    query::ClaimResult,
+    verdict::Verdict,
+};
+
+/// Change outcomes that are kept for resends.
+pub const MAX_OUTCOMES: usize = 10_000;
+
+/// Claims that are kept.
+pub const MAX_CLAIMS: usize = 200_000;
+
+/// Time after which a claim expires, in milliseconds.
+pub const CLAIM_TTL_MS: u64 = 24 * 60 * 60 * 1_000;
+
+/// What a command did.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Applied {
+    /// A change got an outcome.
+    Change {
+        /// Its id.
+        change_id: String,
+        /// The outcome.
+        outcome: ChangeOutcome,
+        /// Whether it is the outcome of an earlier command with this id.
+        repeated: bool,
+    },
+    /// A claim was decided.
+    Claim(ClaimResult),
+    /// A claim was settled, or was not this query's.
+    Settled,
+    /// The command cannot be decoded and has no effect.
+    Malformed,
+}
+
+/// A claim that has not expired.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct ClaimRecord {
+    query: QueryId,
+    verdict: Option<Verdict>,
+    /// Place in the order of expiry.
+    expiry: (u64, u64),
+}
+
+/// The replicated state machine.
+///
+/// The claims are in ordered maps and not in sorted vectors, because an
+/// insertion into a vector of 200,000 strings moves megabytes.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct ControlState {
+    index: u64,
+    record: ConfigRecord,
+    /// Outcomes by change id.
+    outcomes: BTreeMap<String, ChangeOutcome>,
+    /// Change ids in the order of arrival.
+    arrivals: VecDeque<String>,
+    claims: BTreeMap<String, ClaimRecord>,
+    /// Request ids of the claims, by time and number.
+    expiry: BTreeMap<(u64, u64), String>,
+    /// The latest time in any claim. Leaders' clocks differ, and an earlier
+    /// time must not change the order of expiry.
+    clock_ms: u64,
+    next_claim: u64,
+}
+
+impl Command {
+    /// Encodes the command for the log.
+    pub fn encode(&self) -> Bytes {
+        // Writing plain data to a vector cannot fail.
+        rmp_serde::to_vec(self).unwrap_or_default().into()
+    }
+
+    /// Decodes a command of the log.
+    pub fn decode(command: &[u8]) -> Option<Command> {
+        rmp_serde::from_slice(command).ok()
+    }
+}
+
+impl ControlState {
+    /// Applies the command at `index` of the log.
+    pub fn apply(&mut self, index: u64, command: &[u8]) -> Applied {
+        self.index = index;
+        match Command::decode(command) {
+            Some(Command::Change(change)) => self.change(change),
+            Some(Command::Claim(claim)) => Applied::Claim(self.claim(claim)),
+            Some(Command::Settle(settle)) => {
+                self.settle(&settle);
+                Applied::Settled
+            }
+            None => Applied::Malformed,
+        }
+    }
+
+    /// The state, for a snapshot.
+    pub fn snapshot(&self) -> Bytes {
+        rmp_serde::to_vec(self).unwrap_or_default().into()
+    }
+
+    /// Replaces the state by a snapshot; an unreadable one changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the snapshot cannot be decoded.
+    pub fn restore(
+        &mut self,
+        snapshot: &[u8],
+    ) -> Result<(), rmp_serde::decode::Error> {
+        *self = rmp_serde::from_slice(snapshot)?;
+        Ok(())
+    }
+
+    /// Index of the last command.
+    pub fn index(&self) -> u64 {
+        self.index
+    }
+
+    /// The configuration.
+    pub fn record(&self) -> ConfigRecord {
+        self.record.clone()
+    }
+
+    /// Version of the configuration; 0 if there is none yet.
+    pub fn version(&self) -> ConfigVersion {
+        self.record.version
+    }
+
+    /// An upper bound of the newest version in the log, given the commands
+    /// that are not applied yet: each change among them may be accepted.
+    pub fn logged_version<'a>(
+        &self,
+        unapplied: impl Iterator<Item = &'a Bytes>,
+    ) -> ConfigVersion {
+        let changes = unapplied
+            .filter(|c| matches!(Command::decode(c), Some(Command::Change(_))))
+            .count();
+        ConfigVersion(self.record.version.0 + changes as u64)
+    }
+
+    /// The outcome of a change, if it is known.
+    pub fn outcome(&self, change_id: &str) -> Option<&ChangeOutcome> {
+        self.outcomes.get(change_id)
+    }
+
+    /// Number of change outcomes kept.
+    pub fn outcome_count(&self) -> usize {
+        self.outcomes.len()
+    }
+
+    /// Number of claims that have not expired.
+    pub fn claim_count(&self) -> usize {
+        self.claims.len()
+    }
+
+    fn change(&mut self, change: Change) -> Applied {
+        let Change { change_id, expected_version, document } = change;
+        if let Some(outcome) = self.outcomes.get(&change_id) {
+            let outcome = outcome.clone();
+            return Applied::Change { change_id, outcome, repeated: true };
+        }
+        let version = self.record.version;
+        let outcome = if expected_version == version {
+            let version = ConfigVersion(version.0 + 1);
+            let hash = xxh3_64(&document);
+            self.record = ConfigRecord { version, hash, document };
+            ChangeOutcome::Accepted(version)
+        } else {
+            ChangeOutcome::Conflict(version)
+        };
+        self.outcomes.insert(change_id.clone(), outcome.clone());
+        self.arrivals.push_back(change_id.clone());
+        if self.arrivals.len() > MAX_OUTCOMES
+            && let Some(oldest) = self.arrivals.pop_front()
+        {
+            self.outcomes.remove(&oldest);
+        }
+        Applied::Change { change_id, outcome, repeated: false }
+    }
+
+    fn claim(&mut self, claim: Claim) -> ClaimResult {
+        self.clock_ms = self.clock_ms.max(claim.at_ms);
+        self.expire();
+        if let Some(record) = self.claims.get(&claim.request_id) {
+            return match record.verdict {
+                // The reply to the first claim was lost.
+                None if record.query == claim.query => ClaimResult::Granted,
+                verdict => ClaimResult::Taken(verdict),
+            };
+        }
+        if self.claims.len() >= MAX_CLAIMS {
+            return ClaimResult::Unavailable;
+        }
+        self.next_claim += 1;
+        let expiry = (self.clock_ms, self.next_claim);
+        self.expiry.insert(expiry, claim.request_id.clone());
+        let record = ClaimRecord { query: claim.query, verdict: None, expiry };
+        self.claims.insert(claim.request_id, record);
+        ClaimResult::Granted
+    }
+
+    fn settle(&mut self, settle: &Settle) {
+        let Some(record) = self.claims.get_mut(&settle.request_id) else {
+            return;
+        };
+        // A recorded verdict is final: a late `NotRun` must not release a
+        // request that ran.
+        if record.query != settle.query || record.verdict.is_some() {
+            return;
+        }
+        if settle.verdict == Verdict::NotRun {
+            let expiry = record.expiry;
+            self.expiry.remove(&expiry);
+            self.claims.remove(&settle.request_id);
+        } else {
+            record.verdict = Some(settle.verdict);
+        }
+    }
+
+    fn expire(&mut self) {
+        while let Some(entry) = self.expiry.first_entry() {
+            if entry.key().0 + CLAIM_TTL_MS > self.clock_ms {
+                break;
+            }
+            let request_id = entry.remove();
+            self.claims.remove(&request_id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/cluster/mod.rs
@@ -0,0 +1,559 @@
+//! A simulated control group: replicas, disks and a network with faults.
+//!
+//! Writes stay apart from the disk until they are synced, so that a crash
+//! loses them. The invariants are checked whenever a replica emits an
+//! effect. Everything follows from the seed.
+
+#![allow(dead_code)]
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap, VecDeque},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use primrosemast_core::{
+    consensus::*, control::*, id::*, query::ClaimResult, time::Time,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+
+pub struct Node {
+    pub replica: Replica,
+    pub consensus: Option<Consensus>,
+    pub state: ControlState,
+    pub disk: Recovered,
+    pub unsynced: VecDeque<(u64, Write)>,
+    /// While frozen, a replica handles nothing until this time.
+    pub frozen: Time,
+    /// Raised at each start; events of an earlier life are dropped.
+    pub life: u64,
+    pub applied: u64,
+    pub restores: u64,
+    pub records_read: usize,
+    inbox: Vec<Event>,
+}
+
+#[derive(Clone)]
+enum Event {
+    Deliver(Envelope),
+    Synced(u64),
+}
+
+pub struct Faults {
+    pub drop_percent: u32,
+    pub duplicate_percent: u32,
+    pub delay_us: (u64, u64),
+    pub sync_us: (u64, u64),
+}
+
+impl Default for Faults {
+    fn default() -> Faults {
+        Faults {
+            drop_percent: 0,
+            duplicate_percent: 0,
+            delay_us: (300, 1_500),
+            sync_us: (200, 3_000),
+        }
+    }
+}
+
+pub struct Cluster {
+    pub now: Time,
+    pub nodes: Vec<Node>,
+    pub faults: Faults,
+    /// Nodes on another side cannot be reached.
+    pub side: Vec<u8>,
+    pub outcomes: BTreeMap<Token, Result<u64, ProposeError>>,
+    /// The first outcome of each change, and the document of each version.
+    pub first: BTreeMap<String, ChangeOutcome>,
+    pub versions: BTreeMap<u64, Bytes>,
+    /// The committed commands and the state behind each.
+    pub committed: BTreeMap<u64, (Bytes, u64)>,
+    leaders: BTreeMap<u64, ReplicaId>,
+    pub messages: u64,
+    pub logs: Vec<String>,
+    pub options: ConsensusOptions,
+    queue: BinaryHeap<Reverse<(Time, u64, usize, u64)>>,
+    events: BTreeMap<u64, Event>,
+    next: u64,
+    rng: Pcg32,
+    seed: u64,
+}
+
+pub fn replica(id: u64, instance: u64) -> Replica {
+    Replica {
+        id: ReplicaId(id),
+        instance: InstanceId(instance),
+        name: format!("instance-{instance}"),
+        address: ([127, 0, 0, 1], 7000 + instance as u16).into(),
+        voter: true,
+    }
+}
+
+impl Cluster {
+    /// A cluster whose first replica has founded the group.
+    pub fn new(count: usize, seed: u64) -> Cluster {
+        Cluster::with(count, seed, ConsensusOptions::default())
+    }
+
+    pub fn with(
+        count: usize,
+        seed: u64,
+        options: ConsensusOptions,
+    ) -> Cluster {
+        let mut cluster = Cluster {
+            now: Time::from_millis(10_000),
+            nodes: Vec::new(),
+            faults: Faults::default(),
+            side: vec![0; count],
+            outcomes: BTreeMap::new(),
+            first: BTreeMap::new(),
+            versions: BTreeMap::new(),
+            committed: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+            messages: 0,
+            logs: Vec::new(),
+            options,
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            next: 1,
+            rng: Pcg32::seed_from_u64(seed),
+            seed,
+        };
+        for i in 0..count {
+            let replica = replica(i as u64 + 1, i as u64 + 1);
+            cluster.nodes.push(Node {
+                replica,
+                consensus: None,
+                state: ControlState::default(),
+                disk: Recovered::default(),
+                unsynced: VecDeque::new(),
+                frozen: Time::ZERO,
+                life: 0,
+                applied: 0,
+                restores: 0,
+                records_read: 0,
+                inbox: Vec::new(),
+            });
+            cluster.start(i);
+        }
+        let founder = cluster.nodes[0].replica.clone();
+        let event = ConsensusEvent::Bootstrap { group: 99, replica: founder };
+        cluster.step(0, event);
+        cluster
+    }
+
+    /// A cluster in which all replicas vote.
+    pub fn voters(count: usize, seed: u64) -> Cluster {
+        let mut cluster = Cluster::new(count, seed);
+        cluster.enlist();
+        cluster
+    }
+
+    /// Adds and promotes every replica.
+    pub fn enlist(&mut self) {
+        for i in 1..self.nodes.len() {
+            let add = MemberChange::AddLearner(self.nodes[i].replica.clone());
+            self.change(add);
+            let id = self.nodes[i].replica.id;
+            self.change(MemberChange::Promote(id));
+        }
+    }
+
+    /// Starts a replica from its disk.
+    pub fn start(&mut self, i: usize) {
+        let seed = self.rng.random();
+        let node = &mut self.nodes[i];
+        node.life += 1;
+        node.unsynced.clear();
+        node.inbox.clear();
+        node.state = ControlState::default();
+        node.applied = 0;
+        node.records_read = node.disk.entries.len();
+        let mut consensus = Consensus::new(
+            node.replica.id,
+            self.options.clone(),
+            node.disk.clone(),
+            seed,
+        );
+        let mut out = Vec::new();
+        consensus.start(self.now, &mut out);
+        node.consensus = Some(consensus);
+        self.carry_out(i, out);
+    }
+
+    /// Stops a replica; writes that are not synced are lost.
+    pub fn crash(&mut self, i: usize) {
+        let node = &mut self.nodes[i];
+        node.consensus = None;
+        node.unsynced.clear();
+        node.inbox.clear();
+    }
+
+    /// Replaces the disk by an empty one, which makes a new replica.
+    pub fn lose_disk(&mut self, i: usize) {
+        self.crash(i);
+        let id = self.rng.random();
+        let node = &mut self.nodes[i];
+        node.disk = Recovered::default();
+        node.replica.id = ReplicaId(id);
+    }
+
+    pub fn step(&mut self, i: usize, event: ConsensusEvent) {
+        let Some(consensus) = &mut self.nodes[i].consensus else { return };
+        let mut out = Vec::new();
+        consensus.step(self.now, event, &mut out);
+        self.carry_out(i, out);
+    }
+
+    fn carry_out(&mut self, i: usize, out: Vec<ConsensusEffect>) {
+        for effect in out {
+            match effect {
+                ConsensusEffect::Send { instance, envelope, .. } => {
+                    self.send(i, instance, envelope);
+                }
+                ConsensusEffect::Persist { ticket, write } => {
+                    self.nodes[i].unsynced.push_back((ticket, write));
+                    let (min, max) = self.faults.sync_us;
+                    let wait = self.rng.random_range(min..=max);
+                    self.schedule(i, wait, Event::Synced(ticket));
+                }
+                ConsensusEffect::Apply { index, command } => {
+                    self.apply(i, index, command);
+                }
+                ConsensusEffect::Restore { index, data } => {
+                    let node = &mut self.nodes[i];
+                    node.state.restore(&data).expect("snapshot");
+                    node.applied = index;
+                    node.restores += 1;
+                    self.check_state(i, index);
+                }
+                ConsensusEffect::TakeSnapshot => {
+                    let node = &self.nodes[i];
+                    let event = ConsensusEvent::Snapshot {
+                        index: node.applied,
+                        data: node.state.snapshot(),
+                    };
+                    self.step(i, event);
+                }
+                ConsensusEffect::Outcome(token, result) => {
+                    self.outcomes.insert(token, result);
+                }
+                ConsensusEffect::Status(status) => {
+                    if status.role == Role::Leader {
+                        let id = self.nodes[i].replica.id;
+                        let old =
+                            *self.leaders.entry(status.term).or_insert(id);
+                        assert_eq!(
+                            old, id,
+                            "seed {}: two leaders in term {}",
+                            self.seed, status.term
+                        );
+                    }
+                }
+                ConsensusEffect::Log(event) => {
+                    self.logs
+                        .push(format!("{} {}", event.kind.name, event.detail));
+                }
+            }
+        }
+    }
+
+    fn apply(&mut self, i: usize, index: u64, command: Bytes) {
+        let seed = self.seed;
+        let node = &mut self.nodes[i];
+        assert!(index > node.applied, "seed {seed}: applied twice");
+        node.applied = index;
+        let before = node.state.version();
+        let applied = node.state.apply(index, &command);
+        let (after, record) = (node.state.version(), node.state.record());
+        assert!(after >= before, "seed {seed}: version went back");
+        if let Applied::Change { change_id, outcome, .. } = applied {
+            let first =
+                self.first.entry(change_id).or_insert_with(|| outcome.clone());
+            assert_eq!(*first, outcome, "seed {seed}: two outcomes");
+            if let ChangeOutcome::Accepted(v) = outcome {
+                let document = self
+                    .versions
+                    .entry(v.0)
+                    .or_insert_with(|| record.document.clone());
+                if v == after {
+                    assert_eq!(
+                        *document, record.document,
+                        "seed {seed}: two values for version {v}"
+                    );
+                }
+            }
+        }
+        let state =
+            xxhash_rust::xxh3::xxh3_64(&self.nodes[i].state.snapshot());
+        let known = self
+            .committed
+            .entry(index)
+            .or_insert_with(|| (command.clone(), state));
+        assert_eq!(
+            *known,
+            (command, state),
+            "seed {seed}: replicas differ at index {index}"
+        );
+    }
+
+    /// Compares a restored state with the one that was seen at its index.
+    fn check_state(&self, i: usize, index: u64) {
+        let state = self.nodes[i].state.snapshot();
+        let state = xxhash_rust::xxh3::xxh3_64(&state);
+        if let Some((_, (_, known))) =
+            self.committed.range(..=index).next_back()
+        {
+            assert_eq!(
+                state, *known,
+                "seed {}: snapshot differs at index {index}",
+                self.seed
+            );
+        }
+    }
+
+    fn send(&mut self, from: usize, to: InstanceId, envelope: Envelope) {
+        self.messages += 1;
+        let Some(to) =
+            self.nodes.iter().position(|n| n.replica.instance == to)
+        else {
+            return;
+        };
+        if self.side[from] != self.side[to] {
+            return;
+        }
+        if self.rng.random_range(0..100) < self.faults.drop_percent {
+            return;
+        }
+        let twice =
+            self.rng.random_range(0..100) < self.faults.duplicate_percent;
+        let (min, max) = self.faults.delay_us;
+        for _ in 0..1 + u8::from(twice) {
+            let wait = self.rng.random_range(min..=max);
+            self.schedule(to, wait, Event::Deliver(envelope.clone()));
+        }
+    }
+
+    fn schedule(&mut self, i: usize, wait: u64, event: Event) {
+        self.next += 1;
+        let at = self.now + Duration::from_micros(wait);
+        let life = self.nodes[i].life;
+        self.events.insert(self.next, event);
+        self.queue.push(Reverse((at, self.next, i, life)));
+    }
+
+    /// Runs for a time.
+    pub fn run(&mut self, millis: u64) {
+        let end = self.now + Duration::from_millis(millis);
+        self.run_until(end, |_| false);
+    }
+
+    /// Runs until a condition holds; panics after a minute.
+    pub fn wait(&mut self, what: &str, done: impl Fn(&Cluster) -> bool) {
+        let end = self.now + Duration::from_secs(60);
+        let reached = self.run_until(end, &done);
+        assert!(reached, "seed {}: not reached: {what}", self.seed);
+    }
+
+    fn run_until(
+        &mut self,
+        end: Time,
+        done: impl Fn(&Cluster) -> bool,
+    ) -> bool {
+        loop {
+            if done(self) {
+                return true;
+            }
+            let queued = self.queue.peek().map(|Reverse(e)| e.0);
+            let tick = (0..self.nodes.len())
+                .filter_map(|i| {
+                    let node = &self.nodes[i];
+                    let at = node.consensus.as_ref()?.next_deadline()?;
+                    Some((at.max(node.frozen).max(self.now), i))
+                })
+                .min();
+            let at = match (queued, tick) {
+                (Some(q), Some((t, _))) => q.min(t),
+                (Some(q), None) => q,
+                (None, Some((t, _))) => t,
+                (None, None) => end,
+            };
+            if at >= end {
+                self.now = end;
+                return done(self);
+            }
+            self.now = self.now.max(at);
+            self.thaw();
+            if queued == Some(at) {
+                self.next_event();
+            } else if let Some((_, i)) = tick {
+                self.step(i, ConsensusEvent::Tick);
+            }
+        }
+    }
+
+    fn thaw(&mut self) {
+        for i in 0..self.nodes.len() {
+            if self.nodes[i].frozen <= self.now {
+                for event in std::mem::take(&mut self.nodes[i].inbox) {
+                    self.handle(i, event);
+                }
+            }
+        }
+    }
+
+    fn next_event(&mut self) {
+        let Some(Reverse((_, key, i, life))) = self.queue.pop() else {
+            return;
+        };
+        let Some(event) = self.events.remove(&key) else { return };
+        let node = &mut self.nodes[i];
+        if let Event::Synced(_) = event
+            && node.life != life
+        {
+            return;
+        }
+        if node.consensus.is_none() {
+            return;
+        }
+        if node.frozen > self.now {
+            node.inbox.push(event);
+            return;
+        }
+        self.handle(i, event);
+    }
+
+    fn handle(&mut self, i: usize, event: Event) {
+        match event {
+            Event::Deliver(envelope) => {
+                self.step(i, ConsensusEvent::Message(envelope));
+            }
+            Event::Synced(ticket) => {
+                // The disk works in order: later tickets cover earlier ones.
+                let node = &mut self.nodes[i];
+                let mut newest = None;
+                while let Some((t, _)) = node.unsynced.front() {
+                    if *t > ticket {
+                        break;
+                    }
+                    if let Some((t, write)) = node.unsynced.pop_front() {
+                        node.disk.follow(write);
+                        newest = Some(t);
+                    }
+                }
+                if let Some(t) = newest {
+                    self.step(i, ConsensusEvent::Persisted(t));
+                }
+            }
+        }
+    }
+
+    pub fn status(&self, i: usize) -> Option<Status> {
+        Some(self.nodes[i].consensus.as_ref()?.status())
+    }
+
+    /// The leader of the newest term.
+    pub fn leader(&self) -> Option<usize> {
+        (0..self.nodes.len())
+            .filter(|&i| {
+                self.status(i).is_some_and(|s| s.role == Role::Leader)
+            })
+            .max_by_key(|&i| self.status(i).map(|s| s.term))
+    }
+
+    pub fn wait_leader(&mut self) -> usize {
+        self.wait("a leader", |c| c.leader().is_some());
+        self.leader().expect("leader")
+    }
+
+    pub fn token(&mut self) -> Token {
+        self.next += 1;
+        Token(self.next)
+    }
+
+    /// Proposes at one replica.
+    pub fn propose(&mut self, i: usize, command: &Command) -> Token {
+        let token = self.token();
+        self.step(i, ConsensusEvent::Propose(token, command.encode()));
+        token
+    }
+
+    /// Proposes at the leader until it is committed.
+    pub fn commit(&mut self, command: &Command) -> u64 {
+        for _ in 0..100 {
+            let leader = self.wait_leader();
+            let token = self.propose(leader, command);
+            self.wait("an outcome", |c| {
+                c.outcomes.contains_key(&token) || c.leader() != Some(leader)
+            });
+            if let Some(Ok(index)) = self.outcomes.get(&token) {
+                // The outcome promises that the command is applied.
+                let (applied, _) = &self.committed[index];
+                assert_eq!(*applied, command.encode());
+                return *index;
+            }
+        }
+        panic!("seed {}: nothing commits", self.seed);
+    }
+
+    /// Changes the members, and tries again while that is refused.
+    pub fn change(&mut self, change: MemberChange) {
+        for _ in 0..200 {
+            let leader = self.wait_leader();
+            let token = self.token();
+            let event = ConsensusEvent::ChangeMembers(token, change.clone());
+            self.step(leader, event);
+            self.wait("an outcome", |c| {
+                c.outcomes.contains_key(&token) || c.leader() != Some(leader)
+            });
+            if let Some(Ok(_)) = self.outcomes.get(&token) {
+                return;
+            }
+            self.run(50);
+        }
+        panic!("seed {}: no change of the members", self.seed);
+    }
+
+    /// A change made from the version that the leader has.
+    pub fn next_change(&self, leader: usize, id: &str) -> Command {
+        Command::Change(Change {
+            change_id: id.into(),
+            expected_version: self.nodes[leader].state.version(),
+            document: Bytes::from(format!("document {id}")),
+        })
+    }
+
+    /// Ends all faults, and waits until all live members agree.
+    pub fn settle(&mut self) {
+        self.faults = Faults::default();
+        self.side.fill(0);
+        for i in 0..self.nodes.len() {
+            self.nodes[i].frozen = Time::ZERO;
+            if self.nodes[i].consensus.is_none() {
+                self.start(i);
+            }
+        }
+        self.wait("agreement", |c| {
+            let Some(leader) = c.leader() else { return false };
+            let Some(status) = c.status(leader) else { return false };
+            let last = c.nodes[leader].applied;
+            let newest = c.committed.keys().next_back().copied();
+            status.commit == status.last_index
+                && newest.is_none_or(|n| last >= n)
+                && status.members.iter().all(|m| {
+                    c.nodes
+                        .iter()
+                        .any(|n| n.replica.id == m.id && n.applied == last)
+                        || c.nodes.iter().all(|n| n.replica.id != m.id)
+                })
+        });
+    }
+}
+
+/// Result of a claim that has been applied at the given index.
+pub fn granted(applied: &Applied) -> bool {
+    matches!(applied, Applied::Claim(ClaimResult::Granted))
+}
