Add the reducer for targets

Cause: the home of a target has to own its connections, slots, queue and warm-up, and only the types of that interface existed.

`TargetEvent::Received` is new: it postpones the check for silence while an answer is still arriving.

Properties and the cost are not measured yet.

--- a/crates/core/src/target.rs
+++ b/crates/core/src/target/types.rs
@@ -1,9 +1,5 @@
 /*!
-Targets whose home is this instance: connections, slots, queues and warm-up.
-
-The home of a target is the only instance that sends to it, so the number of
-requests in flight, the number of connections and the warm-up limit are exact
-counts. See section 4 of the design page.
+Input, output and vocabulary of the reducer.
 */
 
 use std::net::SocketAddr;
@@ -205,6 +201,9 @@
     Connected(ConnId),
     /// A connection could not be opened.
     ConnectFailed(ConnId),
+    /// Bytes of an answer arrived on a connection, but not yet the whole of
+    /// it; postpones the check for silence.
+    Received(ConnId),
     /// A whole answer arrived on a connection.
     Answer(ConnId, JobId, TargetAnswer),
     /// A connection broke or was closed by the target.
