--- a/src/settings/instance.rs
+++ b/src/settings/instance.rs
@@ -7,6 +7,12 @@
 
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use super::{
+    check::{check_name, malformed_address},
+    problem::{Finding, segments},
+};
 
 /// Settings of one instance.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
@@ -156,3 +162,156 @@
         }
     }
 }
+
+/// Checks what the schema cannot express; parts of the document may be
+/// missing or of the wrong type, which the schema reports.
+pub(crate) fn check_value(document: &Value) -> Vec<Finding> {
+    let mut out = Vec::new();
+    for key in ["name", "availability_zone"] {
+        match &document[key] {
+            Value::String(name) => {
+                out.extend(check_name(segments![key], name))
+            }
+            Value::Null => out.push(Finding::error(
+                segments![],
+                format!("no key \"{key}\""),
+                format!("the required key \"{key}\""),
+            )),
+            _ => {}
+        }
+    }
+    check_roles(document, &mut out);
+    check_addresses(document, &mut out);
+    if let Some(size) = document["control_group_size"].as_u64()
+        && ![3, 5].contains(&size)
+    {
+        let path = segments!["control_group_size"];
+        out.push(Finding::error(path, size.to_string(), "3 or 5"));
+    }
+    if let Some(url) = document["platform_list"].as_str()
+        && !url.starts_with("http://")
+    {
+        let path = segments!["platform_list"];
+        let found = format!("\"{url}\"");
+        out.push(Finding::error(path, found, "a URL that starts http://"));
+    }
+    check_timing(&document["timing"], &mut out);
+    out
+}
+
+fn check_roles(document: &Value, out: &mut Vec<Finding>) {
+    let roles = match document.get("roles") {
+        Some(Value::Array(roles)) => roles.clone(),
+        Some(_) => return,
+        None => vec![Value::from("entry")],
+    };
+    if roles.is_empty() {
+        let expected = "\"entry\", \"control\" or both";
+        out.push(Finding::error(segments!["roles"], "no roles", expected));
+    }
+    for (i, role) in roles.iter().enumerate() {
+        if roles[..i].contains(role) {
+            let found = format!("{role} again");
+            out.push(Finding::error(
+                segments!["roles", i],
+                found,
+                "each role once",
+            ));
+        }
+    }
+    let control = roles.iter().any(|r| r == "control");
+    let folder = &document["data_folder"];
+    if control && folder.is_null() {
+        out.push(Finding::error(
+            segments![],
+            "no key \"data_folder\"",
+            "a data folder, because the role \"control\" keeps files",
+        ));
+    }
+    if !control && !folder.is_null() {
+        out.push(Finding::error(
+            segments!["data_folder"],
+            "a data folder without the role \"control\"",
+            "the role \"control\", or no data folder",
+        ));
+    }
+}
+
+fn check_addresses(document: &Value, out: &mut Vec<Finding>) {
+    let defaults = Listen::default();
+    let listen = [
+        ("caller", defaults.caller),
+        ("operator", defaults.operator),
+        ("peer", defaults.peer),
+    ];
+    let mut seen: Vec<SocketAddr> = Vec::new();
+    for (key, default) in listen {
+        let at = || segments!["listen", key];
+        let address = match &document["listen"][key] {
+            Value::Null => default,
+            Value::String(text) => match text.parse() {
+                Ok(address) => address,
+                Err(_) => {
+                    out.push(malformed_address(at(), text));
+                    continue;
+                }
+            },
+            _ => continue,
+        };
+        if seen.contains(&address) && address.port() != 0 {
+            let found = format!("\"{address}\" again");
+            out.push(Finding::error(at(), found, "an address of its own"));
+        }
+        seen.push(address);
+        if key != "caller" && address.ip().is_unspecified() {
+            out.push(Finding::error(
+                at(),
+                format!("\"{address}\""),
+                "an IP address that other instances can connect to",
+            ));
+        }
+    }
+    let peers = document["peers"].as_array().into_iter().flatten();
+    for (i, peer) in peers.enumerate() {
+        let Some(text) = peer.as_str() else { continue };
+        match text.parse::<SocketAddr>() {
+            Ok(a) if a.port() != 0 && !a.ip().is_unspecified() => {}
+            _ => out.push(malformed_address(segments!["peers", i], text)),
+        }
+    }
+}
+
+fn check_timing(timing: &Value, out: &mut Vec<Finding>) {
+    let defaults = serde_json::to_value(Timing::default())
+        .expect("the settings are representable in JSON");
+    let value = |key: &str| match &timing[key] {
+        Value::Null => defaults[key].as_u64(),
+        given => given.as_u64(),
+    };
+    let keys = defaults.as_object().into_iter().flatten();
+    for (key, _) in keys.filter(|(key, _)| timing[key.as_str()] == 0) {
+        // A drain may be cut short on purpose; a zero interval is a loop.
+        if !key.starts_with("drain") {
+            let path = segments!["timing", key.as_str()];
+            out.push(Finding::error(path, "0", "at least 1"));
+        }
+    }
+    let ordered = [
+        ("probe_timeout_ms", "probe_interval_ms"),
+        ("confirm_interval_ms", "lease_ms"),
+        ("lease_ms", "suspicion_ms"),
+        ("heartbeat_interval_ms", "election_timeout_ms"),
+    ];
+    for (short, long) in ordered {
+        let (Some(a), Some(b)) = (value(short), value(long)) else {
+            continue;
+        };
+        if a >= b {
+            out.push(Finding::error(
+                segments!["timing", short],
+                a.to_string(),
+                format!("less than {long}, which is {b}"),
+            ));
+        }
+    }
+}
--- /dev/null
+++ b/src/settings/source.rs
@@ -0,0 +1,265 @@
+//! Documents with the origin of every value.
+
+use std::{fs, path::Path, sync::Arc};
+
+use jsonc_parser::{
+    CollectOptions, ParseOptions, ast, common::Ranged, parse_to_ast,
+};
+use serde_json::Value;
+
+use super::problem::{
+    Finding, Problem, Segment, SettingsError, path_text, push_segment,
+};
+
+/// Where a value was written.
+#[derive(Clone, Debug)]
+pub(crate) struct Origin {
+    pub(crate) file: Arc<str>,
+    pub(crate) line: usize,
+    pub(crate) path: String,
+}
+
+/// A value with its origin.
+#[derive(Clone, Debug)]
+pub(crate) struct Node {
+    pub(crate) origin: Origin,
+    pub(crate) content: Content,
+}
+
+/// What a value is.
+#[derive(Clone, Debug)]
+pub(crate) enum Content {
+    Scalar(Value),
+    Array(Vec<Node>),
+    Object(Vec<(String, Node)>),
+}
+
+impl Node {
+    /// The value without its origins.
+    pub(crate) fn to_value(&self) -> Value {
+        match &self.content {
+            Content::Scalar(value) => value.clone(),
+            Content::Array(items) => {
+                items.iter().map(Node::to_value).collect()
+            }
+            Content::Object(members) => members
+                .iter()
+                .map(|(key, node)| (key.clone(), node.to_value()))
+                .collect(),
+        }
+    }
+
+    /// The member of an object.
+    pub(crate) fn member(&self, key: &str) -> Option<&Node> {
+        match &self.content {
+            Content::Object(members) => {
+                members.iter().find(|(k, _)| k == key).map(|(_, node)| node)
+            }
+            _ => None,
+        }
+    }
+
+    /// The string that a member of an object holds.
+    pub(crate) fn text(&self, key: &str) -> Option<&str> {
+        match &self.member(key)?.content {
+            Content::Scalar(Value::String(text)) => Some(text),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn is_null(&self) -> bool {
+        matches!(self.content, Content::Scalar(Value::Null))
+    }
+
+    /// Turns a finding in this document into a problem of a file.
+    pub(crate) fn locate(&self, finding: Finding) -> Problem {
+        let mut node = self;
+        let mut rest = finding.path.as_slice();
+        while let [segment, tail @ ..] = rest {
+            let child = match (segment, &node.content) {
+                (Segment::Key(key), _) => node.member(key),
+                (Segment::Index(i), Content::Array(items)) => items.get(*i),
+                _ => None,
+            };
+            let Some(child) = child else { break };
+            node = child;
+            rest = tail;
+        }
+        let origin = &node.origin;
+        let mut path = origin.path.clone();
+        for segment in rest {
+            push_segment(&mut path, segment);
+        }
+        finding.at(origin.file.to_string(), origin.line, path)
+    }
+
+    /// A problem at this value.
+    pub(crate) fn problem(
+        &self,
+        found: impl Into<String>,
+        expected: impl Into<String>,
+    ) -> Problem {
+        self.locate(Finding::error(Vec::new(), found, expected))
+    }
+}
+
+/// Reads a file of JSON with comments.
+///
+/// # Errors
+///
+/// Fails if the file cannot be read, is not JSON, or repeats a key in an
+/// object.
+pub(crate) fn read(path: &Path) -> Result<Node, SettingsError> {
+    let text = fs::read_to_string(path)
+        .map_err(|e| SettingsError::unreadable(path, &e))?;
+    parse(&path.display().to_string(), &text)
+}
+
+/// Parses JSON with comments; `file` names it in errors.
+pub(crate) fn parse(file: &str, text: &str) -> Result<Node, SettingsError> {
+    // Comments and trailing commas are the only extensions: a missing comma
+    // or a hexadecimal number is more likely a typing error.
+    let options = ParseOptions {
+        allow_comments: true,
+        allow_trailing_commas: true,
+        allow_loose_object_property_names: false,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+    };
+    let collect = CollectOptions::default();
+    let fail = |line, found: String, expected: &str| {
+        let finding = Finding::error(Vec::new(), found, expected);
+        let problem = finding.at(file.into(), line, String::new());
+        SettingsError::invalid(vec![problem])
+    };
+    let parsed = parse_to_ast(text, &collect, &options).map_err(|e| {
+        let message = e.kind().to_string();
+        let found = format!(
+            "a syntax error in column {} ({})",
+            e.column_display(),
+            message.to_lowercase(),
+        );
+        fail(e.line_display(), found, "JSON, with or without comments")
+    })?;
+    let Some(value) = parsed.value else {
+        return Err(fail(1, "no value".into(), "an object"));
+    };
+    let mut reader = Reader {
+        file: file.into(),
+        lines: line_starts(text),
+        path: Vec::new(),
+        problems: Vec::new(),
+    };
+    let node = reader.node(value);
+    if reader.problems.is_empty() {
+        Ok(node)
+    } else {
+        Err(SettingsError::invalid(reader.problems))
+    }
+}
+
+fn line_starts(text: &str) -> Vec<usize> {
+    let breaks = text.bytes().enumerate().filter(|(_, b)| *b == b'\n');
+    std::iter::once(0).chain(breaks.map(|(i, _)| i + 1)).collect()
+}
+
+/// Converts the syntax tree of a file.
+struct Reader {
+    file: Arc<str>,
+    lines: Vec<usize>,
+    path: Vec<Segment>,
+    problems: Vec<Problem>,
+}
+
+impl Reader {
+    fn node(&mut self, value: ast::Value<'_>) -> Node {
+        let origin = self.origin(value.range().start);
+        let content = match value {
+            ast::Value::Object(object) => {
+                Content::Object(self.members(object))
+            }
+            ast::Value::Array(array) => {
+                let mut items = Vec::with_capacity(array.elements.len());
+                for (i, element) in array.elements.into_iter().enumerate() {
+                    self.path.push(Segment::Index(i));
+                    items.push(self.node(element));
+                    self.path.pop();
+                }
+                Content::Array(items)
+            }
+            ast::Value::StringLit(text) => {
+                Content::Scalar(text.value.into_owned().into())
+            }
+            ast::Value::BooleanLit(flag) => Content::Scalar(flag.value.into()),
+            ast::Value::NullKeyword(_) => Content::Scalar(Value::Null),
+            ast::Value::NumberLit(number) => {
+                Content::Scalar(number_value(number.value))
+            }
+        };
+        Node { origin, content }
+    }
+
+    fn members(&mut self, object: ast::Object<'_>) -> Vec<(String, Node)> {
+        let mut members: Vec<(String, Node)> = Vec::new();
+        for property in object.properties {
+            let start = property.range.start;
+            let key = property.name.into_string();
+            self.path.push(Segment::Key(key.clone()));
+            if members.iter().any(|(k, _)| *k == key) {
+                let origin = self.origin(start);
+                let finding = Finding::error(
+                    Vec::new(),
+                    "a repeated key",
+                    "each key once in an object",
+                );
+                self.problems.push(finding.at(
+                    origin.file.to_string(),
+                    origin.line,
+                    origin.path,
+                ));
+            }
+            let mut node = self.node(property.value);
+            // A long value may start on a later line than its key.
+            node.origin.line = self.line(start);
+            self.path.pop();
+            members.push((key, node));
+        }
+        members
+    }
+
+    fn origin(&self, offset: usize) -> Origin {
+        Origin {
+            file: Arc::clone(&self.file),
+            line: self.line(offset),
+            path: path_text(&self.path),
+        }
+    }
+
+    fn line(&self, offset: usize) -> usize {
+        self.lines.partition_point(|start| *start <= offset)
+    }
+}
+
+/// Converts a number literal. `200.0` and `2e2` are integers, as in JSON
+/// Schema. A literal that is too large for any number stays a string and
+/// fails the schema.
+fn number_value(literal: &str) -> Value {
+    /// Largest integer up to which every integer has an exact `f64`.
+    const EXACT: f64 = 9_007_199_254_740_992.0;
+    match literal.parse::<serde_json::Number>() {
+        Ok(number) => match number.as_f64() {
+            Some(x)
+                if number.is_f64() && x.fract() == 0.0 && x.abs() <= EXACT =>
+            {
+                Value::from(x as i64)
+            }
+            _ => Value::Number(number),
+        },
+        Err(_) => literal.into(),
+    }
+}
