Add the demo and a site of searchers for tests

Cause: the thin path needs a run that shows it from one end to the other. Change: examples/demo.rs and the configuration of a site of stand-ins.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod platform;
 pub mod proxy;
 pub mod searcher;
+pub mod site;
--- /dev/null
+++ b/crates/standin/src/site.rs
@@ -0,0 +1,203 @@
+/*!
+Searchers and the configuration that describes them.
+*/
+
+use std::io;
+
+use serde_json::{Value, json};
+
+use crate::{
+    proxy::Proxy,
+    searcher::{Behaviour, Held, Searcher},
+};
+
+/// A group of searchers that a route asks.
+#[derive(Clone, Debug)]
+pub struct Group {
+    /// Name of the route; the services are named after it.
+    pub route: String,
+    /// Shards of the index.
+    pub shards: u32,
+    /// Searchers of each shard, spread over the zones.
+    pub replicas: u32,
+    /// Behaviour of every searcher.
+    pub behaviour: Behaviour,
+    /// Merged into the route.
+    pub options: Value,
+}
+
+impl Default for Group {
+    fn default() -> Group {
+        Group {
+            route: "search".into(),
+            shards: 4,
+            replicas: 2,
+            behaviour: Behaviour::default(),
+            options: json!({}),
+        }
+    }
+}
+
+/// A searcher of a site.
+#[derive(Debug)]
+pub struct Member {
+    /// Its name.
+    pub name: String,
+    /// Name of its route.
+    pub route: String,
+    /// Its zone.
+    pub zone: String,
+    /// Its shard.
+    pub shard: u32,
+    /// The searcher.
+    pub searcher: Searcher,
+    /// The proxy in front of it.
+    pub proxy: Proxy,
+}
+
+/// The searchers of a site; stop when dropped.
+#[derive(Debug)]
+pub struct Site {
+    zones: Vec<String>,
+    groups: Vec<Group>,
+    /// The searchers.
+    pub members: Vec<Member>,
+}
+
+impl Site {
+    /// Starts the searchers of the groups, each behind a proxy.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a port cannot be bound.
+    pub async fn start(zones: &[&str], groups: &[Group]) -> io::Result<Site> {
+        let any = ([127, 0, 0, 1], 0).into();
+        let mut members = Vec::new();
+        for group in groups {
+            for shard in 0..group.shards {
+                for replica in 0..group.replicas {
+                    let zone = zones[(shard + replica) as usize % zones.len()];
+                    let name = format!("{}-{shard}-{replica}", group.route);
+                    let behaviour = Behaviour {
+                        name: name.clone(),
+                        holds: vec![Held {
+                            index_version: 1,
+                            partition_map: 1,
+                            shard,
+                            shard_count: group.shards,
+                        }],
+                        ..group.behaviour.clone()
+                    };
+                    let searcher = Searcher::start(any, behaviour).await?;
+                    let proxy =
+                        Proxy::start(any, Some(searcher.address())).await?;
+                    members.push(Member {
+                        name,
+                        route: group.route.clone(),
+                        zone: zone.to_owned(),
+                        shard,
+                        searcher,
+                        proxy,
+                    });
+                }
+            }
+        }
+        Ok(Site {
+            zones: zones.iter().map(|z| (*z).to_owned()).collect(),
+            groups: groups.to_vec(),
+            members,
+        })
+    }
+
+    /// The configuration of the site, with every zone in.
+    pub fn configuration(&self) -> Value {
+        let zones: Vec<Value> =
+            self.zones.iter().map(|z| json!({"name": z})).collect();
+        let mut services = Vec::new();
+        let mut routes = Vec::new();
+        for group in &self.groups {
+            let mut names = Vec::new();
+            for shard in 0..group.shards {
+                let name = format!("{}-{shard}", group.route);
+                services.push(json!({
+                    "name": name,
+                    "searchers": self.searchers(group, shard),
+                }));
+                names.push(name);
+            }
+            routes.push(self.route(group, &names));
+        }
+        json!({
+            "availability_zones": zones,
+            "services": services,
+            "routes": routes,
+        })
+    }
+
+    fn searchers(&self, group: &Group, shard: u32) -> Vec<Value> {
+        self.members
+            .iter()
+            .filter(|m| m.route == group.route && m.shard == shard)
+            .map(|m| {
+                json!({
+                    "name": m.name,
+                    "address": m.proxy.address().to_string(),
+                    "availability_zone": m.zone,
+                    "slots": group.behaviour.slots,
+                    "connections": group.behaviour.connections,
+                })
+            })
+            .collect()
+    }
+
+    fn route(&self, group: &Group, services: &[String]) -> Value {
+        let count = self.zones.len() as u32;
+        let shares: Vec<Value> = (0..count)
+            .map(|i| {
+                // The first zones take what does not divide evenly.
+                let percent = 100 / count + u32::from(i < 100 % count);
+                let zone = &self.zones[i as usize];
+                json!({"availability_zone": zone, "percent": percent})
+            })
+            .collect();
+        let mut route = json!({
+            "name": group.route,
+            "services": services,
+            "shares": shares,
+            "deadline_ms": 2_000,
+        });
+        if let (Some(all), Some(more)) =
+            (route.as_object_mut(), group.options.as_object())
+        {
+            all.extend(more.clone());
+        }
+        route
+    }
+
+    /// The configuration with some zones out.
+    pub fn with_zones_out(&self, out: &[&str]) -> Value {
+        let mut configuration = self.configuration();
+        if let Some(zones) = configuration["availability_zones"].as_array_mut()
+        {
+            for zone in zones {
+                let name = zone["name"].as_str().unwrap_or_default();
+                if out.contains(&name) {
+                    zone["state"] = json!("out");
+                }
+            }
+        }
+        configuration
+    }
+
+    /// The searchers of a route.
+    pub fn of_route(&self, route: &str) -> impl Iterator<Item = &Member> {
+        self.members.iter().filter(move |m| m.route == route)
+    }
+
+    /// How often the searchers of a route ran a request body, in total.
+    pub fn runs(&self, route: &str, body: &str) -> u32 {
+        self.of_route(route)
+            .filter_map(|m| m.searcher.record().runs.get(body).copied())
+            .sum()
+    }
+}
--- /dev/null
+++ b/examples/demo.rs
@@ -0,0 +1,221 @@
+/*!
+Shows the query tier at work, on loopback and with nothing else installed.
+
+Starts three control replicas, four entry instances in two availability zones
+and searcher stand-ins, sends queries, makes a searcher straggle, takes a
+zone out and back, changes the configuration, and sends a request that may
+not be repeated twice. Every step is checked; the exit code is 0 only if each
+check held.
+
+The daemons are processes of this same program: with `--settings FILE` it runs
+a daemon.
+*/
+
+use std::{
+    io,
+    path::Path,
+    process::ExitCode,
+    time::{Duration, Instant},
+};
+
+use primrosemast_standin::{
+    fleet::{Fleet, FleetOptions, wait_for},
+    searcher::Behaviour,
+    site::{Group, Site},
+};
+use serde_json::{Value, json};
+
+const ZONES: [&str; 2] = ["az-a", "az-b"];
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().collect();
+    if args.get(1).is_some_and(|arg| arg == "--settings") {
+        return daemon(Path::new(&args[2]));
+    }
+    let runtime =
+        tokio::runtime::Runtime::new().expect("the runtime can be started");
+    let start = Instant::now();
+    match runtime.block_on(demo()) {
+        Ok(()) => {
+            let seconds = start.elapsed().as_secs_f32();
+            println!("\nall checks held, in {seconds:.1} s");
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("\nfailed: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn daemon(settings: &Path) -> ExitCode {
+    let settings = match primrosemast::settings::load_instance(settings) {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("{e}");
+            return ExitCode::from(2);
+        }
+    };
+    env_logger::Builder::new().parse_filters(&settings.log).init();
+    match primrosemast::daemon::run(&settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("{e:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn demo() -> io::Result<()> {
+    let site = Site::start(
+        &ZONES,
+        &[
+            Group {
+                route: "hazard-lookup".into(),
+                behaviour: Behaviour {
+                    latency_us: 5_000,
+                    ..Behaviour::default()
+                },
+                ..Group::default()
+            },
+            Group {
+                route: "tool-checkout".into(),
+                shards: 1,
+                options: json!({"repeatable": false}),
+                ..Group::default()
+            },
+        ],
+    )
+    .await?;
+    let program = std::env::current_exe()?;
+    let options = FleetOptions::spread(4, 3, &ZONES);
+    let fleet = Fleet::start(&[&program], options).await?;
+    println!("4 entry instances started, 3 of them with a control replica");
+    fleet.bootstrap(&site.configuration()).await?;
+    println!("control group founded; configuration 1 in force everywhere\n");
+    whole_answers(&fleet).await?;
+    straggler(&fleet, &site).await?;
+    zone_out_and_back(&fleet, &site).await?;
+    racing_operators(&fleet, &site).await?;
+    at_most_once(&fleet, &site).await
+}
+
+/// Fails the demo if a check does not hold.
+fn check(what: &str, holds: bool) -> io::Result<()> {
+    let result = if holds { "ok  " } else { "FAIL" };
+    println!("  {result} {what}");
+    if holds { Ok(()) } else { Err(io::Error::other(what.to_owned())) }
+}
+
+async fn lookup(fleet: &Fleet, i: usize) -> io::Result<Value> {
+    let body = json!({"trail": "north ridge"});
+    let reply = fleet.query(i, "hazard-lookup", &[], &body).await?;
+    Ok(reply.body)
+}
+
+fn is_whole(answer: &Value) -> bool {
+    answer["coverage"]["asked"] == 4
+        && answer["coverage"]["answered"] == 4
+        && answer["coverage"]["missing"] == json!([])
+}
+
+async fn whole_answers(fleet: &Fleet) -> io::Result<()> {
+    println!("one query through each entry instance");
+    for i in 0..fleet.instances().len() {
+        let answer = wait_for("a whole answer", || async {
+            lookup(fleet, i).await.ok().filter(is_whole)
+        })
+        .await?;
+        let name = fleet.instances()[i].name();
+        let coverage = &answer["coverage"];
+        let text = format!("{name}: coverage {coverage}");
+        check(&text, is_whole(&answer))?;
+    }
+    Ok(())
+}
+
+async fn straggler(fleet: &Fleet, site: &Site) -> io::Result<()> {
+    println!("one searcher becomes 100 times slower");
+    let slow = &site.members[0];
+    slow.searcher.change(|b| b.latency_us = 500_000);
+    let mut whole = 0;
+    let mut slowest = Duration::ZERO;
+    for n in 0..40 {
+        let start = Instant::now();
+        whole += u32::from(is_whole(&lookup(fleet, n % 4).await?));
+        slowest = slowest.max(start.elapsed());
+    }
+    slow.searcher.change(|b| b.latency_us = 5_000);
+    check(&format!("{whole} of 40 answers have full coverage"), whole == 40)?;
+    check(
+        &format!("the slowest took {slowest:.0?}, the straggler 500ms"),
+        slowest < Duration::from_millis(500),
+    )
+}
+
+async fn zone_out_and_back(fleet: &Fleet, site: &Site) -> io::Result<()> {
+    println!("availability zone az-a is taken out and brought back");
+    let out = site.with_zones_out(&["az-a"]);
+    let reply = fleet.change(1, "az-a-out", 1, &out).await?;
+    check("accepted as version 2", reply.body["version"] == 2)?;
+    fleet.wait_version(2).await?;
+    let searchers =
+        || site.of_route("hazard-lookup").filter(|m| m.zone == "az-a");
+    searchers().for_each(|m| m.searcher.reset_record());
+    for n in 0..20 {
+        let answer = lookup(fleet, n % 4).await?;
+        if !is_whole(&answer) {
+            return check(&format!("whole answer: {answer}"), false);
+        }
+    }
+    let requests: u64 =
+        searchers().map(|m| m.searcher.record().requests).sum();
+    check("20 whole answers; no request went to az-a", requests == 0)?;
+    let back = site.configuration();
+    let reply = fleet.change(2, "az-a-in", 2, &back).await?;
+    check("brought back as version 3", reply.body["version"] == 3)?;
+    fleet.wait_version(3).await?;
+    wait_for("az-a gets requests again", || async {
+        lookup(fleet, 0).await.ok()?;
+        let served = searchers().map(|m| m.searcher.record().completed);
+        (served.sum::<u64>() > 0).then_some(())
+    })
+    .await?;
+    check("az-a serves again", true)
+}
+
+async fn racing_operators(fleet: &Fleet, site: &Site) -> io::Result<()> {
+    println!("two operators change version 3 at the same time");
+    let document = site.configuration();
+    let (first, second) = tokio::join!(
+        fleet.change(0, "operator-1", 3, &document),
+        fleet.change(3, "operator-2", 3, &document),
+    );
+    let (first, second) = (first?, second?);
+    let mut outcomes = [&first.body["outcome"], &second.body["outcome"]];
+    outcomes.sort_by_key(|o| o.to_string());
+    check(
+        "one is accepted, the other gets a conflict",
+        outcomes == [&json!("accepted"), &json!("conflict")],
+    )?;
+    let again = fleet.change(2, "operator-1", 3, &document).await?;
+    check("a resend gets the first outcome", again.body == first.body)
+}
+
+async fn at_most_once(fleet: &Fleet, site: &Site) -> io::Result<()> {
+    println!("a tool checkout is sent twice through different instances");
+    let body = json!({"picks": 2, "crew": "ridge-7"});
+    let id = [("x-request-id", "checkout-1")];
+    let first = fleet.query(0, "tool-checkout", &id, &body).await?;
+    check(&format!("first: status {}", first.status), first.status == 200)?;
+    let second = fleet.query(1, "tool-checkout", &id, &body).await?;
+    check(
+        &format!(
+            "second: status {}, verdict {}",
+            second.status, second.body["verdict"]
+        ),
+        second.status == 409 && second.body["verdict"] != "not_run",
+    )?;
+    let runs = site.runs("tool-checkout", &body.to_string());
+    check(&format!("it ran {runs} time(s)"), runs == 1)
+}
