Add the root of a query

Cause: the query module had only its interface; nothing planned, sent or answered a query. Change: a reducer that admits, plans, dispatches through homes, hedges, retries, turns to the standby, claims requests that may not be repeated, and answers with coverage and verdicts. The message CancelShards is new, because an attempt covers several shards and the loser of a hedge is one of them.

--- a/crates/core/src/query.rs
+++ b/crates/core/src/query/api.rs
@@ -1,9 +1,5 @@
 /*!
-The root of a query: admission, plan, hedging, retries and the answer.
-
-The instance that got the caller's request is its root. It chooses the
-snapshot and a replica for every shard, sends the shard requests to the homes
-of those replicas, and builds the answer. See section 5 of the design page.
+Messages, requests, responses, events and effects of the query root.
 */
 
 use std::sync::Arc;
@@ -44,6 +40,15 @@
     },
     /// Home to all: conditions of targets.
     Reports(Vec<TargetReport>),
+    /// Root to home: the answers of single shards are no longer wanted. An
+    /// attempt covers every shard that one message asked of the home, so
+    /// `Cancel` would also stop the shards that are still needed.
+    CancelShards {
+        /// The query.
+        query: QueryId,
+        /// Attempt and shard of each.
+        shards: Vec<(u32, u32)>,
+    },
 }
 
 /// A request for some shards of a query, all at one home.
--- /dev/null
+++ b/crates/core/src/query/budget.rs
@@ -0,0 +1,88 @@
+/*!
+Extra load and latencies of a route.
+*/
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+/// Token bucket for hedges and retries, filled by first requests.
+#[derive(Clone, Debug)]
+pub(crate) struct ExtraLoad {
+    /// Hundredths of a request.
+    level: u64,
+    percent: u64,
+    cap: u64,
+}
+
+impl ExtraLoad {
+    pub(crate) fn new(percent: u32, burst: u32) -> ExtraLoad {
+        let burst = if percent == 0 { 0 } else { burst };
+        let cap = u64::from(burst) * 100;
+        ExtraLoad { level: cap, percent: percent.into(), cap }
+    }
+
+    /// Applies a new percentage and keeps what was earned.
+    pub(crate) fn configure(&mut self, percent: u32, burst: u32) {
+        let level = self.level;
+        *self = ExtraLoad::new(percent, burst);
+        self.level = level.min(self.cap);
+    }
+
+    /// Credits first requests.
+    pub(crate) fn earn(&mut self, requests: usize) {
+        let earned = requests as u64 * self.percent;
+        self.level = (self.level + earned).min(self.cap.max(earned));
+    }
+
+    /// Takes one extra request, if there is one.
+    pub(crate) fn take(&mut self) -> bool {
+        let enough = self.level >= 100;
+        if enough {
+            self.level -= 100;
+        }
+        enough
+    }
+}
+
+/// Latencies per window; older ones are forgotten.
+const WINDOW: u64 = 4_096;
+/// Latencies before a percentile is used.
+const ENOUGH: u64 = 64;
+/// Latencies between two computations of the percentile, because reading it
+/// walks the histogram.
+const REFRESH: u64 = 64;
+
+/// Recent shard latencies of a route.
+#[derive(Clone, Debug)]
+pub(crate) struct Latencies {
+    histogram: Histogram<u16>,
+    p95_us: u64,
+}
+
+impl Latencies {
+    pub(crate) fn new() -> Latencies {
+        // Two digits bound the error of the delay by 1% and the size by
+        // about 6 KB.
+        let histogram = Histogram::new_with_bounds(1, 60_000_000, 2)
+            .expect("the bounds of the histogram are valid");
+        Latencies { histogram, p95_us: 0 }
+    }
+
+    pub(crate) fn record(&mut self, latency: Duration) {
+        let micros = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
+        self.histogram.saturating_record(micros);
+        let n = self.histogram.len();
+        if n >= ENOUGH && n.is_multiple_of(REFRESH) {
+            self.p95_us = self.histogram.value_at_quantile(0.95);
+        }
+        if n >= WINDOW {
+            self.histogram.reset();
+        }
+    }
+
+    /// The 95th percentile, once there are enough latencies.
+    pub(crate) fn p95(&self) -> Option<Duration> {
+        (self.p95_us > 0).then(|| Duration::from_micros(self.p95_us))
+    }
+}
--- /dev/null
+++ b/crates/core/src/query/choose.rs
@@ -0,0 +1,244 @@
+/*!
+Choice of a replica.
+
+The order is: warm targets in a zone that has a share of the route, cold ones
+with room, other usable ones, the same in zones without a share, and then the
+floor. Zones that are out are in no index and are never seen here.
+*/
+
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+
+use crate::{
+    query::{
+        options::{DispatchMode, QueryOptions},
+        table::{Table, Target},
+    },
+    time::Time,
+};
+
+/// Members of a zone that are looked at before the whole zone is. Bounds the
+/// cost where a shard has many replicas; two of them are compared.
+const LOOKS: usize = 8;
+
+/// A chosen replica.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Choice {
+    pub(crate) slot: u32,
+    /// Whether reports advise against it and nothing better exists.
+    pub(crate) floor: bool,
+}
+
+/// What the replica is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Purpose {
+    /// The shard has no other request; any replica is better than none.
+    Serve,
+    /// A second request for a straggler; only unsaturated replicas.
+    Hedge,
+}
+
+/// Chooses among the holders of one shard.
+pub(crate) struct Chooser<'a> {
+    pub(crate) table: &'a Table,
+    pub(crate) shares: &'a [u32],
+    pub(crate) options: &'a QueryOptions,
+    pub(crate) now: Time,
+}
+
+impl Chooser<'_> {
+    /// Chooses one of `holders`, which are sorted by zone, but none that
+    /// `tried` returns true for.
+    pub(crate) fn choose(
+        &self,
+        rng: &mut Pcg64Mcg,
+        holders: &[(u16, u32)],
+        purpose: Purpose,
+        tried: impl Fn(u32) -> bool,
+    ) -> Option<Choice> {
+        let usable = |slot| (!tried(slot)).then(|| self.target(slot));
+        if self.options.mode == DispatchMode::Direct {
+            return self.direct(rng, holders, &tried);
+        }
+        let warm = |slot| {
+            usable(slot).is_some_and(|t| {
+                t.is_usable()
+                    && !t.is_cold()
+                    && (purpose == Purpose::Serve || t.has_room())
+            })
+        };
+        let cold = |slot| {
+            usable(slot)
+                .is_some_and(|t| t.is_usable() && t.is_cold() && t.has_room())
+        };
+        let idle = |slot| cold(slot) && self.target(slot).load() == 0;
+        let any = |slot| usable(slot).is_some_and(Target::is_usable);
+        let normal = |slot| Some(Choice { slot, floor: false });
+        for shared in [true, false] {
+            if shared
+                && purpose == Purpose::Serve
+                && rng.random_range(0..100) < self.options.cold_percent
+                && let Some(slot) = self.pick(rng, holders, shared, idle)
+            {
+                return normal(slot);
+            }
+            if let Some(slot) = self
+                .pick(rng, holders, shared, warm)
+                .or_else(|| self.pick(rng, holders, shared, cold))
+            {
+                return normal(slot);
+            }
+            if purpose == Purpose::Serve
+                && let Some(slot) = self.pick(rng, holders, shared, any)
+            {
+                return normal(slot);
+            }
+        }
+        if purpose == Purpose::Hedge {
+            return None;
+        }
+        self.floor(holders, tried).map(|slot| Choice { slot, floor: true })
+    }
+
+    /// The least bad of the replicas that reports advise against: one that
+    /// is not leaving and has the least load, otherwise one that was
+    /// reported as leaving only a short time ago.
+    fn floor(
+        &self,
+        holders: &[(u16, u32)],
+        tried: impl Fn(u32) -> bool,
+    ) -> Option<u32> {
+        // Of two equals, the one in this zone saves a hop between zones.
+        let by_load = |&slot: &u32| {
+            let t = self.target(slot);
+            (t.load(), Some(t.zone) != self.table.own_zone)
+        };
+        let left = || holders.iter().map(|x| x.1).filter(|&s| !tried(s));
+        let staying =
+            |&slot: &u32| self.target(slot).leaving_since().is_none();
+        let in_grace = |&slot: &u32| {
+            self.target(slot).leaving_since().is_some_and(|since| {
+                self.now.since(since) < self.options.leaving_grace
+            })
+        };
+        left().filter(staying).min_by_key(by_load).or_else(|| {
+            // A leaving target is used only if nobody else holds the shard.
+            let only = holders.iter().all(|x| !staying(&x.1));
+            left().filter(in_grace).min_by_key(by_load).filter(|_| only)
+        })
+    }
+
+    fn direct(
+        &self,
+        rng: &mut Pcg64Mcg,
+        holders: &[(u16, u32)],
+        tried: &impl Fn(u32) -> bool,
+    ) -> Option<Choice> {
+        let free = |slot: u32| {
+            !tried(slot) && self.target(slot).leaving_since().is_none()
+        };
+        let slot = self
+            .pick(rng, holders, true, free)
+            .or_else(|| self.pick(rng, holders, false, free))?;
+        Some(Choice { slot, floor: false })
+    }
+
+    /// Chooses a zone by share among those with a suitable member, and then
+    /// the better of two random members.
+    fn pick(
+        &self,
+        rng: &mut Pcg64Mcg,
+        holders: &[(u16, u32)],
+        shared: bool,
+        suits: impl Fn(u32) -> bool,
+    ) -> Option<u32> {
+        self.pick_among(rng, holders, shared, LOOKS, &suits).or_else(|| {
+            if holders.len() <= LOOKS {
+                return None;
+            }
+            self.pick_among(rng, holders, shared, usize::MAX, &suits)
+        })
+    }
+
+    fn pick_among(
+        &self,
+        rng: &mut Pcg64Mcg,
+        holders: &[(u16, u32)],
+        shared: bool,
+        looks: usize,
+        suits: &impl Fn(u32) -> bool,
+    ) -> Option<u32> {
+        let mut best = None;
+        let mut total = 0;
+        let mut rest = holders;
+        while let Some(&(zone, _)) = rest.first() {
+            let len = rest.partition_point(|x| x.0 == zone);
+            let (group, tail) = rest.split_at(len);
+            rest = tail;
+            let share = self.shares.get(usize::from(zone)).copied();
+            let share = share.unwrap_or(0);
+            if (share > 0) != shared {
+                continue;
+            }
+            let Some(pair) = two_of(rng, group, looks, suits) else {
+                continue;
+            };
+            let weight = share.max(1);
+            total += weight;
+            if total == weight || rng.random_range(0..total) < weight {
+                best = Some(pair);
+            }
+        }
+        let (a, b) = best?;
+        Some(self.better(a, b))
+    }
+
+    fn better(&self, a: u32, b: u32) -> u32 {
+        if a == b || self.options.mode == DispatchMode::Direct {
+            return a;
+        }
+        let (x, y) = (self.target(a), self.target(b));
+        let known = x.latency_us > 0 && y.latency_us > 0;
+        let cost = |t: &Target, other: &Target| {
+            let latency = if known { t.latency_us } else { 1 };
+            // Compares (load + 1) / limit * latency without a division.
+            (u128::from(t.load()) + 1)
+                * u128::from(latency)
+                * u128::from(other.limit.max(1))
+        };
+        if cost(y, x) < cost(x, y) { b } else { a }
+    }
+
+    fn target(&self, slot: u32) -> &Target {
+        &self.table.targets[slot as usize]
+    }
+}
+
+/// Two random members that suit, the same twice if there is only one.
+fn two_of(
+    rng: &mut Pcg64Mcg,
+    group: &[(u16, u32)],
+    looks: usize,
+    suits: &impl Fn(u32) -> bool,
+) -> Option<(u32, u32)> {
+    let start = match group.len() {
+        1 => 0,
+        n => rng.random_range(0..n),
+    };
+    let mut suitable = group[start..]
+        .iter()
+        .chain(&group[..start])
+        .take(looks)
+        .map(|x| x.1)
+        .filter(|&slot| suits(slot));
+    let first = suitable.next()?;
+    // Reservoir sampling of the second, so that neighbours in the table are
+    // not always compared with each other.
+    let mut second = first;
+    for (i, slot) in suitable.enumerate() {
+        if i == 0 || rng.random_range(0..=i) == 0 {
+            second = slot;
+        }
+    }
+    Some((first, second))
+}
--- /dev/null
+++ b/crates/core/src/query/finish.rs
@@ -0,0 +1,178 @@
+/*!
+The end of a query: answers, failures and settled claims.
+*/
+
+use std::mem;
+
+use bytes::Bytes;
+
+use crate::{
+    event::query as events,
+    query::{
+        active::{Active, Phase, Plan, TryState},
+        api::{
+            Answer, CallerResponse, Coverage, Failure, FailureReason,
+            MissingShard, QueryEffect,
+        },
+        root::Queries,
+    },
+    time::Time,
+    verdict::Verdict,
+};
+
+impl Queries {
+    /// Answers a query with what it has, or fails it if it has nothing.
+    pub(super) fn finish(&mut self, now: Time, mut query: Box<Active>) {
+        let answered = query.plan.as_ref().map_or(0, |p| p.answered);
+        if answered == 0 {
+            let reason = failure_reason(&query, now);
+            let verdict = query.verdict();
+            if query.claim.is_some() {
+                self.settle(&query, verdict);
+            }
+            return self.fail(now, query, reason, verdict);
+        }
+        if query.claim.is_some() {
+            self.settle(&query, Verdict::Ran);
+        }
+        if let Some(token) = query.token
+            && let Some(plan) = &query.plan
+        {
+            let coverage = coverage(plan);
+            let snapshot = plan.snapshot;
+            let mut results = mem::take(&mut query.results);
+            results.sort_unstable_by_key(|r| r.shard);
+            let id = query.id;
+            let (asked, answered) = (coverage.asked, coverage.answered);
+            self.log(&events::QUERY_ANSWERED, || {
+                format!(
+                    "query={id} snapshot={}/{} asked={asked} \
+                     answered={answered}",
+                    snapshot.index_version, snapshot.partition_map
+                )
+            });
+            let answer = Answer {
+                request_id: query.request_id.clone(),
+                snapshot,
+                coverage,
+                results,
+            };
+            let response = CallerResponse::Answer(answer);
+            self.out.push(QueryEffect::Respond(token, response));
+        }
+        self.end(now, query);
+    }
+
+    /// Ends a query at its deadline.
+    pub(super) fn expire(&mut self, now: Time, query: Box<Active>) {
+        if query.phase == Phase::Claiming {
+            // Nothing was sent, and the late claim will be released.
+            self.expect_late_claim(&query);
+            let reason = FailureReason::DeadlineExceeded;
+            return self.fail(now, query, reason, Verdict::NotRun);
+        }
+        self.finish(now, query);
+    }
+
+    /// Fails a query.
+    pub(super) fn fail(
+        &mut self,
+        now: Time,
+        mut query: Box<Active>,
+        reason: FailureReason,
+        verdict: Verdict,
+    ) {
+        query.failed = Some((reason, verdict));
+        if let Some(token) = query.token {
+            let request_id = query.request_id.clone();
+            self.log(&events::QUERY_REFUSED, || {
+                format!(
+                    "request={request_id:?} reason={reason:?} verdict={}",
+                    verdict.as_str()
+                )
+            });
+            let failure = Failure {
+                request_id,
+                verdict,
+                reason,
+                message: message(reason).to_owned(),
+            };
+            let response = CallerResponse::Failure(failure);
+            self.out.push(QueryEffect::Respond(token, response));
+        }
+        self.end(now, query);
+    }
+
+    /// Records the outcome of a claimed request.
+    pub(super) fn settle(&mut self, query: &Active, verdict: Verdict) {
+        if let Some(claim) = &query.claim {
+            self.out.push(QueryEffect::Settle {
+                query: query.id,
+                request_id: claim.clone(),
+                verdict,
+            });
+        }
+    }
+
+    /// Stops what still runs and keeps the query for `explain`.
+    pub(super) fn end(&mut self, now: Time, mut query: Box<Active>) {
+        self.cancel_open(now, &mut query);
+        self.remove(&query);
+        query.ended = Some(now);
+        query.body = Bytes::new();
+        query.results = Vec::new();
+        self.recent.push(query, &self.options);
+    }
+}
+
+fn coverage(plan: &Plan) -> Coverage {
+    let missing = plan
+        .shards
+        .iter()
+        .enumerate()
+        .filter(|(_, shard)| !shard.answered)
+        .map(|(i, shard)| MissingShard {
+            shard: shard.shard,
+            reason: plan.missing_reason(i),
+        })
+        .collect();
+    Coverage {
+        asked: plan.shards.len() as u32,
+        answered: plan.answered,
+        missing,
+    }
+}
+
+/// Why a query has no answer at all.
+fn failure_reason(query: &Active, now: Time) -> FailureReason {
+    if now >= query.deadline {
+        return FailureReason::DeadlineExceeded;
+    }
+    let plans = query.dropped.iter().chain(&query.plan);
+    let states = || plans.clone().flat_map(|p| &p.tries).map(|t| t.state);
+    if states().any(|s| matches!(s, TryState::Failed(_))) {
+        FailureReason::TargetFailed
+    } else if states().any(|s| s == TryState::Shed) {
+        FailureReason::Overloaded
+    } else if states().any(|s| s == TryState::Expired) {
+        FailureReason::DeadlineExceeded
+    } else {
+        FailureReason::NoReplica
+    }
+}
+
+fn message(reason: FailureReason) -> &'static str {
+    match reason {
+        FailureReason::UnknownRoute => "no such route",
+        FailureReason::MissingRequestId => "the route needs a request id",
+        FailureReason::BadRequest => "the request is malformed",
+        FailureReason::BodyTooLarge => "the body is too large",
+        FailureReason::NotServing => "not accepting new requests",
+        FailureReason::Overloaded => "every target refused for lack of room",
+        FailureReason::NoReplica => "no usable target holds the index",
+        FailureReason::DuplicateRequestId => "the request id was used before",
+        FailureReason::NoQuorum => "the request id could not be claimed",
+        FailureReason::DeadlineExceeded => "the deadline passed",
+        FailureReason::TargetFailed => "the targets failed",
+    }
+}
--- /dev/null
+++ b/crates/core/src/query/recover.rs
@@ -0,0 +1,539 @@
+/*!
+Replies, retries, hedges, the standby, and planning a second time.
+
+Extra requests are bounded in three ways. Hedges and retries take a token of
+the route. One request for each shard may do without a token: either a retry
+of a request that was refused as not run, which puts no work on a target, or
+a request to the standby of a home that has not answered. And a query is
+planned at most twice; the second plan has no such allowance. So a route
+sends at most `first * (100 + extra_load_percent) / 100 + burst` requests
+plus one allowance for each shard of a first plan.
+*/
+
+use std::time::Duration;
+
+use crate::{
+    event::query as events,
+    id::InstanceId,
+    query::{
+        active::{Active, MAX_TRIES, NEVER, NONE, Phase, TryKind, TryState},
+        api::{Message, QueryEffect, ShardReply, ShardResult},
+        choose::Purpose,
+        dispatch::Order,
+        explain::kind_name,
+        root::Queries,
+    },
+    target::JobOutcome,
+    time::Time,
+    verdict::Verdict,
+};
+
+/// Looks for stragglers within what remains of a deadline, after the first.
+const HEDGE_LOOKS: u32 = 8;
+
+impl Queries {
+    /// Takes a reply, if it belongs to an outstanding request.
+    pub(super) fn reply(
+        &mut self,
+        now: Time,
+        from: InstanceId,
+        reply: ShardReply,
+    ) {
+        let Some(mut query) = self.take(reply.query) else {
+            return self.drop_reply(&reply, "no such query");
+        };
+        let Some(i) = outstanding(&query, from, &reply) else {
+            self.drop_reply(&reply, "no such request");
+            return self.put_back(query);
+        };
+        let offset = query.offset(now);
+        let Some(plan) = &mut query.plan else {
+            return self.put_back(query);
+        };
+        let t = &mut plan.tries[i];
+        let (position, sent) = (t.shard as usize, t.sent);
+        t.ended = offset;
+        t.state = match reply.outcome {
+            JobOutcome::Answered { .. } => TryState::Answered,
+            JobOutcome::NotHeld => TryState::NotHeld,
+            JobOutcome::Shed => TryState::Shed,
+            JobOutcome::Expired => TryState::Expired,
+            JobOutcome::Failed { verdict } => TryState::Failed(verdict),
+        };
+        let d = &mut query.dispatches[t.attempt as usize];
+        d.acked = true;
+        d.open -= 1;
+        let slot = t.slot;
+        if let JobOutcome::Answered { body, .. } = reply.outcome {
+            plan.shards[position].answered = true;
+            plan.answered += 1;
+            let shard = plan.shards[position].shard;
+            query.results.push(ShardResult { shard, body });
+            if let Some(r) = self.table.route_position(query.route) {
+                let latency = Duration::from_micros((offset - sent).into());
+                self.table.routes[r].latencies.record(latency);
+            }
+            self.table.release(slot);
+            self.cancel_losers(now, &mut query, position);
+        } else {
+            self.table.release(slot);
+        }
+        if let Some(report) = reply.report {
+            self.table.report(now, from, report);
+        }
+        let plan = query.plan.as_ref();
+        if plan.is_some_and(|p| !p.shards[position].answered) {
+            self.shard_failed(now, &mut query, position);
+        }
+        self.put_back_or_finish(now, query);
+    }
+
+    fn drop_reply(&mut self, reply: &ShardReply, why: &str) {
+        self.log(&events::REPLY_DROPPED, || {
+            format!(
+                "query={} attempt={} shard={} target={} why={why:?}",
+                reply.query, reply.attempt, reply.shard, reply.target
+            )
+        });
+    }
+
+    fn put_back_or_finish(&mut self, now: Time, query: Box<Active>) {
+        if query.is_enough(now) {
+            self.finish(now, query);
+        } else {
+            self.put_back(query);
+        }
+    }
+
+    /// Stops the other requests for a shard that has its answer.
+    fn cancel_losers(
+        &mut self,
+        now: Time,
+        query: &mut Active,
+        position: usize,
+    ) {
+        let offset = query.offset(now);
+        let Some(plan) = &mut query.plan else { return };
+        let losers: Vec<usize> = plan
+            .tries_of(position)
+            .filter(|&i| plan.tries[i].state == TryState::Open)
+            .collect();
+        for i in losers {
+            let t = &mut plan.tries[i];
+            t.state = TryState::Cancelled;
+            t.ended = offset;
+            let d = &mut query.dispatches[t.attempt as usize];
+            d.open -= 1;
+            self.table.release(t.slot);
+            let shard = plan.shards[position].shard;
+            let message = Message::CancelShards {
+                query: query.id,
+                shards: vec![(t.attempt, shard)],
+            };
+            self.out.push(QueryEffect::Send(d.home, message));
+        }
+    }
+
+    /// Retries a shard whose newest request has failed, or gives it up.
+    fn shard_failed(
+        &mut self,
+        now: Time,
+        query: &mut Active,
+        position: usize,
+    ) {
+        let Some(plan) = &query.plan else { return };
+        if plan.has_open(position) {
+            return;
+        }
+        if query.repeatable && self.retry(now, query, position) {
+            return;
+        }
+        let Some(plan) = &mut query.plan else { return };
+        let shard = &mut plan.shards[position];
+        shard.closed = true;
+        plan.closed += 1;
+        let last = plan.tries.get(shard.last as usize).map(|t| t.state);
+        if query.repeatable && last == Some(TryState::NotHeld) {
+            self.replan(now, query);
+        }
+    }
+
+    fn retry(
+        &mut self,
+        now: Time,
+        query: &mut Active,
+        position: usize,
+    ) -> bool {
+        if now >= query.deadline {
+            return false;
+        }
+        let Some(plan) = &query.plan else { return false };
+        let shard = plan.shards[position];
+        let Some(last) = plan.tries.get(shard.last as usize).copied() else {
+            return false;
+        };
+        if last.state == TryState::Expired
+            || plan.tries_of(position).count() >= MAX_TRIES
+        {
+            return false;
+        }
+        let not_run = last.state.verdict() == Verdict::NotRun;
+        let found = self.choose_again(now, query, position, Purpose::Serve);
+        let Some(order) = found else { return false };
+        if !self.take_extra(query, position, not_run) {
+            return false;
+        }
+        let id = query.id;
+        self.log(&events::SHARD_RETRIED, || {
+            format!(
+                "query={id} shard={} after={} state={:?}",
+                shard.shard,
+                kind_name(last.kind),
+                last.state
+            )
+        });
+        self.table.acquire(order.2);
+        self.send(now, query, vec![order], TryKind::Retry);
+        true
+    }
+
+    /// Takes a token for an extra request, or the shard's allowance.
+    fn take_extra(
+        &mut self,
+        query: &mut Active,
+        position: usize,
+        allowance: bool,
+    ) -> bool {
+        let Some(r) = self.table.route_position(query.route) else {
+            return false;
+        };
+        if self.table.routes[r].extra.take() {
+            return true;
+        }
+        let is_first_plan = query.dropped.is_none();
+        let Some(plan) = &mut query.plan else { return false };
+        let shard = &mut plan.shards[position];
+        let granted = allowance && is_first_plan && !shard.allowance_used;
+        shard.allowance_used |= granted;
+        granted
+    }
+
+    /// Plans once more at another snapshot, if that covers more than what
+    /// the present one can still give, and drops the answers so far.
+    fn replan(&mut self, now: Time, query: &mut Active) {
+        if query.dropped.is_some() || now >= query.deadline {
+            return;
+        }
+        let Some(route) = self.table.route_position(query.route) else {
+            return;
+        };
+        let Some(plan) = &query.plan else { return };
+        let not = Some((plan.snapshot, plan.shard_count));
+        let Some((_, (total, usable))) = self.best_snapshot(query, route, not)
+        else {
+            return;
+        };
+        let asked = plan.shards.len() as u64;
+        let reachable = asked - u64::from(plan.closed);
+        if u64::from(usable) * asked <= reachable * u64::from(total) {
+            return;
+        }
+        let old = plan.snapshot;
+        self.cancel_open(now, query);
+        query.results.clear();
+        query.dropped = query.plan.take();
+        query.hedge_at = NEVER;
+        query.ack_at = NEVER;
+        if !self.plan(now, query, not) {
+            query.plan = query.dropped.take();
+            self.close_all(query);
+            return;
+        }
+        let Some(plan) = &query.plan else { return };
+        let (id, new) = (query.id, plan.snapshot);
+        self.log(&events::QUERY_REPLANNED, || {
+            format!(
+                "query={id} from={}/{} to={}/{}",
+                old.index_version,
+                old.partition_map,
+                new.index_version,
+                new.partition_map
+            )
+        });
+    }
+
+    /// Ends a plan whose answers are gone and that has no successor.
+    fn close_all(&mut self, query: &mut Active) {
+        let Some(plan) = &mut query.plan else { return };
+        for shard in &mut plan.shards {
+            shard.answered = false;
+            shard.closed = true;
+        }
+        plan.answered = 0;
+        plan.closed = plan.shards.len() as u32;
+    }
+
+    /// Handles the timer of a query.
+    pub(super) fn wake(&mut self, now: Time, mut query: Box<Active>) {
+        if now >= query.deadline {
+            return self.expire(now, query);
+        }
+        if query.phase == Phase::Running {
+            if now >= query.ack_at {
+                self.check_acks(now, &mut query);
+            }
+            if now >= query.hedge_at {
+                self.hedge(now, &mut query);
+            }
+            if query.is_enough(now) {
+                return self.finish(now, query);
+            }
+            query.enough_seen |= now >= query.enough_at;
+        }
+        self.put_back(query);
+    }
+
+    /// Sends a second request for stragglers.
+    fn hedge(&mut self, now: Time, query: &mut Active) {
+        query.hedge_at = NEVER;
+        let Some(route) = self.table.route_position(query.route) else {
+            return;
+        };
+        let delay = self.hedge_delay(route);
+        let limit = query.offset(now).saturating_sub(
+            u32::try_from(delay.as_micros()).unwrap_or(u32::MAX),
+        );
+        let Some(plan) = &query.plan else { return };
+        let mut waiting = false;
+        let mut late: Vec<usize> = Vec::new();
+        for (i, shard) in plan.shards.iter().enumerate() {
+            if shard.answered || shard.closed || shard.hedged {
+                continue;
+            }
+            waiting = true;
+            let newest = plan.tries.get(shard.last as usize);
+            if newest.is_some_and(|t| t.sent <= limit)
+                && plan.tries_of(i).count() < MAX_TRIES
+            {
+                late.push(i);
+            }
+        }
+        for position in late {
+            if !self.hedge_shard(now, query, route, position) {
+                break;
+            }
+        }
+        if waiting {
+            let again = query.remaining(now) / HEDGE_LOOKS;
+            query.hedge_at = now + delay.max(again);
+        }
+    }
+
+    /// Returns false if the budget is used up.
+    fn hedge_shard(
+        &mut self,
+        now: Time,
+        query: &mut Active,
+        route: usize,
+        position: usize,
+    ) -> bool {
+        let found = self.choose_again(now, query, position, Purpose::Hedge);
+        let Some(order) = found else { return true };
+        if !self.table.routes[route].extra.take() {
+            return false;
+        }
+        let Some(plan) = &mut query.plan else { return false };
+        plan.shards[position].hedged = true;
+        let (id, shard) = (query.id, plan.shards[position].shard);
+        let target = self.table.targets[order.2 as usize].id;
+        self.log(&events::SHARD_HEDGED, || {
+            format!("query={id} shard={shard} target={target}")
+        });
+        self.table.acquire(order.2);
+        self.send(now, query, vec![order], TryKind::Hedge);
+        true
+    }
+
+    /// Turns to the standby where a home has not acknowledged in time.
+    fn check_acks(&mut self, now: Time, query: &mut Active) {
+        query.ack_at = NEVER;
+        for attempt in 0..query.dispatches.len() {
+            let d = query.dispatches[attempt];
+            if d.acked || d.open == 0 {
+                continue;
+            }
+            if d.due > now {
+                query.ack_at = query.ack_at.min(d.due);
+            } else {
+                self.use_standby(now, query, attempt as u32);
+            }
+        }
+    }
+
+    /// Turns to the new home or the standby where a home has left.
+    pub(super) fn leave_lost_homes(&mut self, now: Time) {
+        for id in self.active_ids() {
+            let Some(mut query) = self.take(id) else { continue };
+            for attempt in 0..query.dispatches.len() {
+                let d = query.dispatches[attempt];
+                if d.open > 0
+                    && !self.table.is_candidate(d.home)
+                    && d.home != self.me
+                {
+                    self.use_standby(now, &mut query, attempt as u32);
+                }
+            }
+            self.put_back_or_finish(now, query);
+        }
+    }
+
+    /// Finds the targets of outstanding requests in a new table.
+    pub(super) fn relocate(&mut self) {
+        for id in self.active_ids() {
+            let Some(mut query) = self.take(id) else { continue };
+            if let Some(plan) = &mut query.plan {
+                for t in &mut plan.tries {
+                    t.slot = self.table.find(t.target).unwrap_or(NONE);
+                }
+            }
+            self.put_back(query);
+        }
+    }
+
+    /// Moves the open requests of a message to another instance, after
+    /// cancelling them where they are. A request that may not be repeated
+    /// stays, as it may have been sent.
+    fn use_standby(&mut self, now: Time, query: &mut Active, attempt: u32) {
+        let d = query.dispatches[attempt as usize];
+        if !query.repeatable || (d.standby && self.table.is_candidate(d.home))
+        {
+            return;
+        }
+        let Some(plan) = &query.plan else { return };
+        let open: Vec<usize> = (0..plan.tries.len())
+            .filter(|&i| {
+                let t = &plan.tries[i];
+                t.attempt == attempt && t.state == TryState::Open
+            })
+            .collect();
+        let mut orders: Vec<Order> = Vec::with_capacity(open.len());
+        let mut moved = Vec::with_capacity(open.len());
+        let mut lost = Vec::new();
+        for i in open {
+            let Some(plan) = &query.plan else { return };
+            let t = plan.tries[i];
+            let (home, standby) = self.table.homes(t.slot);
+            let other = if home == Some(d.home) { standby } else { home };
+            let Some(other) = other.filter(|&x| x != d.home) else {
+                continue;
+            };
+            let position = t.shard as usize;
+            if plan.tries_of(position).count() >= MAX_TRIES {
+                continue;
+            }
+            if !self.may_send(now, t.slot) {
+                // The operators' word counts: another replica is asked.
+                self.table.release(t.slot);
+                lost.push(position);
+                moved.push(i);
+            } else if self.take_extra(query, position, true) {
+                orders.push((other, t.shard, t.slot));
+                moved.push(i);
+            }
+        }
+        if moved.is_empty() {
+            return;
+        }
+        let offset = query.offset(now);
+        let Some(plan) = &mut query.plan else { return };
+        let mut shards = Vec::with_capacity(moved.len());
+        for i in moved {
+            // The new request takes the place of this one in the load.
+            let t = &mut plan.tries[i];
+            t.state = TryState::Cancelled;
+            t.ended = offset;
+            shards.push((attempt, plan.shards[t.shard as usize].shard));
+        }
+        let old = &mut query.dispatches[attempt as usize];
+        old.open -= shards.len() as u32;
+        let id = query.id;
+        let count = shards.len();
+        let cancel = Message::CancelShards { query: id, shards };
+        self.out.push(QueryEffect::Send(d.home, cancel));
+        self.log(&events::STANDBY_ASKED, || {
+            format!("query={id} home={} shards={count}", d.home)
+        });
+        self.send(now, query, orders, TryKind::Standby);
+        let was_dropped = query.dropped.is_some();
+        for position in lost {
+            let planned_again = query.dropped.is_some() != was_dropped;
+            if planned_again {
+                // The positions belong to the former plan.
+                break;
+            }
+            self.shard_failed(now, query, position);
+        }
+    }
+
+    /// Whether a target that was chosen before may still get a request.
+    fn may_send(&self, now: Time, slot: u32) -> bool {
+        let leaving = || {
+            self.table.targets[slot as usize].leaving_since().is_some_and(
+                |since| now.since(since) >= self.options.leaving_grace,
+            )
+        };
+        self.table.is_in(slot) && !leaving()
+    }
+
+    /// Cancels every open request of the present plan.
+    pub(super) fn cancel_open(&mut self, now: Time, query: &mut Active) {
+        let offset = query.offset(now);
+        let Some(plan) = &mut query.plan else { return };
+        for t in &mut plan.tries {
+            if t.state == TryState::Open {
+                t.state = TryState::Cancelled;
+                t.ended = offset;
+                self.table.release(t.slot);
+            }
+        }
+        for (attempt, d) in query.dispatches.iter_mut().enumerate() {
+            if d.open > 0 {
+                d.open = 0;
+                let message = Message::Cancel {
+                    query: query.id,
+                    attempts: vec![attempt as u32],
+                };
+                self.out.push(QueryEffect::Send(d.home, message));
+            }
+        }
+    }
+}
+
+/// The try that a reply ends: of the instance that was asked, still open,
+/// and an answer only from the snapshot that was asked for.
+fn outstanding(
+    query: &Active,
+    from: InstanceId,
+    reply: &ShardReply,
+) -> Option<usize> {
+    let plan = query.plan.as_ref()?;
+    let d = query.dispatches.get(reply.attempt as usize)?;
+    if d.home != from {
+        return None;
+    }
+    if let JobOutcome::Answered { holding, .. } = &reply.outcome {
+        let matches = holding.snapshot == plan.snapshot
+            && holding.shard == reply.shard
+            && holding.shard_count == plan.shard_count;
+        if !matches {
+            return None;
+        }
+    }
+    let position = plan.position(reply.shard)?;
+    plan.tries_of(position).find(|&i| {
+        let t = &plan.tries[i];
+        t.attempt == reply.attempt
+            && t.target == reply.target
+            && t.state == TryState::Open
+    })
+}
--- /dev/null
+++ b/crates/core/src/query/table.rs
@@ -0,0 +1,479 @@
+/*!
+Targets and routes of the configuration, with the newest reports.
+*/
+
+use std::{sync::Arc, time::Duration};
+
+use crate::{
+    config::{AnswerPolicy, Configuration, Priority, Route},
+    id::{InstanceId, RouteId, TargetId, ZoneId},
+    placement::{self, BundleKey, Candidate},
+    query::{
+        budget::{ExtraLoad, Latencies},
+        index::RouteIndex,
+        options::{DispatchMode, QueryOptions},
+    },
+    snapshot::Holding,
+    target::{TargetReport, TargetState},
+    time::Time,
+};
+
+/// Holdings of one target that are believed, so that a broken report cannot
+/// grow the state without bound.
+const MAX_HOLDINGS: usize = 4_096;
+
+/// A target and its newest report.
+#[derive(Clone, Debug)]
+pub(crate) struct Target {
+    pub(crate) id: TargetId,
+    pub(crate) zone: u16,
+    service: u32,
+    searcher: u32,
+    bundle: u32,
+    /// `None` until the first report.
+    pub(crate) state: Option<TargetState>,
+    pub(crate) limit: u32,
+    pub(crate) latency_us: u32,
+    pub(crate) queued: u32,
+    running: u32,
+    holds: Vec<Holding>,
+    /// Requests of this instance that have not ended.
+    pending: u32,
+    /// Those when the newest report came; the report includes them.
+    reported_pending: u32,
+    leaving_since: Option<Time>,
+}
+
+impl Target {
+    /// Requests that run or wait, as far as this instance knows.
+    pub(crate) fn load(&self) -> u32 {
+        let known = self.running + self.queued + self.pending;
+        known.saturating_sub(self.reported_pending)
+    }
+
+    /// Whether reports allow new work.
+    pub(crate) fn is_usable(&self) -> bool {
+        use TargetState::{Cold, Ready, Warming};
+        self.limit > 0 && matches!(self.state, Some(Cold | Warming | Ready))
+    }
+
+    pub(crate) fn is_cold(&self) -> bool {
+        self.state == Some(TargetState::Cold)
+    }
+
+    pub(crate) fn has_room(&self) -> bool {
+        self.load() < self.limit
+    }
+
+    /// Whether it is reported as leaving, and since when.
+    pub(crate) fn leaving_since(&self) -> Option<Time> {
+        self.leaving_since
+    }
+
+    /// Estimated wait in the queue.
+    pub(crate) fn wait(&self) -> Duration {
+        let work = u64::from(self.queued) * u64::from(self.latency_us);
+        Duration::from_micros(work / u64::from(self.limit.max(1)))
+    }
+}
+
+/// A bundle and its home and standby.
+#[derive(Clone, Debug)]
+struct Bundle {
+    key: BundleKey,
+    zone: ZoneId,
+    home: Option<InstanceId>,
+    standby: Option<InstanceId>,
+}
+
+/// A route with its index, budget and latencies.
+#[derive(Debug)]
+pub(crate) struct RouteEntry {
+    pub(crate) id: RouteId,
+    pub(crate) shards: Option<Arc<[u32]>>,
+    /// Share of each zone, by its position.
+    pub(crate) shares: Vec<u32>,
+    pub(crate) deadline: Duration,
+    pub(crate) priority: Priority,
+    pub(crate) policy: AnswerPolicy,
+    pub(crate) repeatable: bool,
+    pub(crate) index: RouteIndex,
+    pub(crate) extra: ExtraLoad,
+    pub(crate) latencies: Latencies,
+    /// When the use of a floor was last logged.
+    pub(crate) floor_logged: Option<Time>,
+}
+
+/// Targets, homes and routes.
+#[derive(Debug, Default)]
+pub(crate) struct Table {
+    pub(crate) configuration: Option<Arc<Configuration>>,
+    pub(crate) targets: Vec<Target>,
+    pub(crate) routes: Vec<RouteEntry>,
+    bundles: Vec<Bundle>,
+    zones_out: Vec<bool>,
+    /// Positions in `routes` for each service.
+    service_routes: Vec<Vec<u32>>,
+    candidates: Vec<Candidate>,
+    zone: ZoneId,
+    /// Position of this instance's zone in the configuration.
+    pub(crate) own_zone: Option<u16>,
+}
+
+impl Table {
+    /// An empty table of an instance in `zone`.
+    pub(crate) fn new(zone: ZoneId) -> Table {
+        Table { zone, ..Table::default() }
+    }
+
+    pub(crate) fn find(&self, id: TargetId) -> Option<u32> {
+        let i = self.targets.binary_search_by_key(&id, |t| t.id).ok()?;
+        Some(i as u32)
+    }
+
+    pub(crate) fn route_position(&self, id: RouteId) -> Option<usize> {
+        self.routes.binary_search_by_key(&id, |r| r.id).ok()
+    }
+
+    /// Home and standby of a target.
+    pub(crate) fn homes(
+        &self,
+        slot: u32,
+    ) -> (Option<InstanceId>, Option<InstanceId>) {
+        match self.targets.get(slot as usize) {
+            Some(t) => {
+                let bundle = &self.bundles[t.bundle as usize];
+                (bundle.home, bundle.standby)
+            }
+            None => (None, None),
+        }
+    }
+
+    /// Whether a target may get new work as far as operators decide.
+    pub(crate) fn is_in(&self, slot: u32) -> bool {
+        self.targets
+            .get(slot as usize)
+            .is_some_and(|t| !self.zones_out[usize::from(t.zone)])
+    }
+
+    pub(crate) fn is_candidate(&self, id: InstanceId) -> bool {
+        self.candidates.binary_search_by_key(&id, |c| c.instance).is_ok()
+    }
+
+    /// Name of a target for people.
+    pub(crate) fn name(&self, id: TargetId) -> Option<&str> {
+        let t = &self.targets[self.find(id)? as usize];
+        let cfg = self.configuration.as_ref()?;
+        let service = &cfg.services[t.service as usize];
+        Some(&service.searchers[t.searcher as usize].name)
+    }
+
+    /// Counts a request to a target.
+    pub(crate) fn acquire(&mut self, slot: u32) {
+        if let Some(t) = self.targets.get_mut(slot as usize) {
+            t.pending += 1;
+        }
+    }
+
+    /// Counts the end of a request to a target.
+    pub(crate) fn release(&mut self, slot: u32) {
+        if let Some(t) = self.targets.get_mut(slot as usize) {
+            t.pending = t.pending.saturating_sub(1);
+        }
+    }
+
+    /// Rebuilds the table for a configuration. Reports, budgets and
+    /// latencies of what is in both are kept.
+    pub(crate) fn configure(
+        &mut self,
+        cfg: Arc<Configuration>,
+        options: &QueryOptions,
+        me: InstanceId,
+    ) {
+        let zone_of = |name: &str| {
+            cfg.availability_zones
+                .binary_search_by(|z| z.name.as_str().cmp(name))
+                .ok()
+        };
+        let old = std::mem::take(&mut self.targets);
+        self.bundles.clear();
+        let mut targets = Vec::with_capacity(old.len());
+        let mut keys: Vec<(BundleKey, u32)> = Vec::new();
+        for (s, service) in cfg.services.iter().enumerate() {
+            let mut positions = vec![0; cfg.availability_zones.len()];
+            for (i, searcher) in service.searchers.iter().enumerate() {
+                let Some(zone) = zone_of(&searcher.availability_zone) else {
+                    continue;
+                };
+                let position = positions[zone];
+                positions[zone] += 1;
+                let key = BundleKey::new(
+                    &service.name,
+                    searcher.zone(),
+                    position,
+                    cfg.limits.bundle_size,
+                );
+                keys.push((key, targets.len() as u32));
+                targets.push(Target {
+                    id: searcher.id(),
+                    zone: zone as u16,
+                    service: s as u32,
+                    searcher: i as u32,
+                    bundle: 0,
+                    state: None,
+                    limit: 0,
+                    latency_us: 0,
+                    queued: 0,
+                    running: 0,
+                    holds: Vec::new(),
+                    pending: 0,
+                    reported_pending: 0,
+                    leaving_since: None,
+                });
+            }
+        }
+        keys.sort_unstable();
+        for (key, i) in keys {
+            if self.bundles.last().is_none_or(|b| b.key != key) {
+                let zone = &cfg.availability_zones
+                    [usize::from(targets[i as usize].zone)];
+                self.bundles.push(Bundle {
+                    key,
+                    zone: ZoneId::from_name(&zone.name),
+                    home: None,
+                    standby: None,
+                });
+            }
+            targets[i as usize].bundle = self.bundles.len() as u32 - 1;
+        }
+        targets.sort_unstable_by_key(|t| t.id);
+        for t in &mut targets {
+            if let Ok(i) = old.binary_search_by_key(&t.id, |x| x.id) {
+                let x = &old[i];
+                t.state = x.state;
+                t.limit = x.limit;
+                t.latency_us = x.latency_us;
+                t.queued = x.queued;
+                t.running = x.running;
+                t.holds.clone_from(&x.holds);
+                t.pending = x.pending;
+                t.reported_pending = x.reported_pending;
+                t.leaving_since = x.leaving_since;
+            }
+        }
+        self.targets = targets;
+        self.zones_out = cfg
+            .availability_zones
+            .iter()
+            .map(|z| cfg.zone_is_out(&z.name))
+            .collect();
+        self.own_zone = cfg
+            .availability_zones
+            .iter()
+            .position(|z| ZoneId::from_name(&z.name) == self.zone)
+            .map(|i| i as u16);
+        self.configure_routes(&cfg, options);
+        self.configuration = Some(cfg);
+        self.rank_all(options, me);
+        for slot in 0..self.targets.len() {
+            self.index_target(slot as u32, true);
+        }
+    }
+
+    fn configure_routes(&mut self, cfg: &Configuration, opt: &QueryOptions) {
+        let percent = cfg.limits.extra_load_percent;
+        let mut old = std::mem::take(&mut self.routes);
+        for route in &cfg.routes {
+            let id = route.id();
+            let known = old.iter().position(|r| r.id == id);
+            let (mut extra, latencies, floor_logged) = match known {
+                Some(i) => {
+                    let r = old.swap_remove(i);
+                    (r.extra, r.latencies, r.floor_logged)
+                }
+                None => (
+                    ExtraLoad::new(percent, opt.extra_load_burst),
+                    Latencies::new(),
+                    None,
+                ),
+            };
+            extra.configure(percent, opt.extra_load_burst);
+            self.routes.push(RouteEntry {
+                id,
+                shards: asked_shards(route),
+                shares: zone_shares(cfg, route),
+                deadline: Duration::from_millis(route.deadline_ms.into()),
+                priority: route.priority,
+                policy: route.policy,
+                repeatable: route.repeatable,
+                index: RouteIndex::default(),
+                extra,
+                latencies,
+                floor_logged,
+            });
+        }
+        self.routes.sort_unstable_by_key(|r| r.id);
+        self.service_routes = vec![Vec::new(); cfg.services.len()];
+        for route in &cfg.routes {
+            let Some(r) = self.route_position(route.id()) else { continue };
+            for name in &route.services {
+                let found = cfg
+                    .services
+                    .binary_search_by(|s| s.name.as_str().cmp(name));
+                if let Ok(s) = found
+                    && !self.service_routes[s].contains(&(r as u32))
+                {
+                    self.service_routes[s].push(r as u32);
+                }
+            }
+        }
+    }
+
+    /// Takes over the live entry instances and moves homes.
+    pub(crate) fn set_candidates(
+        &mut self,
+        candidates: Vec<Candidate>,
+        options: &QueryOptions,
+    ) {
+        let old = std::mem::replace(&mut self.candidates, candidates);
+        if options.mode == DispatchMode::Direct {
+            return;
+        }
+        let missing_in = |list: &[Candidate], c: &Candidate| {
+            list.binary_search_by_key(&c.instance, |x| x.instance)
+                .ok()
+                .is_none_or(|i| list[i].zone != c.zone)
+        };
+        let added: Vec<Candidate> = self
+            .candidates
+            .iter()
+            .filter(|c| missing_in(&old, c))
+            .copied()
+            .collect();
+        // An instance that changed its zone counts as gone, so that bundles
+        // that it served are ranked anew.
+        let is_kept = |id: Option<InstanceId>| {
+            let id = id?;
+            let find = |list: &[Candidate]| {
+                list.binary_search_by_key(&id, |c| c.instance)
+                    .ok()
+                    .map(|i| list[i])
+            };
+            let now = find(&self.candidates)?;
+            (find(&old) == Some(now)).then_some(now)
+        };
+        let mut few = Vec::with_capacity(added.len() + 2);
+        for bundle in &mut self.bundles {
+            let (home, standby) =
+                (is_kept(bundle.home), is_kept(bundle.standby));
+            // The first two of a ranking stay the first two of every subset
+            // that contains them, so the newcomers alone can displace them.
+            let ranked = match (home, standby) {
+                (Some(home), Some(standby)) => {
+                    few.clear();
+                    few.extend([home, standby]);
+                    few.extend_from_slice(&added);
+                    placement::rank(bundle.key, bundle.zone, &few)
+                }
+                _ => {
+                    placement::rank(bundle.key, bundle.zone, &self.candidates)
+                }
+            };
+            (bundle.home, bundle.standby) = ranked;
+        }
+    }
+
+    fn rank_all(&mut self, options: &QueryOptions, me: InstanceId) {
+        for bundle in &mut self.bundles {
+            (bundle.home, bundle.standby) = match options.mode {
+                DispatchMode::Direct => (Some(me), None),
+                DispatchMode::Home => {
+                    placement::rank(bundle.key, bundle.zone, &self.candidates)
+                }
+            };
+        }
+    }
+
+    /// Takes over a report, if it comes from the target's home or standby.
+    pub(crate) fn report(
+        &mut self,
+        now: Time,
+        from: InstanceId,
+        report: TargetReport,
+    ) {
+        let Some(slot) = self.find(report.target) else { return };
+        let (home, standby) = self.homes(slot);
+        if home != Some(from) && standby != Some(from) {
+            return;
+        }
+        let t = &mut self.targets[slot as usize];
+        let TargetReport { state, limit, running, queued, mut holds, .. } =
+            report;
+        holds.truncate(MAX_HOLDINGS);
+        let was_usable = t.is_usable();
+        let is_usable = state != TargetState::Leaving
+            && state != TargetState::Down
+            && limit > 0;
+        let reindex = was_usable != is_usable || t.holds != holds;
+        if reindex {
+            self.index_target(slot, false);
+        }
+        let t = &mut self.targets[slot as usize];
+        t.state = Some(state);
+        t.limit = limit;
+        t.latency_us = report.latency_us;
+        t.running = running.min(1 << 20);
+        t.queued = queued.min(1 << 20);
+        t.reported_pending = t.pending;
+        t.leaving_since = match state {
+            TargetState::Leaving => t.leaving_since.or(Some(now)),
+            _ => None,
+        };
+        if reindex {
+            t.holds = holds;
+            self.index_target(slot, true);
+        }
+    }
+
+    /// Adds a target to the indexes of its routes or removes it. Targets in
+    /// a zone that is out are in no index, so that no rule can choose them.
+    fn index_target(&mut self, slot: u32, add: bool) {
+        let t = &self.targets[slot as usize];
+        if self.zones_out[usize::from(t.zone)] {
+            return;
+        }
+        let usable = t.is_usable();
+        let at = (t.zone, slot);
+        for &r in &self.service_routes[t.service as usize] {
+            let index = &mut self.routes[r as usize].index;
+            for h in &t.holds {
+                if add {
+                    index.insert(h, at, usable);
+                } else {
+                    index.remove(h, at, usable);
+                }
+            }
+        }
+    }
+}
+
+fn asked_shards(route: &Route) -> Option<Arc<[u32]>> {
+    let mut shards = route.shards.clone()?;
+    shards.sort_unstable();
+    shards.dedup();
+    Some(shards.into())
+}
+
+fn zone_shares(cfg: &Configuration, route: &Route) -> Vec<u32> {
+    cfg.availability_zones
+        .iter()
+        .map(|z| {
+            route
+                .shares
+                .iter()
+                .filter(|s| s.availability_zone == z.name)
+                .map(|s| s.percent)
+                .sum()
+        })
+        .collect()
+}
