--- a/crates/core/src/event/config.rs
+++ b/crates/core/src/event/config.rs
@@ -9,4 +9,5 @@
     FLEET_FALLBACK = (504, Warn, "The lease is renewed by a majority of the fleet because no control quorum answers, or no longer so.");
     GROUP_CHOSEN = (505, Info, "The first control quorum has confirmed; only this control group counts until restart.");
     CONFIG_CONFLICT = (506, Error, "Two different documents have the same version; check for a second control group.");
+    CONFIG_REJECTED = (520, Error, "A committed configuration cannot be decoded by this release and was not brought into force. Update the instance.");
 }
--- a/crates/core/src/node/home.rs
+++ b/crates/core/src/node/home.rs
@@ -102,15 +102,26 @@
             .collect()
     }
 
-    /// The jobs of a root that has died.
-    pub(crate) fn jobs_of_root(&self, root: InstanceId) -> Vec<JobId> {
+    /// The jobs of single attempts and shards of a query at one root.
+    pub(crate) fn jobs_of_shards(
+        &self,
+        root: InstanceId,
+        query: QueryId,
+        shards: &[(u32, u32)],
+    ) -> Vec<JobId> {
         self.origins
             .iter()
-            .filter(|o| o.root == root)
+            .filter(|o| o.root == root && o.query == query)
+            .filter(|o| shards.contains(&(o.attempt, o.shard)))
             .map(|o| o.job)
             .collect()
     }
 
+    /// The jobs of a root that has died.
+    pub(crate) fn jobs_of_root(&self, root: InstanceId) -> Vec<JobId> {
+        self.origins.iter().filter(|o| o.root == root).map(|o| o.job).collect()
+    }
+
     /// Number of jobs in progress.
     pub(crate) fn len(&self) -> usize {
         self.origins.len()
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -55,7 +55,6 @@
 }
 
 /// The state of a daemon.
-#[derive(Debug)]
 pub struct Node {
     me: Member,
     options: NodeOptions,
@@ -109,7 +108,7 @@
             queries,
             targets: Targets::new(options.target.clone(), seed ^ 4),
             homes: Homes::default(),
-            client: Client::new(options.client.clone(), seed ^ 5),
+            client: Client::new(seed ^ 5),
             replica: None,
             configuration: None,
             bundles: Vec::new(),
@@ -367,12 +366,15 @@
                     self.push(Internal::Target(TargetEvent::Cancel(job)));
                 }
             }
+            query::Message::CancelShards { query, shards } => {
+                for job in self.homes.jobs_of_shards(from, query, &shards) {
+                    self.push(Internal::Target(TargetEvent::Cancel(job)));
+                }
+            }
             query::Message::Accepted { .. }
             | query::Message::Reply(_)
             | query::Message::Reports(_) => {
-                self.push(Internal::Query(QueryEvent::Message(
-                    from, message,
-                )));
+                self.push(Internal::Query(QueryEvent::Message(from, message)));
             }
         }
     }
@@ -434,10 +436,10 @@
             query,
             at_ms: 0,
         });
-        self.push(Internal::Client(ClientEvent::Request {
+        self.push(Internal::Client(ClientEvent::Submit {
             token,
             request,
-            budget: Duration::from_micros(budget_us),
+            budget_us,
         }));
     }
 
@@ -449,10 +451,10 @@
     ) {
         let token = self.internal_token();
         let settle = Settle { request_id, query, verdict };
-        self.push(Internal::Client(ClientEvent::Request {
+        self.push(Internal::Client(ClientEvent::Submit {
             token,
             request: ControlRequest::Settle(settle),
-            budget: self.options.settle_budget,
+            budget_us: self.options.settle_budget.as_micros() as u64,
         }));
     }
 
@@ -611,7 +613,7 @@
     }
 
     /// The last report of a target that this instance knows.
-    pub fn target_report(&self, target: TargetId) -> Option<&TargetReport> {
+    pub fn target_report(&self, target: TargetId) -> Option<TargetReport> {
         self.queries.report(target)
     }
 
--- a/crates/core/src/node/roles.rs
+++ b/crates/core/src/node/roles.rs
@@ -8,7 +8,7 @@
     id::{InstanceId, TargetId, ZoneId},
     membership::{Member, MemberState, MembershipEvent},
     placement::{self, BundleKey, Candidate},
-    query::{Mode, QueryEvent},
+    query::{DispatchMode, QueryEvent},
     target::{HomeRole, TargetEvent, TargetSpec},
     time::Time,
 };
@@ -106,9 +106,7 @@
             .candidates
             .iter()
             .filter(|c| {
-                unreachable
-                    .binary_search_by_key(&c.instance, |u| u.0)
-                    .is_err()
+                unreachable.binary_search_by_key(&c.instance, |u| u.0).is_err()
             })
             .copied()
             .collect();
@@ -116,11 +114,7 @@
     }
 
     /// Computes the home of every target and this instance's part in it.
-    pub(super) fn place(
-        &mut self,
-        _now: Time,
-        out: &mut impl Extend<Effect>,
-    ) {
+    pub(super) fn place(&mut self, _now: Time, out: &mut impl Extend<Effect>) {
         let Some((_, configuration)) = self.configuration.clone() else {
             return;
         };
@@ -132,12 +126,8 @@
             for searcher in &service.searchers {
                 let zone = searcher.zone();
                 let position = next_position(&mut positions, zone);
-                let key = BundleKey::new(
-                    &service.name,
-                    zone,
-                    position,
-                    bundle_size,
-                );
+                let key =
+                    BundleKey::new(&service.name, zone, position, bundle_size);
                 let i = self.bundle(&mut bundles, key, zone, out);
                 let role = self.role(&bundles[i]);
                 if role == HomeRole::None {
@@ -203,7 +193,7 @@
         let me = Some(self.me.id);
         if !self.entry_active() {
             HomeRole::None
-        } else if self.options.query.mode == Mode::Direct
+        } else if self.options.query.mode == DispatchMode::Direct
             || bundle.home == me
         {
             HomeRole::Home
@@ -255,9 +245,9 @@
             list.instances.iter().filter(|i| !i.1).map(|i| i.0).collect();
         self.push(Internal::Membership(MembershipEvent::Hint(live)));
         for &(address, _) in list.instances.iter().filter(|i| i.1) {
-            self.push(Internal::Membership(
-                MembershipEvent::PlatformLeaving(address),
-            ));
+            self.push(Internal::Membership(MembershipEvent::PlatformLeaving(
+                address,
+            )));
         }
         let Some((_, configuration)) = &self.configuration else { return };
         let leaving: Vec<(TargetId, bool)> = configuration
@@ -289,10 +279,7 @@
 }
 
 /// Counts searchers of a service by zone.
-fn next_position(
-    positions: &mut Vec<(ZoneId, usize)>,
-    zone: ZoneId,
-) -> usize {
+fn next_position(positions: &mut Vec<(ZoneId, usize)>, zone: ZoneId) -> usize {
     match positions.binary_search_by_key(&zone, |p| p.0) {
         Ok(i) => {
             positions[i].1 += 1;
--- a/crates/core/src/node/types.rs
+++ b/crates/core/src/node/types.rs
@@ -5,7 +5,7 @@
 use crate::{
     config_sync::SyncOptions,
     consensus::{ConsensusOptions, Recovered, Write},
-    control::{Change, ControlReply, client::ClientOptions},
+    control::{Change, ControlReply},
     event::LogEvent,
     id::{InstanceId, ReplicaId, Token},
     membership::{MembershipOptions, Recipient},
@@ -27,12 +27,13 @@
     pub target: TargetOptions,
     /// Of the replicated log.
     pub consensus: ConsensusOptions,
-    /// Of requests to the control leader.
-    pub client: ClientOptions,
     /// Peer addresses at which members may be found.
     pub seeds: Vec<SocketAddr>,
     /// Voters that a control group aims for.
     pub control_group_size: u32,
+    /// Wall-clock time at `Time::ZERO`, in milliseconds since the Unix
+    /// epoch; claims expire by it.
+    pub wall_epoch_ms: u64,
     /// Service goes on for this time after a shutdown was announced, so that
     /// the load balancer moves on.
     pub drain_grace: Duration,
@@ -52,9 +53,9 @@
             query: QueryOptions::default(),
             target: TargetOptions::default(),
             consensus: ConsensusOptions::default(),
-            client: ClientOptions::default(),
             seeds: Vec::new(),
             control_group_size: 3,
+            wall_epoch_ms: 0,
             drain_grace: Duration::from_secs(3),
             drain_limit: Duration::from_secs(25),
             change_budget: Duration::from_secs(5),
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -42,7 +42,6 @@
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
-            .without_scope_info()
             .without_target_info()
             .build()?;
         let provider =
@@ -87,10 +86,7 @@
                 "primrosemast_peer_bytes",
                 "Bytes of messages sent to other instances by class",
             ),
-            events: counter(
-                "primrosemast_log_events",
-                "Log events by number",
-            ),
+            events: counter("primrosemast_log_events", "Log events by number"),
             version: gauge(
                 "primrosemast_configuration_version",
                 "Configuration version in force",
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -187,6 +187,8 @@
     /// Time zero of the reducer.
     epoch: Instant,
     peers: Peers<Handle>,
+    /// Number of addresses at which members are looked for.
+    seeds: usize,
     connections: Connections,
     storage: Option<StorageThread>,
     /// Sorted by token, because tokens only grow.
@@ -231,6 +233,7 @@
             },
             node,
             peers: Peers::new(me, settings.listen.peer.ip(), handle.clone()),
+            seeds: settings.peers.len(),
             handle,
             metrics,
             epoch: Instant::now(),
@@ -431,6 +434,11 @@
             self.handle
                 .set_max_body_bytes(configuration.limits.max_body_bytes);
         }
+        // Members that were replaced leave connections behind.
+        let members = self.node.members();
+        if self.peers.len() > members.len() + self.seeds {
+            self.peers.retain(|a| members.iter().any(|m| m.address == a));
+        }
         self.metrics.state(version, self.node.serving(), self.callers.len());
     }
 }
@@ -451,8 +459,8 @@
         .data_folder
         .as_deref()
         .context("the role `control` needs `data_folder`")?;
-    let (storage, replica, recovered) = Storage::open(folder)
-        .with_context(|| {
+    let (storage, replica, recovered) =
+        Storage::open(folder).with_context(|| {
             format!("cannot use the data folder {}", folder.display())
         })?;
     let handle = handle.clone();
@@ -472,6 +480,9 @@
     NodeOptions {
         seeds: settings.peers.clone(),
         control_group_size: settings.control_group_size,
+        wall_epoch_ms: SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |d| d.as_millis() as u64),
         drain_grace: ms(timing.drain_grace_ms),
         drain_limit: ms(timing.drain_limit_ms),
         ..NodeOptions::default()
--- a/src/daemon/views.rs
+++ b/src/daemon/views.rs
@@ -122,7 +122,7 @@
                 availability_zone: searcher.availability_zone.clone(),
                 home: name(home.home),
                 standby: name(home.standby),
-                report: node.target_report(id).cloned(),
+                report: node.target_report(id),
             }
         })
         .collect();
--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -4,9 +4,7 @@
 use http::{HeaderMap, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use primrosemast_core::{
-    query::{
-        Answer, CallerRequest, CallerResponse, Failure, FailureReason,
-    },
+    query::{Answer, CallerRequest, CallerResponse, Failure, FailureReason},
     verdict::Verdict,
 };
 use serde::{Serialize, de::IgnoredAny};
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -8,7 +8,9 @@
 mod caller;
 mod operator;
 
-pub(crate) use self::{caller::router as caller_router, operator::router as operator_router};
+pub(crate) use self::{
+    caller::router as caller_router, operator::router as operator_router,
+};
 
 use bytes::Bytes;
 use http::{HeaderValue, StatusCode, header};
--- a/src/http/operator.rs
+++ b/src/http/operator.rs
@@ -1,5 +1,6 @@
 //! The operators' API.
 
+use futures::{FutureExt, future::BoxFuture};
 use http::StatusCode;
 use http_body_util::{BodyExt, Limited};
 use primrosemast_core::{
@@ -82,13 +83,12 @@
 /// A handler that shows something of the daemon's state.
 fn view(
     handle: &Handle,
-    query: impl Fn() -> Query + Clone + Send + Sync + 'static,
-) -> impl Fn() -> futures::future::BoxFuture<'static, Response> + Clone {
+    query: fn() -> Query,
+) -> impl Fn() -> BoxFuture<'static, Response> + Clone + use<> {
     let handle = handle.clone();
     move || {
         let handle = handle.clone();
-        let query = query();
-        Box::pin(async move { show(handle.view(query).await) })
+        async move { show(handle.view(query()).await) }.boxed()
     }
 }
 
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -121,6 +121,11 @@
         Some(size)
     }
 
+    /// Number of connections, open or about to be opened.
+    pub(crate) fn len(&self) -> usize {
+        self.links.len()
+    }
+
     /// Closes connections to addresses that `keep` does not name.
     pub(crate) fn retain(&mut self, keep: impl Fn(SocketAddr) -> bool) {
         self.links.retain(|link| keep(link.address));
