--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,4 +7,5 @@
 */
 
 pub mod api;
+pub mod cli;
 pub mod settings;
--- /dev/null
+++ b/tests/events.rs
@@ -0,0 +1,76 @@
+//! The documentation of the log events.
+
+use std::{collections::BTreeMap, fs, path::Path};
+
+use primrosemast_core::event::{self, Level, catalogue};
+
+fn expected() -> String {
+    let mut kinds: Vec<_> = catalogue().collect();
+    kinds.sort_by_key(|kind| kind.code);
+    let mut table =
+        String::from("| code | level | name | meaning |\n|---|---|---|---|\n");
+    for kind in kinds {
+        let level = match kind.level {
+            Level::Error => "error",
+            Level::Warn => "warn",
+            Level::Info => "info",
+            Level::Debug => "debug",
+        };
+        table.push_str(&format!(
+            "| PM{:04} | {level} | {} | {} |\n",
+            kind.code, kind.name, kind.meaning,
+        ));
+    }
+    table
+}
+
+// Guards against log events that operators cannot look up.
+#[test]
+fn documentation_matches_the_catalogue() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs/events.md");
+    let page = fs::read_to_string(path).expect("docs/events.md");
+    let found: String = page
+        .lines()
+        .filter(|l| l.starts_with('|'))
+        .fold(String::new(), |table, line| table + line + "\n");
+    let expected = expected();
+    assert!(
+        found == expected,
+        "docs/events.md differs from the catalogue; replace its table with:\n\
+         \n{expected}",
+    );
+}
+
+// Guards against two meanings of one number, or a name used twice.
+#[test]
+fn codes_and_names_are_unique() {
+    let mut codes = BTreeMap::new();
+    let mut names = BTreeMap::new();
+    for kind in catalogue() {
+        let same = codes.insert(kind.code, kind.name);
+        assert_eq!(same, None, "PM{:04} twice", kind.code);
+        let same = names.insert(kind.name, kind.code);
+        assert_eq!(same, None, "{} twice", kind.name);
+    }
+}
+
+// Guards against numbers outside the range of their area.
+#[test]
+fn codes_lie_in_the_range_of_their_area() {
+    let areas = [
+        (1, event::query::CATALOGUE),
+        (2, event::target::CATALOGUE),
+        (3, event::membership::CATALOGUE),
+        (4, event::control::CATALOGUE),
+        (5, event::config::CATALOGUE),
+        (6, event::daemon::CATALOGUE),
+    ];
+    let mut count = 0;
+    for (hundred, kinds) in areas {
+        for kind in kinds {
+            assert_eq!(kind.code / 100, hundred, "{}", kind.name);
+            count += 1;
+        }
+    }
+    assert_eq!(count, catalogue().count(), "an area is not listed here");
+}
