--- /dev/null
+++ b/tests/cli.rs
@@ -0,0 +1,653 @@
+//! The command-line tool against small stand-ins of the operator API.
+
+use std::{
+    collections::BTreeMap,
+    io::{BufRead, BufReader, Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    path::{Path, PathBuf},
+    process::{Command, Output},
+    sync::{Arc, Mutex},
+    thread,
+};
+
+use primrosemast::{
+    api::{ChangeRequest, MemberView, StatusResponse},
+    settings::load_site,
+};
+use primrosemast_core::{
+    config::Configuration,
+    id::{ConfigVersion, InstanceId},
+    membership::MemberState,
+};
+use serde_json::{Value, json};
+use tokio::net::TcpSocket;
+
+/// A request as a stand-in receives it.
+#[derive(Clone, Debug)]
+struct Received {
+    line: String,
+    headers: BTreeMap<String, String>,
+    body: Vec<u8>,
+}
+
+/// Response of a stand-in; `None` closes the connection without one.
+type Response = Option<(u16, Value)>;
+
+/// An HTTP server that records requests and responds by a function.
+struct StandIn {
+    address: SocketAddr,
+    received: Arc<Mutex<Vec<Received>>>,
+}
+
+impl StandIn {
+    fn start(
+        respond: impl Fn(&Received, SocketAddr) -> Response + Send + 'static,
+    ) -> StandIn {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let received = Arc::new(Mutex::new(Vec::new()));
+        let log = Arc::clone(&received);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let Some(request) = read_request(&stream) else { continue };
+                log.lock().unwrap().push(request.clone());
+                if let Some(response) = respond(&request, address) {
+                    write_response(stream, response);
+                }
+            }
+        });
+        StandIn { address, received }
+    }
+
+    fn requests(&self, line: &str) -> Vec<Received> {
+        let received = self.received.lock().unwrap();
+        received.iter().filter(|r| r.line.starts_with(line)).cloned().collect()
+    }
+
+    fn changes(&self) -> Vec<ChangeRequest> {
+        let changes = self.requests("POST /v1/changes");
+        let parse = |r: &Received| serde_json::from_slice(&r.body).unwrap();
+        changes.iter().map(parse).collect()
+    }
+}
+
+fn read_request(stream: &TcpStream) -> Option<Received> {
+    let mut reader = BufReader::new(stream);
+    let mut line = String::new();
+    reader.read_line(&mut line).ok()?;
+    let mut headers = BTreeMap::new();
+    loop {
+        let mut header = String::new();
+        reader.read_line(&mut header).ok()?;
+        let Some((name, value)) = header.trim().split_once(':') else { break };
+        headers.insert(name.to_lowercase(), value.trim().to_owned());
+    }
+    let length = headers.get("content-length");
+    let length = length.and_then(|l| l.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    Some(Received { line: line.trim().into(), headers, body })
+}
+
+fn write_response(mut stream: TcpStream, (status, body): (u16, Value)) {
+    let body = body.to_string();
+    let _ = write!(
+        stream,
+        "HTTP/1.1 {status} -\r\ncontent-length: {}\r\nconnection: close\r\n\
+         \r\n{body}",
+        body.len(),
+    );
+}
+
+fn configs() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("configs")
+}
+
+fn base() -> String {
+    configs().join("abay/base.jsonc").display().to_string()
+}
+
+fn configuration() -> Configuration {
+    load_site(Path::new(&base()), None).unwrap_or_else(|e| panic!("{e}"))
+}
+
+/// Responds to reads with version 7, and to changes by `change`.
+fn instance(change: impl Fn(usize) -> Response + Send + 'static) -> StandIn {
+    let sent = Mutex::new(0);
+    StandIn::start(move |request, own| {
+        if request.line.starts_with("GET /v1/configuration") {
+            let body = json!({
+                "version": 7, "hash": "00", "configuration": configuration(),
+            });
+            return Some((200, body));
+        }
+        if request.line.starts_with("GET /v1/status") {
+            return Some((200, json!(status("entry-1", own, 8, &[]))));
+        }
+        let mut sent = sent.lock().unwrap();
+        *sent += 1;
+        change(*sent)
+    })
+}
+
+fn status(
+    name: &str,
+    own: SocketAddr,
+    version: u64,
+    others: &[(&str, SocketAddr, MemberState)],
+) -> StatusResponse {
+    let own = [(name, own, MemberState::Alive)];
+    let members = own.iter().chain(others);
+    StatusResponse {
+        instance: InstanceId::from_name(name),
+        name: name.into(),
+        availability_zone: "zone-a".into(),
+        version: ConfigVersion(version),
+        serving: true,
+        ready: true,
+        draining: false,
+        control: None,
+        members: members
+            .map(|(name, address, state)| MemberView {
+                name: (*name).into(),
+                id: InstanceId::from_name(name),
+                state: *state,
+                availability_zone: "zone-a".into(),
+                entry: true,
+                control: None,
+                address: *address,
+                operator_address: *address,
+                version: None,
+            })
+            .collect(),
+        targets: Vec::new(),
+    }
+}
+
+fn accepted() -> Response {
+    Some((200, json!({ "outcome": "accepted", "version": 8 })))
+}
+
+/// An address that refuses connections.
+fn closed() -> SocketAddr {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    let address = socket.local_addr().unwrap();
+    // Bound for the rest of the process, so that no other test listens there.
+    std::mem::forget(socket);
+    address
+}
+
+fn tool(args: &[&str], operators: &[SocketAddr]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_primrosemast"));
+    command.args(args).env_remove("PRIMROSEMAST_OPERATOR");
+    for operator in operators {
+        command.arg("--operator").arg(operator.to_string());
+    }
+    command.output().expect("the tool starts")
+}
+
+fn code(output: &Output) -> i32 {
+    output.status.code().expect("an exit code")
+}
+
+fn stdout(output: &Output) -> String {
+    String::from_utf8(output.stdout.clone()).expect("UTF-8")
+}
+
+fn stderr(output: &Output) -> String {
+    String::from_utf8(output.stderr.clone()).expect("UTF-8")
+}
+
+fn json_of(output: &Output) -> Value {
+    serde_json::from_slice(&output.stdout)
+        .unwrap_or_else(|e| panic!("{e}: {}", stdout(output)))
+}
+
+// Guards against options and exit codes that change unnoticed.
+#[test]
+fn help() {
+    let commands: &[&[&str]] = &[
+        &[],
+        &["check"],
+        &["render"],
+        &["diff"],
+        &["apply"],
+        &["zone"],
+        &["zone", "out"],
+        &["shares"],
+        &["status"],
+        &["explain"],
+        &["query"],
+        &["replica"],
+        &["replica", "bootstrap"],
+        &["replica", "remove"],
+    ];
+    let mut text = String::new();
+    for command in commands {
+        let output = tool(&[command, &["--help"][..]].concat(), &[]);
+        assert_eq!(code(&output), 0, "{command:?}");
+        text.push_str(&format!("$ primrosemast {}\n", command.join(" ")));
+        text.push_str(&stdout(&output));
+        text.push('\n');
+    }
+    insta::assert_snapshot!(text);
+}
+
+// Guards against incorrect usage or settings that end like success or like
+// a failed request.
+#[test]
+fn usage_and_settings_errors_exit_with_2() {
+    let missing = configs().join("none.jsonc").display().to_string();
+    let instance = configs().join("instance.jsonc").display().to_string();
+    let cases: &[&[&str]] = &[
+        &[],
+        &["apply"],
+        &["check"],
+        &["check", &missing],
+        &["check", &instance],
+        &["render", &missing],
+        &["apply", &missing],
+        &["status"],
+        &["zone", "away", "zone-a"],
+        &["shares", "tool-search", "zone-a"],
+        &["replica", "remove", "x", "--operator", "127.0.0.1:1"],
+    ];
+    for case in cases {
+        let output = tool(case, &[]);
+        assert_eq!(code(&output), 2, "{case:?}: {}", stderr(&output));
+        assert_eq!(stdout(&output), "", "{case:?}");
+    }
+    let output = tool(&["check", &missing, "--json"], &[]);
+    let json = json_of(&output);
+    assert_eq!(json["exit_code"], 2);
+    assert_eq!(json["problems"][0]["expected"], "a readable file");
+}
+
+// Guards against reports on files that lose their content.
+#[test]
+fn check_render_and_diff() {
+    let overlay = configs().join("abay/overlays/gondar-price-change.jsonc");
+    let overlay = overlay.display().to_string();
+    let instance = configs().join("instance.jsonc").display().to_string();
+    let output = tool(
+        &["check", &base(), "--overlay", &overlay, "--instance", &instance],
+        &[],
+    );
+    assert_eq!(code(&output), 0, "{}", stderr(&output));
+    insta::assert_snapshot!("check", stdout(&output));
+
+    let output = tool(&["render", &base()], &[]);
+    let rendered: Configuration =
+        serde_json::from_slice(&output.stdout).unwrap();
+    assert_eq!(rendered, configuration());
+
+    let other = configs().join("abay/overlays/gondar.jsonc");
+    let other = other.display().to_string();
+    let output = tool(
+        &["diff", &base(), "--overlay", &overlay, "--against-overlay", &other],
+        &[],
+    );
+    assert_eq!(code(&output), 0, "{}", stderr(&output));
+    insta::assert_snapshot!("diff", stdout(&output));
+
+    let running = instance_that_accepts();
+    let output = tool(
+        &["diff", &base(), "--running", "--json"],
+        &[closed(), running.address],
+    );
+    assert_eq!(json_of(&output), json!({ "differences": [] }));
+}
+
+fn instance_that_accepts() -> StandIn {
+    instance(|_| accepted())
+}
+
+// Guards against a change that is sent with another version or document.
+#[test]
+fn apply_sends_the_document_once() {
+    let stand_in = instance_that_accepts();
+    let output =
+        tool(&["apply", &base(), "--change-id", "c1"], &[stand_in.address]);
+    assert_eq!(code(&output), 0, "{}", stderr(&output));
+    assert_eq!(stdout(&output), "version 8 accepted\n");
+    assert_eq!(stderr(&output), "change id c1, expected version 7\n");
+    let expected = ChangeRequest {
+        change_id: "c1".into(),
+        expected_version: ConfigVersion(7),
+        configuration: configuration(),
+    };
+    assert_eq!(stand_in.changes(), [expected]);
+}
+
+// Guards against a conflict that is retried or looks like success.
+#[test]
+fn conflict_exits_with_3_and_is_not_retried() {
+    let commands: &[&[&str]] = &[
+        &["apply", &base()],
+        &["zone", "out", "zone-c"],
+        &["shares", "donor-reports", "zone-a=30", "zone-b=20"],
+    ];
+    for command in commands {
+        let stand_in = instance(|_| {
+            let body = json!({ "outcome": "conflict", "version": 9 });
+            Some((409, body))
+        });
+        let output = tool(command, &[stand_in.address]);
+        assert_eq!(code(&output), 3, "{command:?}: {}", stderr(&output));
+        assert!(stderr(&output).contains("found version 9"), "{command:?}");
+        assert_eq!(stand_in.changes().len(), 1, "{command:?}");
+        assert_eq!(stand_in.changes()[0].expected_version, ConfigVersion(7));
+    }
+}
+
+// Guards against a lost answer that makes a second change.
+#[test]
+fn lost_answer_is_resent_under_the_same_id_elsewhere() {
+    let losing = instance(|_| None);
+    let other = instance_that_accepts();
+    let output =
+        tool(&["apply", &base(), "--json"], &[losing.address, other.address]);
+    assert_eq!(code(&output), 0, "{}", stderr(&output));
+    let (first, second) = (losing.changes(), other.changes());
+    assert_eq!((first.len(), second.len()), (1, 1));
+    assert_eq!(first, second);
+    let json = json_of(&output);
+    assert_eq!(json["change_id"], first[0].change_id.as_str());
+    assert_eq!(json["version"], 8);
+}
+
+// Guards against an unknown outcome that is reported as a failure, so that
+// the operator does not send the same id again.
+#[test]
+fn lost_answers_everywhere_exit_with_5() {
+    let losing = instance(|_| None);
+    let output = tool(
+        &["apply", &base(), "--change-id", "c5", "--expected-version", "3"],
+        &[losing.address],
+    );
+    assert_eq!(code(&output), 5, "{}", stderr(&output));
+    let text = stderr(&output);
+    let again = "--change-id c5 --expected-version 3";
+    assert!(text.contains(again), "{text}");
+    let changes = losing.changes();
+    assert!(changes.len() > 1, "sent again");
+    assert!(changes.iter().all(|c| c.change_id == "c5"));
+}
+
+// Guards against an outcome that is unknown to one instance being final.
+#[test]
+fn unknown_and_no_quorum_are_sent_again() {
+    let stand_in = instance(|sent| match sent {
+        1 => Some((504, json!({ "outcome": "unknown" }))),
+        2 => Some((503, json!({ "outcome": "no_quorum" }))),
+        _ => accepted(),
+    });
+    let output = tool(&["apply", &base()], &[stand_in.address]);
+    assert_eq!(code(&output), 0, "{}", stderr(&output));
+    assert_eq!(stand_in.changes().len(), 3);
+}
+
+// Guards against a change without a quorum that ends as an unknown outcome
+// although nothing was proposed.
+#[test]
+fn no_quorum_exits_with_1() {
+    let stand_in = instance(|_| {
+        let body = json!({ "outcome": "no_quorum", "message": "no leader" });
+        Some((503, body))
+    });
+    let output = tool(&["apply", &base()], &[stand_in.address]);
+    assert_eq!(code(&output), 1, "{}", stderr(&output));
+    assert!(stderr(&output).contains("no leader"));
+}
+
+// Guards against a refusal by the daemon's checks that is sent again.
+#[test]
+fn refused_change_exits_with_2() {
+    let stand_in = instance(|_| {
+        let body = json!({ "outcome": "refused", "message": "bad shares" });
+        Some((422, body))
+    });
+    let output = tool(&["apply", &base()], &[stand_in.address]);
+    assert_eq!(code(&output), 2, "{}", stderr(&output));
+    assert_eq!(stand_in.changes().len(), 1);
+}
+
+/// Two more instances behind one that accepts: one with the version after a
+/// number of questions, and a dead one.
+fn fleet(lagging_questions: usize) -> (StandIn, StandIn) {
+    let asked = Mutex::new(0);
+    let lagging = StandIn::start(move |_, own| {
+        let mut asked = asked.lock().unwrap();
+        *asked += 1;
+        let version = if *asked > lagging_questions { 8 } else { 7 };
+        Some((200, json!(status("entry-2", own, version, &[]))))
+    });
+    let (address, dead) = (lagging.address, closed());
+    let first = StandIn::start(move |request, own| {
+        if request.line.starts_with("POST") {
+            return accepted();
+        }
+        let others = [
+            ("entry-2", address, MemberState::Suspect),
+            ("entry-3", dead, MemberState::Dead),
+        ];
+        Some((200, json!(status("entry-1", own, 8, &others))))
+    });
+    (first, lagging)
+}
+
+// Guards against `--wait` that ends before a slow member has the version, or
+// that waits for a dead one.
+#[test]
+fn wait_ends_when_every_live_member_has_the_version() {
+    let (first, lagging) = fleet(2);
+    let output = tool(
+        &["apply", &base(), "--expected-version", "7", "--wait"],
+        &[first.address],
+    );
+    assert_eq!(code(&output), 0, "{}", stderr(&output));
+    assert_eq!(stdout(&output), "version 8 in force at every live instance\n");
+    assert_eq!(lagging.requests("GET /v1/status").len(), 3);
+}
+
+// Guards against a wait that ends well, or without names, when a member
+// lacks the version.
+#[test]
+fn wait_exits_with_4_and_names_who_lacks_the_version() {
+    let (first, _lagging) = fleet(usize::MAX);
+    let output = tool(
+        &[
+            "apply",
+            &base(),
+            "--expected-version",
+            "7",
+            "--wait",
+            "--timeout",
+            "1",
+            "--json",
+        ],
+        &[first.address],
+    );
+    assert_eq!(code(&output), 4, "{}", stderr(&output));
+    assert_eq!(json_of(&output)["lacking"], json!(["entry-2"]));
+}
+
+// Guards against a command that edits more than it names, or sends an
+// invalid document.
+#[test]
+fn zone_and_shares_edit_the_running_configuration() {
+    let stand_in = instance_that_accepts();
+    let output = tool(&["zone", "out", "zone-c"], &[stand_in.address]);
+    assert_eq!(code(&output), 0, "{}", stderr(&output));
+    let mut expected = configuration();
+    expected.availability_zones[2].state =
+        primrosemast_core::config::ZoneState::Out;
+    assert_eq!(stand_in.changes()[0].configuration, expected);
+
+    let shares = ["shares", "donor-reports", "zone-a=45", "zone-c=5%"];
+    let output = tool(&shares, &[stand_in.address]);
+    assert_eq!(code(&output), 0, "{}", stderr(&output));
+    let sent = &stand_in.changes()[1].configuration;
+    let route = sent.route("donor-reports").unwrap();
+    let percents: Vec<u32> = route.shares.iter().map(|s| s.percent).collect();
+    assert_eq!(percents, [45, 25, 5, 25]);
+
+    let wrong: &[(&[&str], &str)] = &[
+        (&["zone", "out", "zone-x"], "unknown availability zone"),
+        (&["shares", "nothing", "zone-a=1"], "unknown route"),
+        (&["shares", "donor-reports", "zone-a=45"], "add up to 120"),
+        (&["shares", "donor-reports", "zone-x=0"], "unknown availability"),
+    ];
+    for (command, message) in wrong {
+        let output = tool(command, &[stand_in.address]);
+        assert_eq!(code(&output), 2, "{command:?}");
+        assert!(stderr(&output).contains(message), "{}", stderr(&output));
+    }
+    let output = tool(&["zone", "in", "zone-c"], &[stand_in.address]);
+    assert_eq!(stdout(&output), "zone \"zone-c\" is already in\n");
+    assert_eq!(stand_in.changes().len(), 2, "nothing else was sent");
+}
+
+// Guards against one silent instance that stops the tool, and against
+// operators in the environment that are ignored.
+#[test]
+fn next_operator_is_tried() {
+    let (first, _lagging) = fleet(0);
+    let addresses = format!("{}, {}", closed(), first.address);
+    let output = Command::new(env!("CARGO_BIN_EXE_primrosemast"))
+        .arg("status")
+        .env("PRIMROSEMAST_OPERATOR", addresses)
+        .output()
+        .unwrap();
+    assert_eq!(code(&output), 0, "{}", stderr(&output));
+    let output = tool(&["status"], &[closed(), closed()]);
+    assert_eq!(code(&output), 5, "{}", stderr(&output));
+}
+
+// Guards against a status that hides which instance lacks a version.
+#[test]
+fn status_shows_the_version_of_each_member() {
+    let (first, lagging) = fleet(usize::MAX);
+    let output = tool(&["status"], &[first.address]);
+    assert_eq!(code(&output), 0, "{}", stderr(&output));
+    let text = stdout(&output);
+    let shown: Vec<Vec<&str>> = text
+        .lines()
+        .filter(|l| l.starts_with("entry-") && !l.contains(" in "))
+        .map(|l| l.split_whitespace().take(5).collect())
+        .collect();
+    assert_eq!(
+        shown,
+        [
+            ["entry-1", "alive", "zone-a", "entry", "8"],
+            ["entry-2", "suspect", "zone-a", "entry", "7"],
+            ["entry-3", "dead", "zone-a", "entry", "?"],
+        ],
+        "{text}",
+    );
+    let output = tool(&["status", "--json"], &[first.address]);
+    assert_eq!(json_of(&output)["members"][1]["version"], 7);
+    drop(lagging);
+}
+
+// Guards against a query that is sent twice, loses its headers, or ends with
+// success when it failed.
+#[test]
+fn query_is_sent_once_with_its_headers() {
+    let caller = StandIn::start(|request, _| {
+        match request.line.contains("stock-refill") {
+            true => None,
+            false if request.line.contains("crew") => {
+                Some((200, json!({ "results": [] })))
+            }
+            false => Some((404, json!({ "verdict": "not_run" }))),
+        }
+    });
+    let address = caller.address.to_string();
+    let query = |route: &str| {
+        let args = [
+            "query",
+            route,
+            "--caller",
+            &address,
+            "--request-id",
+            "r1",
+            "--key",
+            "k",
+            "--deadline-ms",
+            "90",
+            "--body",
+            "{\"q\":1}",
+        ];
+        tool(&args, &[])
+    };
+    let output = query("crew-roster");
+    assert_eq!((code(&output), json_of(&output)), (0, json!({"results": []})));
+    let request = &caller.requests("POST /v1/routes/crew-roster/query")[0];
+    let header = |name: &str| request.headers.get(name).map(String::as_str);
+    assert_eq!(header("x-request-id"), Some("r1"));
+    assert_eq!(header("x-key"), Some("k"));
+    assert_eq!(header("x-deadline-ms"), Some("90"));
+    assert_eq!(request.body, b"{\"q\":1}");
+    assert_eq!(code(&query("none")), 1);
+    let output = query("stock-refill");
+    assert_eq!(code(&output), 5);
+    assert!(stderr(&output).contains("may have run"));
+    let sent = caller.requests("POST /v1/routes/stock-refill/query");
+    assert_eq!(sent.len(), 1);
+}
+
+// Guards against a second control group after a lost answer, and against a
+// removal of another replica than the one named.
+#[test]
+fn replica_commands() {
+    let losing = StandIn::start(|_, _| None);
+    let other = StandIn::start(|_, _| {
+        Some((200, json!({ "done": true, "message": "removed" })))
+    });
+    let both = [losing.address, other.address];
+    let output = tool(&["replica", "bootstrap", &base()], &both);
+    assert_eq!(code(&output), 2, "{}", stderr(&output));
+    let output = tool(&["replica", "bootstrap", &base()], &both[..1]);
+    assert_eq!(code(&output), 5, "{}", stderr(&output));
+    assert_eq!(losing.requests("POST /v1/replicas").len(), 1);
+    let body: Value =
+        serde_json::from_slice(&losing.requests("POST /v1/replicas")[0].body)
+            .unwrap();
+    assert_eq!(body["action"], "bootstrap");
+    assert_eq!(body["configuration"], json!(configuration()));
+
+    let output = tool(&["replica", "remove", "00000000000000ff"], &both);
+    assert_eq!(code(&output), 0, "{}", stderr(&output));
+    let sent = &other.requests("POST /v1/replicas")[0].body;
+    let body: Value = serde_json::from_slice(sent).unwrap();
+    assert_eq!(body["replica"], 255);
+}
+
+// Guards against a group that is shown without its leader or its laggards.
+#[test]
+fn replica_list_and_explain() {
+    let stand_in = StandIn::start(|request, own| {
+        if request.line.starts_with("GET /v1/explain/order%2F17 ") {
+            return Some((200, json!(["planned", "answered"])));
+        }
+        let mut body = json!(status("entry-1", own, 8, &[]));
+        let replica = |id: u64, name: &str, voter: bool| {
+            json!({ "id": id, "instance": id, "name": name,
+                    "address": "127.0.0.1:7402", "voter": voter })
+        };
+        body["control"] = json!({
+            "group": 1, "role": "leader", "term": 3, "leader": 10,
+            "last_index": 9, "commit": 9, "progress": [9, 4, 0],
+            "members": [replica(10, "entry-1", true),
+                replica(11, "entry-2", true), replica(12, "entry-3", false)],
+        });
+        Some((200, body))
+    });
+    let output = tool(&["replica", "list"], &[stand_in.address]);
+    assert_eq!(code(&output), 0, "{}", stderr(&output));
+    insta::assert_snapshot!("replica_list", stdout(&output));
+    let output = tool(&["explain", "order/17"], &[stand_in.address]);
+    assert_eq!(stdout(&output), "planned\nanswered\n");
+}
