--- a/src/cli/change.rs
+++ b/src/cli/change.rs
@@ -17,7 +17,10 @@
     operators, site, to_body,
 };
 use crate::{
-    api::{ChangeRequest, ChangeResponse, ConfigurationResponse, Outcome},
+    api::{
+        ChangeRequest, ChangeResponse, ConfigurationResponse, Outcome,
+        StatusResponse,
+    },
     settings::{Problem, check_configuration},
 };
 
@@ -270,7 +273,10 @@
 ) -> Step<()> {
     let end = Instant::now() + limit;
     loop {
-        let lacking = lacking(operators, version).await;
+        // A silent member must not extend the wait much beyond its limit.
+        let left = end.saturating_duration_since(Instant::now());
+        let call_limit = CALL_LIMIT.min(left).max(POLL_INTERVAL);
+        let lacking = lacking(operators, version, call_limit).await;
         if lacking.as_ref().is_some_and(BTreeSet::is_empty) {
             return Ok(());
         }
@@ -303,8 +309,9 @@
 async fn lacking(
     operators: &[SocketAddr],
     version: ConfigVersion,
+    limit: Duration,
 ) -> Option<BTreeSet<String>> {
-    let status = first_status(operators).await?;
+    let status = first_status(operators, limit).await?;
     let mut lacking = BTreeSet::new();
     if status.version < version {
         lacking.insert(status.name.clone());
@@ -314,7 +321,7 @@
         .iter()
         .filter(|m| m.state != MemberState::Dead && m.id != status.instance)
         .map(|m| async move {
-            let seen = client::status(m.operator_address, CALL_LIMIT).await;
+            let seen = client::status(m.operator_address, limit).await;
             (m, seen.is_some_and(|s| s.version >= version))
         })
         .collect();
@@ -328,9 +335,10 @@
 
 async fn first_status(
     operators: &[SocketAddr],
-) -> Option<crate::api::StatusResponse> {
+    limit: Duration,
+) -> Option<StatusResponse> {
     for address in operators {
-        let status = client::status(*address, CALL_LIMIT).await;
+        let status = client::status(*address, limit).await;
         if status.is_some() {
             return status;
         }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -251,16 +251,21 @@
     Ok(addresses)
 }
 
-/// Sends a request that changes nothing to one instance after the other,
-/// until one responds.
+/// Sends a request that may be repeated to one instance after the other,
+/// until one can serve it.
 async fn ask(operators: &[SocketAddr], call: &Call) -> Step<Reply> {
     let mut errors = Vec::new();
+    let mut failed = None;
     for address in operators {
         match client::call(*address, call, CALL_LIMIT).await {
+            Ok(reply) if reply.status >= 500 => failed = Some(reply),
             Ok(reply) => return Ok(reply),
             Err(e) => errors.push(e.to_string()),
         }
     }
+    if let Some(reply) = failed {
+        return Ok(reply);
+    }
     let message = format!("no instance responds:\n{}", errors.join("\n"));
     Err(Report::failure(Code::NoResponse, message))
 }
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -509,18 +509,26 @@
     assert_eq!(stand_in.changes().len(), 2, "nothing else was sent");
 }
 
-// Guards against one silent instance that stops the tool, and against
+// Guards against one instance out of service that stops the tool, and against
 // operators in the environment that are ignored.
 #[test]
 fn next_operator_is_tried() {
     let (first, _lagging) = fleet(0);
-    let addresses = format!("{}, {}", closed(), first.address);
+    let starting = StandIn::start(|_, _| {
+        let message = "no configuration yet";
+        Some((503, json!({ "reason": "not_serving", "message": message })))
+    });
+    let addresses =
+        format!("{}, {},{}", closed(), starting.address, first.address);
     let output = Command::new(env!("CARGO_BIN_EXE_primrosemast"))
         .arg("status")
         .env("PRIMROSEMAST_OPERATOR", addresses)
         .output()
         .unwrap();
     assert_eq!(code(&output), 0, "{}", stderr(&output));
+    let output = tool(&["status"], &[starting.address, closed()]);
+    assert_eq!(code(&output), 1);
+    assert!(stderr(&output).contains("no configuration yet"));
     let output = tool(&["status"], &[closed(), closed()]);
     assert_eq!(code(&output), 5, "{}", stderr(&output));
 }
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -6,7 +6,7 @@
 };
 
 use primrosemast::settings::{
-    InstanceSettings, Role, SettingsError, SettingsErrorKind, Timing,
+    InstanceSettings, Problem, Role, SettingsError, SettingsErrorKind, Timing,
     check_configuration, load_instance, load_site, read_site,
 };
 use primrosemast_core::config::{
@@ -235,126 +235,55 @@
     text
 }
 
+/// A title, a text of the base file, and what replaces it.
+const BROKEN: &str = r#"
+unknown key | "deadline_ms" | "deadline"
+unknown key at the root | "services": [\n | "x": 1, "services": [\n
+wrong type | 200 | "200"
+negative number | 200 | -1
+number beyond 32 bits | 200 | 4294967296
+fraction | 200 | 0.5
+unknown word | { "name": "west" } | { "name": "west", "state": "off" }
+unknown policy | "deadline_ms" | "policy": "fast", "deadline_ms"
+policy without its number | "deadline_ms" | "policy": { "latency": { "enough": 3 } }, "deadline_ms"
+policy out of range | "deadline_ms" | "policy": { "latency": { "enough_percent": 0 } }, "deadline_ms"
+sum of shares | { "availability_zone": "east", "percent": 50 } | { "availability_zone": "east", "percent": 40 }
+two shares of a zone | { "availability_zone": "east", "percent": 50 } | { "availability_zone": "west", "percent": 50 }
+unknown zone of a share | { "availability_zone": "east", "percent": 50 } | { "availability_zone": "est", "percent": 50 }
+unknown zone of a searcher | "availability_zone": "east", "slots" | "availability_zone": "est", "slots"
+unknown service | ["notes"] | ["note"]
+no services | ["notes"] | []
+service twice | ["notes"] | ["notes", "notes"]
+duplicate zone | { "name": "east" } | { "name": "east" }, { "name": "west" }
+duplicate searcher | "notes-2" | "notes-1"
+duplicate address | 127.0.1.2:9000 | 127.0.1.1:9000
+malformed address | 127.0.1.2:9000 | notes.example:9000
+address without a port | 127.0.1.2:9000 | 127.0.1.2:0
+name with a space | "lookup" | "look up"
+empty name | "lookup" | ""
+zero slots | "west", "slots": 2 | "west", "slots": 0
+zero connections | "west", "slots": 2, "connections": 25 | "west", "slots": 2, "connections": 0
+fewer connections than slots | "west", "slots": 2 | "west", "slots": 26
+zero deadline | 200 | 0
+shards | [0, 1] | [0, 1, 0]
+no shards | [0, 1] | []
+limits | "routes" | "limits": { "extra_load_percent": 101, "max_in_flight": 0, "max_body_bytes": 0, "bundle_size": 0 }, "routes"
+missing key | "deadline_ms": 200 |
+repeated key | "deadline_ms": 200 | "deadline_ms": 200, "deadline_ms": 300
+syntax | "deadline_ms": 200 | "deadline_ms" 200
+missing comma | "slots": 2, "connections": 25 },\n      {  | "slots": 2 "connections": 25 },\n      {
+"#;
+
 // Guards against errors that are missed, or that do not say where, what was
 // found and what was expected.
 #[test]
 fn broken_documents() {
-    let shares = r#"{ "availability_zone": "east", "percent": 50 }"#;
-    let cases: &[(&str, &[(&str, &str)])] = &[
-        ("unknown key", &[("\"deadline_ms\"", "\"deadline\"")]),
-        (
-            "unknown key at the root",
-            &[("\"services\": [\n", "\"x\": 1, \"services\": [\n")],
-        ),
-        ("wrong type", &[("200", "\"200\"")]),
-        ("negative number", &[("200", "-1")]),
-        ("number beyond 32 bits", &[("200", "4294967296")]),
-        ("fraction", &[("200", "0.5")]),
-        (
-            "unknown word",
-            &[(
-                "{ \"name\": \"west\" }",
-                "{ \"name\": \"west\", \"state\": \"off\" }",
-            )],
-        ),
-        (
-            "unknown policy",
-            &[("\"deadline_ms\"", "\"policy\": \"fast\", \"deadline_ms\"")],
-        ),
-        (
-            "policy without its number",
-            &[(
-                "\"deadline_ms\"",
-                "\"policy\": { \"latency\": { \"enough\": 3 } }, \"deadline_ms\"",
-            )],
-        ),
-        (
-            "policy out of range",
-            &[(
-                "\"deadline_ms\"",
-                "\"policy\": { \"latency\": { \"enough_percent\": 0 } }, \"deadline_ms\"",
-            )],
-        ),
-        (
-            "sum of shares",
-            &[(shares, r#"{ "availability_zone": "east", "percent": 40 }"#)],
-        ),
-        (
-            "two shares of a zone",
-            &[(shares, r#"{ "availability_zone": "west", "percent": 50 }"#)],
-        ),
-        (
-            "unknown zone of a share",
-            &[(shares, r#"{ "availability_zone": "est", "percent": 50 }"#)],
-        ),
-        (
-            "unknown zone of a searcher",
-            &[(
-                "\"availability_zone\": \"east\", \"slots\"",
-                "\"availability_zone\": \"est\", \"slots\"",
-            )],
-        ),
-        ("unknown service", &[("[\"notes\"]", "[\"note\"]")]),
-        ("no services", &[("[\"notes\"]", "[]")]),
-        ("service twice", &[("[\"notes\"]", "[\"notes\", \"notes\"]")]),
-        (
-            "duplicate zone",
-            &[(
-                "{ \"name\": \"east\" }",
-                "{ \"name\": \"east\" }, { \"name\": \"west\" }",
-            )],
-        ),
-        ("duplicate searcher", &[("\"notes-2\"", "\"notes-1\"")]),
-        ("duplicate address", &[("127.0.1.2:9000", "127.0.1.1:9000")]),
-        ("malformed address", &[("127.0.1.2:9000", "notes.example:9000")]),
-        ("address without a port", &[("127.0.1.2:9000", "127.0.1.2:0")]),
-        ("name with a space", &[("\"lookup\"", "\"look up\"")]),
-        ("empty name", &[("\"lookup\"", "\"\"")]),
-        (
-            "zero slots",
-            &[("\"west\", \"slots\": 2", "\"west\", \"slots\": 0")],
-        ),
-        (
-            "zero connections",
-            &[(
-                "\"west\", \"slots\": 2, \"connections\": 25",
-                "\"west\", \"slots\": 2, \"connections\": 0",
-            )],
-        ),
-        (
-            "fewer connections than slots",
-            &[("\"west\", \"slots\": 2", "\"west\", \"slots\": 26")],
-        ),
-        ("zero deadline", &[("200", "0")]),
-        ("shards", &[("[0, 1]", "[0, 1, 0]")]),
-        ("no shards", &[("[0, 1]", "[]")]),
-        (
-            "limits",
-            &[(
-                "\"routes\"",
-                "\"limits\": { \"extra_load_percent\": 101, \"max_in_flight\": 0, \"max_body_bytes\": 0, \"bundle_size\": 0 }, \"routes\"",
-            )],
-        ),
-        ("missing key", &[("\"deadline_ms\": 200", "")]),
-        (
-            "repeated key",
-            &[(
-                "\"deadline_ms\": 200",
-                "\"deadline_ms\": 200, \"deadline_ms\": 300",
-            )],
-        ),
-        ("syntax", &[("\"deadline_ms\": 200", "\"deadline_ms\" 200")]),
-        (
-            "missing comma",
-            &[(
-                "\"slots\": 2, \"connections\": 25 },\n      { ",
-                "\"slots\": 2 \"connections\": 25 },\n      { ",
-            )],
-        ),
-    ];
     let mut report = String::new();
-    for (title, replacements) in cases {
-        let text = problems(&broken(replacements), "{}");
+    for case in BROKEN.lines().filter(|line| !line.is_empty()) {
+        let case = case.replace("\\n", "\n");
+        let (title, change) = case.split_once(" | ").expect("a title");
+        let (from, to) = change.split_once(" |").expect("a replacement");
+        let text = problems(&broken(&[(from, to.trim_start())]), "{}");
         assert_ne!(text, "no errors", "{title}");
         report.push_str(&format!("{title}:\n"));
         text.lines().for_each(|l| report.push_str(&format!("  {l}\n")));
@@ -381,6 +310,35 @@
     insta::assert_snapshot!(problems(&base, overlay));
 }
 
+// Guards against a daemon that accepts a change which the tool would refuse:
+// both views of a document have to give the same problems.
+#[test]
+fn daemon_finds_the_same_problems() {
+    let mut cfg = load(BASE, "{}").unwrap();
+    cfg.services[0].searchers[1].address =
+        cfg.services[0].searchers[0].address;
+    cfg.services[0].searchers[0].slots = 0;
+    cfg.services[0].searchers[1].connections = 1;
+    cfg.services[0].searchers[1].availability_zone = "north".into();
+    cfg.routes[0].shares[0].percent = 40;
+    cfg.routes[0].shards = Some(vec![]);
+    cfg.routes[0].deadline_ms = 0;
+    cfg.routes[0].policy = AnswerPolicy::Latency { enough_percent: 101 };
+    cfg.routes[0].services.push("books".into());
+    cfg.availability_zones[0].name = "a b".into();
+    cfg.limits.bundle_size = 0;
+    let strip = |p: &Problem| {
+        (p.path.clone(), p.found.clone(), p.expected.clone(), p.severity)
+    };
+    let found = check_configuration(&cfg);
+    let document = serde_json::to_string(&cfg).unwrap();
+    let error = load(&document, "{}").unwrap_err();
+    let mut expected: Vec<_> = error.problems().iter().map(strip).collect();
+    expected.sort();
+    assert_eq!(found.iter().map(strip).collect::<Vec<_>>(), expected);
+    assert_eq!(found.iter().filter(|p| p.is_error()).count(), 12);
+}
+
 // Guards against a zone that cannot be taken out because of a check.
 #[test]
 fn route_with_all_zones_out_is_a_warning() {
