--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -18,13 +18,15 @@
 
 use anyhow::Context;
 use primrosemast_core::{
+    config_sync::SyncOptions,
+    consensus::ConsensusOptions,
     event::{Level, LogEvent},
     id::{InstanceId, Token, ZoneId},
-    membership::{Member, MemberState},
+    membership::{Member, MemberState, MembershipOptions},
     message::PeerMessage,
     node::{Effect, Event, Node, NodeOptions, OperatorReply},
-    query::CallerResponse,
-    target::{TargetEffect, TargetEvent},
+    query::{CallerResponse, DispatchMode, QueryOptions},
+    target::{TargetEffect, TargetEvent, TargetOptions},
     time::Time,
 };
 use tokio::{
@@ -40,11 +42,14 @@
 use crate::{
     http::{caller_router, operator_router},
     peer::{self, Peers, Received},
-    settings::{InstanceSettings, Role},
+    settings::{Dispatch, InstanceSettings, Role},
     storage::{Storage, StorageThread},
     target_client::{self, Connections, Outgoing},
 };
 
+/// Target of the numbered events in the log filter.
+const EVENT_TARGET: &str = "primrosemast::event";
+
 /// Events handled before the effects of a batch are carried out.
 const MAX_BATCH: usize = 256;
 
@@ -477,7 +482,44 @@
 fn options(settings: &InstanceSettings) -> NodeOptions {
     let timing = &settings.timing;
     let ms = Duration::from_millis;
+    let mode = match settings.dispatch {
+        Dispatch::Home => DispatchMode::Home,
+        Dispatch::Direct => DispatchMode::Direct,
+    };
     NodeOptions {
+        membership: MembershipOptions {
+            probe_interval: ms(timing.probe_interval_ms),
+            direct_timeout: ms(timing.probe_timeout_ms),
+            suspicion_timeout: ms(timing.suspicion_ms),
+            digest_interval: ms(timing.exchange_interval_ms),
+            ..MembershipOptions::default()
+        },
+        sync: SyncOptions {
+            lease: ms(timing.lease_ms),
+            renew_interval: ms(timing.confirm_interval_ms),
+            compare_interval: ms(timing.compare_interval_ms),
+            ..SyncOptions::default()
+        },
+        query: QueryOptions {
+            mode,
+            hedging: mode == DispatchMode::Home,
+            log_debug: log::log_enabled!(
+                target: EVENT_TARGET,
+                log::Level::Debug
+            ),
+            ..QueryOptions::default()
+        },
+        target: TargetOptions {
+            takeover_hold: ms(timing.takeover_hold_ms),
+            idle_max: ms(timing.idle_max_ms),
+            ..TargetOptions::default()
+        },
+        consensus: ConsensusOptions {
+            heartbeat: ms(timing.heartbeat_interval_ms),
+            election_min: ms(timing.election_timeout_ms),
+            election_max: ms(2 * timing.election_timeout_ms),
+            ..ConsensusOptions::default()
+        },
         seeds: settings.peers.clone(),
         control_group_size: settings.control_group_size,
         wall_epoch_ms: SystemTime::now()
@@ -519,7 +561,7 @@
         Level::Debug => log::Level::Debug,
     };
     log::log!(
-        target: "primrosemast::event",
+        target: EVENT_TARGET,
         level,
         "PM{:04} {} {}",
         event.kind.code,
--- a/src/http/operator.rs
+++ b/src/http/operator.rs
@@ -24,7 +24,7 @@
         ReplicaRequest, ReplicaResponse,
     },
     daemon::{Handle, Query, View},
-    settings::check_configuration,
+    settings::{Problem, check_configuration},
 };
 
 /// Largest body of an operator's request, in bytes.
@@ -129,7 +129,8 @@
             "change_id must have 1 to 200 characters".into(),
         );
     }
-    let problems = check_configuration(&req.configuration);
+    let mut problems = check_configuration(&req.configuration);
+    problems.retain(Problem::is_error);
     if !problems.is_empty() {
         let lines: Vec<String> =
             problems.iter().map(ToString::to_string).collect();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 */
 
 pub mod api;
+pub mod cli;
 pub mod daemon;
 pub mod settings;
 pub mod storage;
--- a/src/settings/instance.rs
+++ b/src/settings/instance.rs
@@ -29,6 +29,8 @@
     /// Peer address that is announced to other instances, if it differs from
     /// the one it listens on.
     pub advertise_peer: Option<SocketAddr>,
+    /// How shard requests reach their targets.
+    pub dispatch: Dispatch,
     /// Where the control replica keeps its files.
     pub data_folder: Option<PathBuf>,
     /// Peer addresses at which other instances may be found.
@@ -51,6 +53,7 @@
             roles: vec![Role::Entry],
             listen: Listen::default(),
             advertise_peer: None,
+            dispatch: Dispatch::default(),
             data_folder: None,
             peers: Vec::new(),
             control_group_size: 3,
@@ -80,6 +83,28 @@
     Control,
 }
 
+/// How shard requests reach their targets.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    Serialize,
+    Deserialize,
+    JsonSchema,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Dispatch {
+    /// Through the home of each target.
+    #[default]
+    Home,
+    /// From every instance to every target, without hedges and shared
+    /// limits. Only for comparison in benchmarks.
+    Direct,
+}
+
 /// Addresses that an instance listens on. Port 0 chooses a free port.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema,
