--- a/crates/core/benches/query_cost.rs
+++ b/crates/core/benches/query_cost.rs
@@ -1,3 +1,270 @@
 //! Cost of a query decision, from the request to the answer.
+//!
+//! Fails if the cost for each shard grows with the number of shards asked,
+//! or if the cost of a query grows with the number of targets configured.
+//! Both bounds are ratios within one run.
+// Counting allocations needs an implementation of `GlobalAlloc`.
+#![allow(unsafe_code)]
 
-fn main() {}
+use std::{
+    alloc::{GlobalAlloc, Layout, System},
+    process::ExitCode,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering::Relaxed},
+    },
+    time::{Duration, Instant},
+};
+
+use primrosemast_core::{
+    config::{
+        AnswerPolicy, AvailabilityZone, Configuration, Limits, Priority,
+        Route, Searcher, Service, ZoneShare, ZoneState,
+    },
+    id::{InstanceId, Token, ZoneId},
+    placement::Candidate,
+    query::{
+        CallerRequest, Message, Queries, QueryEffect, QueryEvent,
+        QueryOptions, ShardReply,
+    },
+    snapshot::{Holding, Snapshot},
+    target::{JobOutcome, TargetReport, TargetState},
+    time::Time,
+};
+
+struct Counting;
+
+static ALLOCATED: AtomicU64 = AtomicU64::new(0);
+
+// SAFETY: every call is passed on to the system allocator unchanged.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        ALLOCATED.fetch_add(layout.size() as u64, Relaxed);
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
+        unsafe { System.dealloc(ptr, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+const ZONES: [&str; 4] = ["a", "b", "c", "d"];
+const INSTANCES: u64 = 20;
+/// Queries in one measurement, and measurements of which the best counts,
+/// because the machine may be shared.
+const ROUNDS: usize = 7;
+
+fn instance(n: u64) -> (InstanceId, ZoneId) {
+    let zone = ZoneId::from_name(ZONES[n as usize % ZONES.len()]);
+    (InstanceId(n + 1), zone)
+}
+
+/// Searcher `i` holds shard `i % shards`; the replicas of a shard are in
+/// different zones.
+fn configuration(shards: usize, targets: usize) -> Configuration {
+    let searchers = (0..targets).map(|i| Searcher {
+        name: format!("s{i:06}"),
+        address: ([10, (i >> 16) as u8, (i >> 8) as u8, i as u8], 80).into(),
+        availability_zone: ZONES[(i + i / shards) % ZONES.len()].into(),
+        slots: 1_000,
+        connections: 25,
+        connect_cost_ms: 5,
+    });
+    let zone = |name: &str| AvailabilityZone {
+        name: name.into(),
+        state: ZoneState::In,
+    };
+    let share =
+        |name: &str| ZoneShare { availability_zone: name.into(), percent: 25 };
+    let mut cfg = Configuration {
+        availability_zones: ZONES.map(zone).into(),
+        services: vec![Service {
+            name: "s".into(),
+            searchers: searchers.collect(),
+        }],
+        routes: vec![Route {
+            name: "find".into(),
+            services: vec!["s".into()],
+            shards: None,
+            shares: ZONES.map(share).into(),
+            deadline_ms: 1_000,
+            priority: Priority::Urgent,
+            policy: AnswerPolicy::Coverage,
+            repeatable: true,
+        }],
+        limits: Limits { bundle_size: 16, ..Limits::default() },
+    };
+    cfg.sort();
+    cfg
+}
+
+fn root(shards: u32, targets: usize) -> Queries {
+    let (me, zone) = instance(0);
+    let mut queries = Queries::new(me, zone, QueryOptions::default(), 1);
+    let mut out = Vec::new();
+    let now = Time::ZERO;
+    let candidates = (0..INSTANCES).map(|n| {
+        let (instance, zone) = instance(n);
+        Candidate { instance, zone }
+    });
+    let cfg = Arc::new(configuration(shards as usize, targets));
+    let events = [
+        QueryEvent::Candidates(candidates.collect()),
+        QueryEvent::Configure(cfg.clone()),
+        QueryEvent::Serving(true),
+    ];
+    for event in events {
+        queries.step(now, event, &mut out);
+    }
+    let snapshot = Snapshot { index_version: 1, partition_map: 1 };
+    let reports: Vec<TargetReport> = cfg.services[0]
+        .searchers
+        .iter()
+        .enumerate()
+        .map(|(i, s)| TargetReport {
+            target: s.id(),
+            state: TargetState::Ready,
+            limit: 1_000,
+            running: 0,
+            queued: 0,
+            latency_us: 1_000,
+            holds: vec![Holding {
+                snapshot,
+                shard: i as u32 % shards,
+                shard_count: shards,
+            }],
+        })
+        .collect();
+    for n in 0..INSTANCES {
+        let message = Message::Reports(reports.clone());
+        let event = QueryEvent::Message(instance(n).0, message);
+        queries.step(now, event, &mut out);
+    }
+    queries
+}
+
+/// Nanoseconds and allocated bytes of one query, and messages sent.
+struct Cost {
+    nanos: f64,
+    bytes: f64,
+    messages: usize,
+}
+
+fn measure(shards: u32, targets: usize) -> Cost {
+    let mut queries = root(shards, targets);
+    let count = (200_000 / shards as usize).clamp(20, 2_000);
+    let mut best = Cost { nanos: f64::MAX, bytes: 0.0, messages: 0 };
+    let mut now = Time::from_millis(1);
+    let mut token = 0;
+    for _ in 0..ROUNDS {
+        let (mut spent, mut bytes) = (Duration::ZERO, 0);
+        let mut messages = 0;
+        for _ in 0..count {
+            token += 1;
+            now += Duration::from_micros(500);
+            let req = CallerRequest {
+                route: "find".into(),
+                request_id: None,
+                deadline_us: None,
+                key: None,
+                body: "query".into(),
+            };
+            let mut out = Vec::with_capacity(64);
+            let event = QueryEvent::Submit(Token(token), req);
+            let mut timed = |event, out: &mut Vec<QueryEffect>| {
+                let (start, before) =
+                    (Instant::now(), ALLOCATED.load(Relaxed));
+                queries.step(now, event, out);
+                spent += start.elapsed();
+                bytes += ALLOCATED.load(Relaxed) - before;
+            };
+            timed(event, &mut out);
+            let mut replies = Vec::new();
+            for effect in &out {
+                let QueryEffect::Send(home, Message::Request(req)) = effect
+                else {
+                    continue;
+                };
+                messages += 1;
+                for &(shard, target) in &req.shards {
+                    let holding = Holding {
+                        snapshot: req.snapshot,
+                        shard,
+                        shard_count: shards,
+                    };
+                    let reply = ShardReply {
+                        query: req.query,
+                        attempt: req.attempt,
+                        shard,
+                        target,
+                        outcome: JobOutcome::Answered {
+                            body: "{}".into(),
+                            holding,
+                        },
+                        report: None,
+                    };
+                    let message = Message::Reply(reply);
+                    replies.push(QueryEvent::Message(*home, message));
+                }
+            }
+            out.clear();
+            // One clock reading for all replies, or the clock is measured.
+            let (start, before) = (Instant::now(), ALLOCATED.load(Relaxed));
+            for event in replies {
+                queries.step(now, event, &mut out);
+            }
+            spent += start.elapsed();
+            bytes += ALLOCATED.load(Relaxed) - before;
+            let answered =
+                out.iter().any(|e| matches!(e, QueryEffect::Respond(..)));
+            assert!(answered, "the query was not answered");
+        }
+        let nanos = spent.as_nanos() as f64 / count as f64;
+        if nanos < best.nanos {
+            best = Cost {
+                nanos,
+                bytes: bytes as f64 / count as f64,
+                messages: messages / count,
+            };
+        }
+    }
+    best
+}
+
+fn row(shards: u32, targets: usize) -> Cost {
+    let cost = measure(shards, targets);
+    println!(
+        "{shards:>7} {targets:>8} {:>10.0} {:>9.1} {:>10.0} {:>9.1} {:>9}",
+        cost.nanos,
+        cost.nanos / f64::from(shards),
+        cost.bytes,
+        cost.bytes / f64::from(shards),
+        cost.messages
+    );
+    cost
+}
+
+fn main() -> ExitCode {
+    println!(
+        "{:>7} {:>8} {:>10} {:>9} {:>10} {:>9} {:>9}",
+        "shards", "targets", "ns", "ns/shard", "bytes", "B/shard", "messages"
+    );
+    let by_shards: Vec<(u32, Cost)> = [10, 100, 260, 1_000, 5_000]
+        .into_iter()
+        .map(|n| (n, row(n, n as usize * 2)))
+        .collect();
+    let by_targets: Vec<Cost> =
+        [500, 5_000, 77_000].into_iter().map(|n| row(260, n)).collect();
+    let each = |x: &(u32, Cost)| x.1.nanos / f64::from(x.0);
+    let shards = each(&by_shards[4]) / each(&by_shards[0]);
+    let targets = by_targets[2].nanos / by_targets[0].nanos;
+    println!("cost per shard, 5,000 against 10 shards: {shards:.2} (max 4)");
+    println!("cost, 77,000 against 500 targets: {targets:.2} (max 3)");
+    if shards > 4.0 || targets > 3.0 {
+        return ExitCode::FAILURE;
+    }
+    ExitCode::SUCCESS
+}
--- a/crates/core/src/query/choose.rs
+++ b/crates/core/src/query/choose.rs
@@ -11,16 +11,13 @@
 
 use crate::{
     query::{
+        index::Holders,
         options::{DispatchMode, QueryOptions},
         table::{Table, Target},
     },
     time::Time,
 };
 
-/// Members of a zone that are looked at before the whole zone is. Bounds the
-/// cost where a shard has many replicas; two of them are compared.
-const LOOKS: usize = 8;
-
 /// A chosen replica.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Choice {
@@ -47,15 +44,15 @@
 }
 
 impl Chooser<'_> {
-    /// Chooses one of `holders`, which are sorted by zone, but none that
-    /// `tried` returns true for.
+    /// Chooses one of the holders, but none that `tried` returns true for.
     pub(crate) fn choose(
         &self,
         rng: &mut Pcg64Mcg,
-        holders: &[(u16, u32)],
+        all: &Holders,
         purpose: Purpose,
         tried: impl Fn(u32) -> bool,
     ) -> Option<Choice> {
+        let holders = all.targets.as_slice();
         let usable = |slot| (!tried(slot)).then(|| self.target(slot));
         if self.options.mode == DispatchMode::Direct {
             return self.direct(rng, holders, &tried);
@@ -77,14 +74,15 @@
         for shared in [true, false] {
             if shared
                 && purpose == Purpose::Serve
+                && !all.cold.is_empty()
                 && rng.random_range(0..100) < self.options.cold_percent
-                && let Some(slot) = self.pick(rng, holders, shared, idle)
+                && let Some(slot) = self.pick(rng, &all.cold, shared, idle)
             {
                 return normal(slot);
             }
             if let Some(slot) = self
                 .pick(rng, holders, shared, warm)
-                .or_else(|| self.pick(rng, holders, shared, cold))
+                .or_else(|| self.pick(rng, &all.cold, shared, cold))
             {
                 return normal(slot);
             }
@@ -145,6 +143,10 @@
 
     /// Chooses a zone by share among those with a suitable member, and then
     /// the better of two random members.
+    ///
+    /// A zone without a suitable member is found out only when it is drawn,
+    /// and then drawn no more. This gives the same distribution as looking
+    /// at every member of every zone and costs far less.
     fn pick(
         &self,
         rng: &mut Pcg64Mcg,
@@ -152,45 +154,47 @@
         shared: bool,
         suits: impl Fn(u32) -> bool,
     ) -> Option<u32> {
-        self.pick_among(rng, holders, shared, LOOKS, &suits).or_else(|| {
-            if holders.len() <= LOOKS {
-                return None;
+        let mut excluded = 0u128;
+        loop {
+            let (bit, group) =
+                self.draw_zone(rng, holders, shared, excluded)?;
+            if let Some((a, b)) = two_of(rng, group, &suits) {
+                return Some(self.better(a, b));
             }
-            self.pick_among(rng, holders, shared, usize::MAX, &suits)
-        })
+            excluded |= bit;
+        }
     }
 
-    fn pick_among(
+    /// Draws one zone by share, and the members that it has.
+    fn draw_zone<'h>(
         &self,
         rng: &mut Pcg64Mcg,
-        holders: &[(u16, u32)],
+        holders: &'h [(u16, u32)],
         shared: bool,
-        looks: usize,
-        suits: &impl Fn(u32) -> bool,
-    ) -> Option<u32> {
-        let mut best = None;
+        excluded: u128,
+    ) -> Option<(u128, &'h [(u16, u32)])> {
+        let mut drawn = None;
         let mut total = 0;
+        let mut bit = 1u128;
         let mut rest = holders;
-        while let Some(&(zone, _)) = rest.first() {
+        while let Some(&(zone, _)) = rest.first()
+            && bit != 0
+        {
             let len = rest.partition_point(|x| x.0 == zone);
             let (group, tail) = rest.split_at(len);
             rest = tail;
             let share = self.shares.get(usize::from(zone)).copied();
             let share = share.unwrap_or(0);
-            if (share > 0) != shared {
-                continue;
-            }
-            let Some(pair) = two_of(rng, group, looks, suits) else {
-                continue;
-            };
-            let weight = share.max(1);
-            total += weight;
-            if total == weight || rng.random_range(0..total) < weight {
-                best = Some(pair);
+            if (share > 0) == shared && excluded & bit == 0 {
+                let weight = share.max(1);
+                total += weight;
+                if total == weight || rng.random_range(0..total) < weight {
+                    drawn = Some((bit, group));
+                }
             }
+            bit <<= 1;
         }
-        let (a, b) = best?;
-        Some(self.better(a, b))
+        drawn
     }
 
     fn better(&self, a: u32, b: u32) -> u32 {
@@ -218,27 +222,16 @@
 fn two_of(
     rng: &mut Pcg64Mcg,
     group: &[(u16, u32)],
-    looks: usize,
     suits: &impl Fn(u32) -> bool,
 ) -> Option<(u32, u32)> {
-    let start = match group.len() {
-        1 => 0,
-        n => rng.random_range(0..n),
-    };
-    let mut suitable = group[start..]
-        .iter()
-        .chain(&group[..start])
-        .take(looks)
-        .map(|x| x.1)
-        .filter(|&slot| suits(slot));
-    let first = suitable.next()?;
-    // Reservoir sampling of the second, so that neighbours in the table are
-    // not always compared with each other.
-    let mut second = first;
-    for (i, slot) in suitable.enumerate() {
-        if i == 0 || rng.random_range(0..=i) == 0 {
-            second = slot;
-        }
+    let n = group.len();
+    if n == 1 {
+        let slot = group[0].1;
+        return suits(slot).then_some((slot, slot));
     }
-    Some((first, second))
+    let from =
+        |start: usize| (start..n).chain(0..start).find(|&i| suits(group[i].1));
+    let i = from(rng.random_range(0..n))?;
+    let j = from((i + rng.random_range(1..n)) % n)?;
+    Some((group[i].1, group[j].1))
 }
--- a/crates/core/src/query/dispatch.rs
+++ b/crates/core/src/query/dispatch.rs
@@ -14,7 +14,7 @@
         },
         api::{FailureReason, Message, QueryEffect, ShardRequest},
         choose::{Choice, Chooser, Purpose},
-        index::{Asked, one_shard},
+        index::{Asked, NOBODY, one_shard},
         options::DispatchMode,
         root::{Queries, micros},
     },
@@ -58,29 +58,28 @@
         }
     }
 
-    /// Estimated wait at the best replica of the shard that waits longest.
-    pub(super) fn worst_wait(
+    /// Whether for some shard the estimated wait exceeds `budget` even at the
+    /// best replica.
+    pub(super) fn is_hopeless(
         &self,
         query: &Active,
         route: usize,
         index: usize,
-    ) -> Duration {
+        budget: Duration,
+    ) -> bool {
         let index = &self.table.routes[route].index.snapshots[index];
-        let mut worst = Duration::ZERO;
-        let mut look = |shard| {
-            // A few replicas are enough: the estimate refuses only if even
-            // the best of them is hopeless.
-            let holders = index.holders(shard).iter().take(16);
-            let targets = holders.map(|x| &self.table.targets[x.1 as usize]);
-            let best = targets.map(|t| t.wait()).min();
-            worst = worst.max(best.unwrap_or_default());
+        let hopeless = |shard| {
+            let holders = &index.holders(shard).targets;
+            let in_time = |&(_, slot): &(u16, u32)| {
+                self.table.targets[slot as usize].wait() <= budget
+            };
+            !holders.is_empty() && !holders.iter().any(in_time)
         };
         match query.asked() {
-            Asked::All => (0..index.shard_count).for_each(look),
-            Asked::List(asked) => asked.iter().copied().for_each(look),
-            Asked::One(hash) => look(one_shard(hash, index.shard_count)),
+            Asked::All => (0..index.shard_count).any(hopeless),
+            Asked::List(asked) => asked.iter().copied().any(hopeless),
+            Asked::One(hash) => hopeless(one_shard(hash, index.shard_count)),
         }
-        worst
     }
 
     /// Plans a query that may be sent and sends its first requests.
@@ -121,7 +120,7 @@
             // The index does not change while requests are planned.
             let holders = match route.index.find(snapshot, shard_count) {
                 Some(x) => x.holders(shard.shard),
-                None => &[],
+                None => &NOBODY,
             };
             let chooser = Chooser {
                 table: &self.table,
--- a/crates/core/src/query/index.rs
+++ b/crates/core/src/query/index.rs
@@ -34,10 +34,24 @@
 pub(crate) struct Holders {
     /// Zone and slot of each target, sorted.
     pub(crate) targets: Vec<(u16, u32)>,
+    /// Those of them that are usable and cold.
+    pub(crate) cold: Vec<(u16, u32)>,
     /// How many of them are usable.
     usable: u32,
 }
 
+/// Holders of a shard that nobody holds.
+pub(crate) static NOBODY: Holders =
+    Holders { targets: Vec::new(), cold: Vec::new(), usable: 0 };
+
+/// What reports say about a target, as far as the index depends on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Condition {
+    pub(crate) usable: bool,
+    /// Usable and cold.
+    pub(crate) cold: bool,
+}
+
 /// One snapshot as the targets of a route hold it. Targets that disagree on
 /// the shard count are indexed apart, because their shard numbers mean
 /// different documents.
@@ -57,11 +71,8 @@
     }
 
     /// Targets that hold the shard.
-    pub(crate) fn holders(&self, shard: u32) -> &[(u16, u32)] {
-        match self.shards.get(shard as usize) {
-            Some(x) => &x.targets,
-            None => &[],
-        }
+    pub(crate) fn holders(&self, shard: u32) -> &Holders {
+        self.shards.get(shard as usize).unwrap_or(&NOBODY)
     }
 
     /// Number of shards asked, and of those with a usable target.
@@ -95,7 +106,7 @@
         &mut self,
         h: &Holding,
         at: (u16, u32),
-        usable: bool,
+        is: Condition,
     ) {
         if h.shard_count > MAX_SHARDS || h.shard >= h.shard_count {
             return;
@@ -124,7 +135,12 @@
         if let Err(j) = holders.targets.binary_search(&at) {
             holders.targets.insert(j, at);
             index.holders += 1;
-            if usable {
+            if is.cold
+                && let Err(j) = holders.cold.binary_search(&at)
+            {
+                holders.cold.insert(j, at);
+            }
+            if is.usable {
                 holders.usable += 1;
                 index.usable += u32::from(holders.usable == 1);
             }
@@ -136,7 +152,7 @@
         &mut self,
         h: &Holding,
         at: (u16, u32),
-        usable: bool,
+        is: Condition,
     ) {
         let key = Reverse((h.snapshot, h.shard_count));
         let found = self.snapshots.binary_search_by_key(&key, |x| x.key());
@@ -148,7 +164,12 @@
         if let Ok(j) = holders.targets.binary_search(&at) {
             holders.targets.remove(j);
             index.holders -= 1;
-            if usable {
+            if is.cold
+                && let Ok(j) = holders.cold.binary_search(&at)
+            {
+                holders.cold.remove(j);
+            }
+            if is.usable {
                 holders.usable -= 1;
                 index.usable -= u32::from(holders.usable == 0);
             }
--- a/crates/core/src/query/root.rs
+++ b/crates/core/src/query/root.rs
@@ -244,14 +244,14 @@
         else {
             return Err((Reason::NoReplica, "no target holds the index"));
         };
-        if is_home && query.policy == AnswerPolicy::Coverage {
-            let wait = self.worst_wait(&query, position, index);
-            if wait > budget {
-                return Err((
-                    Reason::Overloaded,
-                    "the estimated wait exceeds the deadline",
-                ));
-            }
+        if is_home
+            && query.policy == AnswerPolicy::Coverage
+            && self.is_hopeless(&query, position, index, budget)
+        {
+            return Err((
+                Reason::Overloaded,
+                "the estimated wait exceeds the deadline",
+            ));
         }
         Ok(query)
     }
--- a/crates/core/src/query/table.rs
+++ b/crates/core/src/query/table.rs
@@ -10,7 +10,7 @@
     placement::{self, BundleKey, Candidate},
     query::{
         budget::{ExtraLoad, Latencies},
-        index::RouteIndex,
+        index::{Condition, RouteIndex},
         options::{DispatchMode, QueryOptions},
     },
     snapshot::Holding,
@@ -53,8 +53,11 @@
 
     /// Whether reports allow new work.
     pub(crate) fn is_usable(&self) -> bool {
-        use TargetState::{Cold, Ready, Warming};
-        self.limit > 0 && matches!(self.state, Some(Cold | Warming | Ready))
+        self.condition().usable
+    }
+
+    fn condition(&self) -> Condition {
+        condition(self.state, self.limit)
     }
 
     pub(crate) fn is_cold(&self) -> bool {
@@ -77,6 +80,12 @@
     }
 }
 
+fn condition(state: Option<TargetState>, limit: u32) -> Condition {
+    use TargetState::{Cold, Ready, Warming};
+    let usable = limit > 0 && matches!(state, Some(Cold | Warming | Ready));
+    Condition { usable, cold: usable && state == Some(Cold) }
+}
+
 /// A bundle and its home and standby.
 #[derive(Clone, Debug)]
 struct Bundle {
@@ -410,11 +419,8 @@
         let TargetReport { state, limit, running, queued, mut holds, .. } =
             report;
         holds.truncate(MAX_HOLDINGS);
-        let was_usable = t.is_usable();
-        let is_usable = state != TargetState::Leaving
-            && state != TargetState::Down
-            && limit > 0;
-        let reindex = was_usable != is_usable || t.holds != holds;
+        let reindex =
+            t.condition() != condition(Some(state), limit) || t.holds != holds;
         if reindex {
             self.index_target(slot, false);
         }
@@ -442,15 +448,15 @@
         if self.zones_out[usize::from(t.zone)] {
             return;
         }
-        let usable = t.is_usable();
+        let is = t.condition();
         let at = (t.zone, slot);
         for &r in &self.service_routes[t.service as usize] {
             let index = &mut self.routes[r as usize].index;
             for h in &t.holds {
                 if add {
-                    index.insert(h, at, usable);
+                    index.insert(h, at, is);
                 } else {
-                    index.remove(h, at, usable);
+                    index.remove(h, at, is);
                 }
             }
         }
