--- a/crates/core/tests/target.rs
+++ b/crates/core/tests/target.rs
@@ -2,7 +2,12 @@
 
 mod target_support;
 
-use primrosemast_core::{target::*, time::Time, verdict::Verdict};
+use std::time::Duration;
+
+use primrosemast_core::{
+    config::Priority, id::TargetId, snapshot::Holding, target::*, time::Time,
+    verdict::Verdict,
+};
 use target_support::*;
 
 /// Guards against jobs that are lost between submission and answer.
@@ -51,3 +56,475 @@
     assert_eq!(sends(&rig.effects).len(), 1);
     assert_eq!(rig.report().running, 2);
 }
+
+fn failed(verdict: Verdict) -> JobOutcome {
+    JobOutcome::Failed { verdict }
+}
+
+fn codes(effects: &[TargetEffect]) -> Vec<u16> {
+    let code = |effect: &TargetEffect| match effect {
+        TargetEffect::Log(event) => Some(event.kind.code),
+        _ => None,
+    };
+    effects.iter().filter_map(code).collect()
+}
+
+/// Guards against a full queue that drops urgent work before reports.
+#[test]
+fn a_full_queue_sheds_low_priority_and_late_deadlines_first() {
+    let mut rig = Rig::ready(1);
+    rig.send();
+    // 20 ms serve four jobs of 5 ms each.
+    let mut shed = Vec::new();
+    let mut submitted = Vec::new();
+    for (priority, within) in [
+        (Priority::Report, 18),
+        (Priority::Normal, 20),
+        (Priority::Normal, 19),
+        (Priority::Urgent, 20),
+        (Priority::Urgent, 20),
+        (Priority::Urgent, 20),
+    ] {
+        let mut job = rig.job();
+        (job.priority, job.deadline) = (priority, rig.now + ms(within));
+        submitted.push(job.id);
+        shed.extend(dones(rig.step(TargetEvent::Submit(job))));
+    }
+    let expected = [0, 1].map(|i| (submitted[i], JobOutcome::Shed));
+    assert_eq!(shed, expected);
+}
+
+/// Guards against late urgent work behind work that can wait.
+#[test]
+fn the_queue_is_served_by_priority_then_deadline() {
+    let mut rig = Rig::with_target(1);
+    let (mut conn, mut current) = rig.send();
+    let mut ids = Vec::new();
+    for (priority, within) in [
+        (Priority::Report, 100),
+        (Priority::Normal, 300),
+        (Priority::Normal, 200),
+        (Priority::Urgent, 900),
+    ] {
+        let mut job = rig.job();
+        (job.priority, job.deadline) = (priority, rig.now + ms(within));
+        ids.push(job.id);
+        rig.step(TargetEvent::Submit(job));
+    }
+    for i in [3, 2, 1, 0] {
+        rig.answer(conn, &current);
+        (conn, current) = sends(&rig.effects).remove(0);
+        assert_eq!(current.id, ids[i]);
+    }
+}
+
+/// Guards H3: a cold target must not get its full load at once.
+#[test]
+fn the_limit_grows_by_one_for_eight_good_answers() {
+    let mut rig = Rig::with_target(4);
+    for limit in 1..4 {
+        for _ in 0..8 {
+            assert_eq!(rig.report().limit, limit);
+            rig.serve(ms(5));
+        }
+    }
+    assert_eq!((rig.report().limit, rig.state()), (4, TargetState::Ready));
+}
+
+/// Guards H3: a target that turned cold without notice keeps its full load.
+#[test]
+fn three_slow_answers_in_a_row_make_a_target_cold() {
+    let mut rig = Rig::ready(2);
+    for latency in [45, 45, 5, 45, 45] {
+        rig.serve(ms(latency));
+        assert_eq!(rig.state(), TargetState::Ready);
+    }
+    rig.serve(ms(45));
+    assert_eq!((rig.state(), rig.report().limit), (TargetState::Cold, 1));
+}
+
+/// Guards against a target that is cold over and over, or for good, after
+/// the whole back end has become slower.
+#[test]
+fn a_lasting_slow_down_is_accepted_after_one_cold_phase() {
+    let mut rig = Rig::ready(2);
+    let mut before = rig.state();
+    let mut falls = 0;
+    for _ in 0..300 {
+        rig.serve(ms(60));
+        let state = rig.state();
+        falls += u32::from(state == TargetState::Cold && before != state);
+        before = state;
+    }
+    assert_eq!((falls, before), (1, TargetState::Ready));
+}
+
+/// Guards H3: a restarted process is cold, whoever says so.
+#[test]
+fn a_new_boot_id_or_uptime_makes_a_target_cold() {
+    let mut rig = Rig::ready(2);
+    let (conn, job) = rig.send();
+    let answer = TargetAnswer { boot_id: Some(2), ..answer_to(&job) };
+    rig.step(TargetEvent::Answer(conn, job.id, answer));
+    assert_eq!(rig.state(), TargetState::Cold);
+
+    let mut rig = Rig::ready(2);
+    rig.health(Some(health(HealthStatus::Ok, 2)));
+    assert_eq!(rig.state(), TargetState::Cold);
+
+    let mut rig = Rig::ready(2);
+    rig.now += ms(2_000);
+    let report = health(HealthStatus::Ok, BOOT);
+    rig.health(Some(HealthReport { uptime_ms: 10, ..report }));
+    assert_eq!(rig.state(), TargetState::Cold);
+}
+
+/// Guards F12: health reports must not stop a target that answers, nor warm
+/// one that does not.
+#[test]
+fn answers_win_over_health_reports() {
+    let mut rig = Rig::with_target(2);
+    for _ in 0..20 {
+        rig.health(Some(health(HealthStatus::Ok, BOOT)));
+    }
+    assert_eq!(rig.state(), TargetState::Cold);
+    rig.warm_up();
+    for _ in 0..5 {
+        rig.health(None);
+        rig.health(Some(health(HealthStatus::Cold, BOOT)));
+        assert_eq!(rig.state(), TargetState::Ready);
+    }
+    // A boot id that answers have refuted counts once.
+    rig.health(Some(health(HealthStatus::Ok, 9)));
+    assert_eq!(rig.state(), TargetState::Cold);
+    rig.warm_up();
+    rig.health(Some(health(HealthStatus::Ok, BOOT)));
+    rig.health(Some(health(HealthStatus::Ok, 9)));
+    assert_eq!(rig.state(), TargetState::Ready);
+    // Without answers, missing reports lower the trust, but not to `Down`.
+    rig.now += ms(2_000);
+    rig.health(None);
+    rig.health(None);
+    assert_eq!((rig.state(), rig.report().limit), (TargetState::Cold, 1));
+    rig.serve(ms(5));
+}
+
+/// Guards against more load for a target that refuses it, and against a
+/// limit that falls to one because a burst was shed together.
+#[test]
+fn a_shed_answer_halves_the_limit_once_for_a_burst() {
+    let mut rig = Rig::ready(8);
+    let burst: Vec<_> = (0..4).map(|_| rig.send()).collect();
+    rig.now += ms(1);
+    for (conn, job) in burst {
+        rig.step(TargetEvent::Answer(conn, job.id, refusal(503)));
+        assert_eq!(dones(&rig.effects), [(job.id, JobOutcome::Shed)]);
+        assert_eq!(rig.report().limit, 4);
+    }
+    let (conn, job) = rig.send();
+    rig.step(TargetEvent::Answer(conn, job.id, refusal(503)));
+    assert_eq!(rig.report().limit, 2);
+}
+
+/// Guards F10: a target that limits its connections is asked for fewer.
+#[test]
+fn a_refused_connection_lowers_the_number_in_use() {
+    let mut rig = Rig::ready(3);
+    let burst: Vec<_> = (0..3).map(|_| rig.send()).collect();
+    let (conn, job) = burst[2].clone();
+    rig.step(TargetEvent::Answer(conn, job.id, refusal(429)));
+    assert_eq!(dones(&rig.effects), [(job.id, JobOutcome::Shed)]);
+    assert_eq!(closes(&rig.effects), [conn]);
+    rig.submit();
+    // Longer than the pause of at most 100 ms after the refusal. Bytes of
+    // the answers keep the connections from being replaced.
+    for _ in 0..20 {
+        for (conn, _) in &burst[..2] {
+            rig.step(TargetEvent::Received(*conn));
+        }
+        assert_eq!(connects(&rig.pass(ms(10))), []);
+    }
+}
+
+/// Guards F3: what a target holds changes while queries run.
+#[test]
+fn a_target_without_the_shard_updates_what_it_holds() {
+    let mut rig = Rig::with_target(1);
+    let (conn, job) = rig.send();
+    let held = Holding { shard: 1, ..holding() };
+    let answer = TargetAnswer { holds: Some(vec![held]), ..refusal(409) };
+    rig.step(TargetEvent::Answer(conn, job.id, answer));
+    assert_eq!(dones(&rig.effects), [(job.id, JobOutcome::NotHeld)]);
+    assert_eq!(rig.report().holds, [held]);
+    let told = |e: &TargetEffect| matches!(e, TargetEffect::Report(_));
+    assert!(rig.effects.iter().any(told), "{:?}", rig.effects);
+}
+
+/// Guards H5: an answer is delivered only if it belongs to the request.
+#[test]
+fn an_answer_that_does_not_match_closes_the_connection() {
+    let damage: [fn(&mut TargetAnswer); 7] = [
+        |a| a.request_id = a.request_id.replace("-1-", "-2-"),
+        |a| a.request_id.push('0'),
+        |a| a.request_id.clear(),
+        |a| a.snapshot.as_mut().unwrap().partition_map += 1,
+        |a| a.shard = Some(2),
+        |a| a.checksum = None,
+        |a| a.body_checksum ^= 1,
+    ];
+    for (i, damage) in damage.into_iter().enumerate() {
+        for repeatable in [true, false] {
+            let mut rig = Rig::with_target(1);
+            let mut job = rig.job();
+            job.repeatable = repeatable;
+            rig.step(TargetEvent::Submit(job.clone()));
+            let (conn, _) = rig.open_all().remove(0);
+            let mut answer = answer_to(&job);
+            damage(&mut answer);
+            rig.step(TargetEvent::Answer(conn, job.id, answer));
+            let ran = i > 2 && !repeatable;
+            let verdict = if ran { Verdict::Ran } else { Verdict::MayHaveRun };
+            assert_eq!(dones(&rig.effects), [(job.id, failed(verdict))]);
+            assert_eq!(closes(&rig.effects), [conn], "damage {i}");
+            assert!(codes(&rig.effects).contains(&205));
+        }
+    }
+}
+
+/// Guards H5: the answer to a request that was given up must not reach the
+/// next one on the same connection.
+#[test]
+fn a_connection_with_an_unanswered_request_is_not_used_again() {
+    let mut rig = Rig::with_target(1);
+    let (conn, job) = rig.send();
+    rig.step(TargetEvent::Cancel(job.id));
+    assert_eq!(dones(&rig.effects), [(job.id, failed(Verdict::MayHaveRun))]);
+    assert_eq!(closes(&rig.effects), [conn]);
+    rig.answer(conn, &job);
+    assert_eq!(rig.effects, []);
+    rig.submit();
+    let opened = rig.pass(ms(25));
+    assert!(!connects(&opened).contains(&conn), "{opened:?}");
+    assert_eq!(connects(&opened).len(), 1);
+}
+
+/// Guards the slots in the target's own view: it works on a request until
+/// the cancellation has arrived.
+#[test]
+fn a_cancelled_request_counts_against_the_slots_for_a_while() {
+    let mut rig = Rig::with_target(1);
+    let (_, job) = rig.send();
+    rig.step(TargetEvent::Cancel(job.id));
+    let asked =
+        |e: &TargetEffect| matches!(e, TargetEffect::CancelRemote { .. });
+    assert!(rig.effects.iter().any(asked));
+    rig.submit();
+    assert_eq!(rig.report().running, 1);
+    assert_eq!(connects(&rig.pass(ms(24))), []);
+    assert_eq!(connects(&rig.pass(ms(1))).len(), 1);
+}
+
+/// Guards F9: requests must not wait on connections that went silent.
+#[test]
+fn a_silent_connection_is_closed_when_the_target_answers_a_probe() {
+    let mut rig = Rig::ready(2);
+    // Two connections; the idle one has gone silent together with the other.
+    let (first, a) = rig.send();
+    let (second, b) = rig.send();
+    rig.answer(first, &a);
+    rig.answer(second, &b);
+    rig.now += ms(1);
+    let (conn, job) = rig.send();
+    rig.now += ms(20);
+    rig.step(TargetEvent::Tick);
+    assert_eq!(probes(&rig.effects).len(), 1);
+    assert_eq!(closes(&rig.effects), []);
+    rig.health(Some(health(HealthStatus::Ok, BOOT)));
+    assert_eq!(dones(&rig.effects), [(job.id, failed(Verdict::MayHaveRun))]);
+    let mut closed = closes(&rig.effects);
+    closed.sort();
+    assert!(closed.contains(&conn));
+    assert_eq!(closed, [first.min(second), first.max(second)]);
+    assert!(codes(&rig.effects).contains(&204));
+}
+
+/// Guards against killed requests of a target that is down or only slow.
+#[test]
+fn silence_is_not_concluded_without_proof() {
+    let mut rig = Rig::ready(2);
+    let (conn, job) = rig.send();
+    rig.now += ms(20);
+    rig.step(TargetEvent::Tick);
+    rig.health(None);
+    assert_eq!((dones(&rig.effects), closes(&rig.effects)), (vec![], vec![]));
+    rig.now += ms(15);
+    rig.step(TargetEvent::Received(conn));
+    assert_eq!(probes(&rig.pass(ms(19))).len(), 0);
+    assert_eq!(dones(rig.answer(conn, &job)).len(), 1);
+    // A target that is slower than expected gets more time at each attempt,
+    // so that its answers arrive in the end.
+    let waits: Vec<Duration> = (0..3)
+        .map(|_| {
+            let (_, job) = rig.send();
+            let sent_at = rig.now;
+            while !dones(&rig.effects).iter().any(|d| d.0 == job.id) {
+                rig.effects = rig.pass(ms(1));
+            }
+            let wait = rig.now.since(sent_at);
+            rig.pass(ms(30));
+            wait
+        })
+        .collect();
+    assert!(waits[1] > waits[0] * 3 / 2 && waits[2] > waits[1] * 3 / 2);
+}
+
+/// Guards H7: a request that must not be repeated is not lost on a
+/// connection that was idle for long.
+#[test]
+fn a_job_that_must_not_be_repeated_gets_a_fresh_connection() {
+    let mut rig = Rig::ready(1);
+    let old = rig.send();
+    rig.answer(old.0, &old.1);
+    rig.pass(ms(5_001));
+    let mut job = rig.job();
+    job.repeatable = false;
+    rig.step(TargetEvent::Submit(job.clone()));
+    assert_eq!(sends(&rig.effects), []);
+    let (conn, sent) = rig.open_all().remove(0);
+    assert_eq!(sent.id, job.id);
+    assert_ne!(conn, old.0);
+    // A repeatable job uses the old one.
+    rig.answer(conn, &sent);
+    rig.pass(ms(5_001));
+    rig.submit();
+    assert_eq!(sends(&rig.effects).len(), 1);
+}
+
+/// Guards H4 and H8: no new work for zones that are out and targets that
+/// leave, while running work finishes.
+#[test]
+fn no_new_work_for_a_target_that_is_out_leaving_or_given_up() {
+    let change = |f: fn(&mut TargetSpec)| {
+        let mut spec = spec(1, 1);
+        f(&mut spec);
+        TargetEvent::Configure(vec![spec])
+    };
+    let leaving = Some(health(HealthStatus::Leaving, BOOT));
+    for stop in [
+        change(|spec| spec.zone_out = true),
+        change(|spec| spec.role = HomeRole::None),
+        TargetEvent::Configure(vec![]),
+        TargetEvent::Health(TargetId(1), leaving),
+        TargetEvent::PlatformLeaving(TargetId(1), true),
+    ] {
+        let mut rig = Rig::ready(1);
+        let (conn, running) = rig.send();
+        let queued = rig.submit();
+        rig.step(stop);
+        assert_eq!(dones(&rig.effects), [(queued.id, JobOutcome::Shed)]);
+        let refused = rig.submit();
+        assert_eq!(dones(&rig.effects), [(refused.id, JobOutcome::Shed)]);
+        let ended = dones(rig.answer(conn, &running));
+        assert!(matches!(ended[0].1, JobOutcome::Answered { .. }));
+    }
+    // Returned zones and targets are cold.
+    let mut rig = Rig::ready(2);
+    rig.step(change(|spec| spec.zone_out = true));
+    rig.step(change(|_| {}));
+    assert_eq!(rig.state(), TargetState::Cold);
+    rig.step(TargetEvent::PlatformLeaving(TargetId(1), true));
+    assert_eq!((rig.state(), rig.report().limit), (TargetState::Leaving, 0));
+    rig.step(TargetEvent::PlatformLeaving(TargetId(1), false));
+    assert_eq!((rig.state(), rig.report().limit), (TargetState::Cold, 1));
+}
+
+/// Guards the connections of a target against former homes.
+#[test]
+fn idle_connections_are_closed_when_the_home_moves_and_after_a_while() {
+    let mut rig = Rig::ready(1);
+    let (conn, job) = rig.send();
+    rig.answer(conn, &job);
+    rig.step(TargetEvent::Configure(vec![]));
+    assert_eq!(closes(&rig.effects), [conn]);
+    assert_eq!(rig.targets.next_deadline(), None);
+    let mut rig = Rig::ready(1);
+    let (conn, job) = rig.send();
+    rig.answer(conn, &job);
+    assert_eq!(closes(&rig.pass(ms(29_999))), []);
+    assert_eq!(closes(&rig.pass(ms(1))), [conn]);
+}
+
+/// Guards the slots while the former home may still be sending.
+#[test]
+fn a_new_home_keeps_to_the_limit_of_a_standby_for_a_second() {
+    let configured =
+        |role| TargetEvent::Configure(vec![TargetSpec { role, ..spec(1, 4) }]);
+    let mut rig = Rig::ready(4);
+    rig.step(configured(HomeRole::Standby));
+    let sent: Vec<_> = (0..4)
+        .flat_map(|_| {
+            rig.submit();
+            rig.open_all()
+        })
+        .collect();
+    assert_eq!(sent.len(), 2);
+    rig.step(configured(HomeRole::Home));
+    assert_eq!(rig.report().limit, 2);
+    rig.pass(ms(999));
+    assert_eq!(rig.report().limit, 2);
+    rig.pass(ms(1));
+    assert_eq!(rig.report().limit, 4);
+}
+
+/// Guards against connection storms on a target that is down.
+#[test]
+fn a_target_that_refuses_connections_is_retried_with_backoff() {
+    let mut rig = Rig::ready(1);
+    let (conn, running) = rig.send();
+    let closed = CloseReason::MayHaveSent;
+    rig.step(TargetEvent::ConnClosed(conn, closed));
+    assert_eq!(
+        dones(&rig.effects),
+        [(running.id, failed(Verdict::MayHaveRun))]
+    );
+    rig.pass(ms(30));
+    let job = rig.submit();
+    let mut conn = connects(&rig.effects)[0];
+    let mut pauses = Vec::new();
+    for i in 0..8 {
+        rig.step(TargetEvent::ConnectFailed(conn));
+        let shed = (job.id, JobOutcome::Shed);
+        assert_eq!(dones(&rig.effects).contains(&shed), i == 0);
+        assert_eq!(rig.state(), TargetState::Down);
+        let from = rig.now;
+        let mut opened = Vec::new();
+        while opened.is_empty() {
+            opened = connects(&rig.pass(ms(1)));
+        }
+        assert_eq!(opened.len(), 1);
+        conn = opened[0];
+        pauses.push(rig.now.since(from));
+    }
+    assert!(pauses[0] >= ms(50) && pauses[0] <= ms(101), "{pauses:?}");
+    assert!(pauses[7] >= ms(2_500) && pauses[7] <= ms(5_001), "{pauses:?}");
+    rig.step(TargetEvent::Connected(conn));
+    assert_eq!((rig.state(), rig.report().limit), (TargetState::Cold, 1));
+}
+
+/// Guards the fleet against a message for every job.
+#[test]
+fn reports_are_sent_at_once_for_state_and_limit_but_else_twice_a_second() {
+    let mut rig = Rig::ready(1);
+    rig.pass(ms(1_000));
+    let mut reports = 0;
+    for _ in 0..200 {
+        rig.serve(ms(5));
+        let told = |e: &&TargetEffect| matches!(e, TargetEffect::Report(_));
+        reports += rig.effects.iter().filter(told).count();
+        reports += rig.pass(ms(5)).iter().filter(told).count();
+    }
+    assert!((2..=5).contains(&reports), "{reports} in two seconds");
+    rig.step(TargetEvent::PlatformLeaving(TargetId(1), true));
+    let told = |e: &TargetEffect| matches!(e, TargetEffect::Report(_));
+    assert!(rig.effects.iter().any(told));
+}
