Pass confirmations on, and keep placements up to date

Cause: control replicas answered every instance, so at 1,000 nodes each sent 52 KB/s; an instance cut off from them relied on the fleet alone.

Change: `Compared` gains `confirmed`, the age of the sender's confirmation. Instances of a large fleet ask along a tree, and any instance that misses the control replicas uses the confirmation of another one before it falls back on the fleet.

--- a/crates/core/src/config_sync/lease.rs
+++ b/crates/core/src/config_sync/lease.rs
@@ -1,5 +1,7 @@
+use std::time::Duration;
+
 use crate::{
-    config_sync::SyncOptions,
+    config_sync::{Confirmation, SyncOptions},
     id::{ConfigVersion, InstanceId},
     membership::{Member, MemberState},
     time::Time,
@@ -13,6 +15,7 @@
     pub(crate) logged: Option<ConfigVersion>,
     pub(crate) voters: u32,
     pub(crate) control_group: u64,
+    pub(crate) confirmed: Option<Confirmation>,
 }
 
 /// One round of questions.
@@ -25,6 +28,9 @@
     /// Number of fleet members chosen for the fallback, this instance
     /// included; 0 if the fleet was not asked.
     pub(crate) fleet_asked: usize,
+    /// Whether a control quorum has answered this instance itself.
+    pub(crate) direct: bool,
+    /// Whether the lease was renewed on the word of a control quorum.
     pub(crate) confirmed: bool,
 }
 
@@ -54,6 +60,21 @@
         voters > 0 && agreeing * 2 > u64::from(voters)
     }
 
+    /// The youngest confirmation by `group` that another instance passed on
+    /// for a version that is not newer than `version`.
+    pub(crate) fn passed_on(
+        &self,
+        group: u64,
+        version: ConfigVersion,
+    ) -> Option<Duration> {
+        let usable = self.answers.iter().filter(|x| x.version <= version);
+        usable
+            .filter_map(|x| x.confirmed)
+            .filter(|x| x.group == group)
+            .map(|x| Duration::from_micros(x.age_us))
+            .min()
+    }
+
     /// Whether any control replica denies that `version` is the newest.
     pub(crate) fn control_denies(&self, version: ConfigVersion) -> bool {
         self.answers.iter().any(|x| x.logged > Some(version))
--- a/crates/core/src/config_sync/mod.rs
+++ b/crates/core/src/config_sync/mod.rs
@@ -36,6 +36,19 @@
     pub document: Bytes,
 }
 
+/// A confirmation by a control quorum that an instance passes on.
+///
+/// Who asked the sender at a time `t` knows that no version newer than the
+/// sender's was accepted before `t - age`, because the sender answered after
+/// `t`. Ages add up along a chain, so a confirmation never outlives the lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Confirmation {
+    /// The control group that confirmed.
+    pub group: u64,
+    /// Time since the control replicas were asked, in microseconds.
+    pub age_us: u64,
+}
+
 /// Messages of the protocol.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
@@ -61,6 +74,10 @@
         /// The sender's control group.
         #[serde(default)]
         control_group: u64,
+        /// The sender's last confirmation by a control quorum, if its lease
+        /// still runs.
+        #[serde(default)]
+        confirmed: Option<Confirmation>,
     },
     /// Send me the document if it is newer than this.
     Pull {
--- a/crates/core/src/config_sync/options.rs
+++ b/crates/core/src/config_sync/options.rs
@@ -9,7 +9,7 @@
 /// An instance sends no new work under a configuration for longer than this
 /// after a newer one was accepted, as long as its lease comes from a control
 /// quorum, and so in every partition in which it reaches a control quorum or
-/// no majority of the fleet. A confirmation asks a majority of the voters
+/// no majority of the fleet, directly or through others. A confirmation asks a majority of the voters
 /// after the moment from which the lease counts, and an acceptance needs a
 /// majority that logged the change before; the two share a voter, which
 /// denies the confirmation. The one exception is the fallback on a majority
@@ -31,6 +31,11 @@
     pub direct_limit: usize,
     /// Children of each instance in the tree that larger fleets use.
     pub fan_out: usize,
+    /// In fleets above `direct_limit`, so many instances ask the control
+    /// replicas for confirmation, and so many ask each instance that passes
+    /// confirmations on. Three levels are enough for 33,000 instances; each
+    /// one shortens the lease by up to `renew_interval`.
+    pub confirm_fan_out: usize,
     /// A member that died still counts in the fleet for this time.
     pub gone_memory: Duration,
     /// Number of members asked in one round of the fallback in fleets above
@@ -47,6 +52,7 @@
             pull_timeout: Duration::from_millis(200),
             direct_limit: 32,
             fan_out: 16,
+            confirm_fan_out: 32,
             gone_memory: Duration::from_secs(60),
             fleet_sample: 32,
         }
--- a/crates/core/src/config_sync/reducer.rs
+++ b/crates/core/src/config_sync/reducer.rs
@@ -1,11 +1,12 @@
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use rand::{RngExt, SeedableRng, seq::SliceRandom};
 use rand_pcg::Pcg32;
 
 use crate::{
     config_sync::{
-        ConfigRecord, Message, SyncEffect, SyncEvent, SyncOptions,
+        ConfigRecord, Confirmation, Message, SyncEffect, SyncEvent,
+        SyncOptions,
         lease::{Answer, Fleet, Round, fleet_confirms},
         tree,
     },
@@ -26,7 +27,9 @@
 /// Distribution of the configuration and the lease to serve.
 ///
 /// The lease is confirmed by a majority of the voters of the control group.
-/// Without one, it is renewed by a majority of the fleet, under these rules:
+/// An instance that does not reach one, and most instances of a large fleet,
+/// use the confirmation of another instance, with the age that it has there.
+/// Without any, the lease is renewed by a majority of the fleet, under these rules:
 ///
 /// - The instance was confirmed by a control quorum before.
 /// - No control replica that answers has logged anything newer.
@@ -52,10 +55,16 @@
     rng: Pcg32,
     members: Vec<Member>,
     fleet: Fleet,
+    /// Tree along which confirmations are passed on, until the members
+    /// change; sorting them for each question costs too much.
+    confirm_order: Option<Vec<InstanceId>>,
     own_replica: Option<OwnReplica>,
     current: Option<Arc<ConfigRecord>>,
     /// The control group that confirmed first; no other counts.
     group: Option<u64>,
+    /// Latest time at which a control quorum is known to have been asked and
+    /// to have confirmed.
+    confirmed_at: Option<Time>,
     round: Option<Round>,
     lease_until: Time,
     serving: bool,
@@ -79,9 +88,11 @@
             options,
             members: Vec::new(),
             fleet: Fleet::default(),
+            confirm_order: None,
             own_replica: None,
             current: None,
             group: None,
+            confirmed_at: None,
             round: None,
             lease_until: Time::ZERO,
             serving: false,
@@ -154,6 +165,7 @@
                 };
                 self.heard.retain(|x| known(x.0));
                 self.members = members;
+                self.confirm_order = None;
             }
             SyncEvent::Message(from, message) => {
                 self.on_message(now, from, message);
@@ -230,7 +242,7 @@
         }
         match message {
             Message::Compare { sequence, version } => {
-                let answer = self.own_answer();
+                let answer = self.own_answer(now);
                 self.send(
                     from,
                     Message::Compared {
@@ -239,6 +251,7 @@
                         logged: answer.logged,
                         voters: answer.voters,
                         control_group: answer.control_group,
+                        confirmed: answer.confirmed,
                     },
                 );
                 self.pull_if_newer(now, from, version);
@@ -249,6 +262,7 @@
                 logged,
                 voters,
                 control_group,
+                confirmed,
             } => {
                 if let Some(round) = &mut self.round
                     && round.sequence == sequence
@@ -259,6 +273,7 @@
                         logged,
                         voters,
                         control_group,
+                        confirmed,
                     });
                     self.evaluate(now);
                 }
@@ -276,7 +291,7 @@
         }
     }
 
-    fn own_answer(&self) -> Answer {
+    fn own_answer(&self, now: Time) -> Answer {
         let replica = self.own_replica.as_ref();
         let me = self.record_of(self.me);
         Answer {
@@ -285,9 +300,19 @@
             logged: replica.filter(|x| x.voter).map(|x| x.logged),
             voters: replica.map_or(0, |x| x.voters),
             control_group: me.map_or(0, |x| x.control_group),
+            confirmed: self.confirmation(now),
         }
     }
 
+    /// What this instance passes on to others.
+    fn confirmation(&self, now: Time) -> Option<Confirmation> {
+        let age = now.since(self.confirmed_at?);
+        (age < self.options.lease).then_some(Confirmation {
+            group: self.group?,
+            age_us: age.as_micros() as u64,
+        })
+    }
+
     fn pull_if_newer(
         &mut self,
         now: Time,
@@ -389,8 +414,12 @@
         }
         if now >= self.next_round {
             self.finish_round(now);
-            self.next_round = now + self.options.renew_interval;
-            self.start_round(now);
+            let passed_on = self.start_round(now);
+            // Each level of a large fleet adds the age of its question; half
+            // the interval leaves a second of the lease at the third level.
+            let interval = self.options.renew_interval;
+            let wait = if passed_on { interval / 2 } else { interval };
+            self.next_round = now + wait;
         }
     }
 
@@ -412,15 +441,45 @@
         self.send(to, Message::Compare { sequence, version });
     }
 
-    fn start_round(&mut self, now: Time) {
-        let confirmed = self.round.as_ref().is_none_or(|x| x.confirmed);
-        let control = self.members.iter().filter(|x| {
-            x.replica.is_some()
-                && self.group.is_none_or(|group| group == x.control_group)
-        });
-        let mut asked: Vec<InstanceId> = control.map(|x| x.id).collect();
+    /// Asks for a confirmation; returns whether only those were asked who
+    /// pass one on.
+    fn start_round(&mut self, now: Time) -> bool {
+        let large = self.members.len() > self.options.direct_limit;
+        // In a large fleet few instances ask the control replicas, so that
+        // the load there does not grow with the fleet.
+        // Confirmations that are passed on are up to half a lease old at the
+        // third level.
+        let limit = self.options.lease / 2 + self.options.renew_interval / 4;
+        let missed = match (&self.round, self.confirmed_at) {
+            (Some(_), Some(at)) if large => now.since(at) > limit,
+            (Some(round), _) => !round.direct,
+            (None, _) => false,
+        };
+        let mut asked = Vec::new();
+        if large {
+            let members = &self.members;
+            let order = self
+                .confirm_order
+                .get_or_insert_with(|| tree::order(ConfigVersion(0), members));
+            let fan_out = self.options.confirm_fan_out;
+            let draw = self.rng.random::<u32>() as usize;
+            asked = tree::confirmers(order, fan_out, self.me, draw);
+            // The other one only covers the time until a dead parent is
+            // noticed; asking it always doubles the load of that level.
+            if !self.rng.random_ratio(1, 4) {
+                asked.truncate(1);
+            }
+        }
+        let passed_on = !missed && !asked.is_empty();
+        if !passed_on {
+            let control = self.members.iter().filter(|x| {
+                x.replica.is_some()
+                    && self.group.is_none_or(|group| group == x.control_group)
+            });
+            asked.extend(control.map(|x| x.id));
+        }
         let mut fleet_asked = 0;
-        if !confirmed && self.group.is_some() {
+        if missed && self.group.is_some() {
             let mut sample: Vec<InstanceId> = self.fleet.ids().collect();
             if sample.len() > self.options.direct_limit {
                 sample.shuffle(&mut self.rng);
@@ -433,9 +492,9 @@
             }
             fleet_asked = sample.len();
             asked.extend(sample);
-            asked.sort_unstable();
-            asked.dedup();
         }
+        asked.sort_unstable();
+        asked.dedup();
         self.sequence += 1;
         let sequence = self.sequence;
         let version = self.version();
@@ -449,9 +508,11 @@
             started: now,
             answers: Vec::new(),
             fleet_asked,
+            direct: false,
             confirmed: false,
         });
         self.evaluate(now);
+        passed_on
     }
 
     /// Renews the lease when a control quorum has confirmed.
@@ -460,17 +521,26 @@
             return;
         };
         let version = self.version();
-        let own = Some(self.own_answer());
+        let own = Some(self.own_answer(now));
         let Some(round) = &mut self.round else { return };
-        if version == ConfigVersion(0)
-            || round.confirmed
-            || !round.control_confirms(group, version, own)
+        if version == ConfigVersion(0) || round.direct {
+            return;
+        }
+        round.direct = round.control_confirms(group, version, own);
+        let age = match round.direct {
+            true => Some(Duration::ZERO),
+            false => round.passed_on(group, version),
+        };
+        let Some(age) = age else { return };
+        let confirmed_at = round.started - age;
+        if self.confirmed_at.is_some_and(|x| x >= confirmed_at)
+            || confirmed_at + self.options.lease <= now
         {
             return;
         }
         round.confirmed = true;
-        let until = round.started + self.options.lease;
-        self.renew(now, until, false);
+        self.confirmed_at = Some(confirmed_at);
+        self.renew(now, confirmed_at + self.options.lease, false);
         if self.group.is_none() {
             self.group = Some(group);
             self.log(&log::GROUP_CHOSEN, format!("group={group:016x}"));
@@ -478,10 +548,21 @@
     }
 
     /// Renews the lease by the fleet if the control group did not answer.
+    ///
+    /// While anyone in reach passes on a young confirmation, this instance
+    /// relies on that one. The fallback waits until the lease would not
+    /// survive another round.
     fn finish_round(&mut self, now: Time) {
         let version = self.version();
+        let ends_soon = self.options.renew_interval * 3 / 2;
+        if self
+            .confirmed_at
+            .is_some_and(|x| x + self.options.lease > now + ends_soon)
+        {
+            return;
+        }
         let fleet_confirms = self.round.as_ref().is_some_and(|round| {
-            !round.confirmed
+            !round.direct
                 && fleet_confirms(round, &self.fleet, version, &self.options)
         });
         if let Some(round) = &self.round
--- a/crates/core/src/config_sync/tree.rs
+++ b/crates/core/src/config_sync/tree.rs
@@ -57,3 +57,28 @@
     let first = ((at + 1) * fan_out).min(order.len());
     &order[first..(first + fan_out).min(order.len())]
 }
+
+/// Those whom `me` asks for confirmation besides the control replicas: its
+/// parent, and another one of the parent's level in case the parent is gone.
+/// Empty for the instances that ask the control replicas themselves.
+pub(crate) fn confirmers(
+    order: &[InstanceId],
+    fan_out: usize,
+    me: InstanceId,
+    draw: usize,
+) -> Vec<InstanceId> {
+    let Some(at) = order.iter().position(|x| *x == me) else {
+        return Vec::new();
+    };
+    if at < fan_out {
+        return Vec::new();
+    }
+    // The parent of position `p` is at `p / fan_out - 1`.
+    let parent = at / fan_out - 1;
+    let (mut first, mut end) = (0, fan_out);
+    while end <= parent {
+        (first, end) = (end, (end + 1) * fan_out);
+    }
+    let other = first + draw % (end - first);
+    vec![order[parent], order[other]]
+}
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -9,7 +9,10 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::id::{InstanceId, ZoneId};
+use crate::{
+    id::{InstanceId, ZoneId},
+    membership::{Member, MemberState},
+};
 
 /// An instance that can be the home of targets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -63,3 +66,122 @@
     }
     (first.map(|x| x.2), second.map(|x| x.2))
 }
+
+/// The instances that can be homes: entry instances that do not leave.
+///
+/// Suspects stay candidates, because most suspicions are refuted and a home
+/// that moves there and back costs two warm-ups of its connections.
+pub fn candidates(members: &[Member]) -> Vec<Candidate> {
+    let can = |x: &&Member| x.entry && x.state < MemberState::Leaving;
+    let usable = members.iter().filter(can);
+    usable.map(|x| Candidate { instance: x.id, zone: x.zone }).collect()
+}
+
+/// Home and standby of one bundle.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Placed {
+    /// The bundle.
+    pub bundle: BundleKey,
+    /// The zone of its targets.
+    pub zone: ZoneId,
+    /// Where requests for its targets go.
+    pub home: Option<InstanceId>,
+    /// Where they go while the home does not answer.
+    pub standby: Option<InstanceId>,
+}
+
+/// Homes and standbys of all bundles, kept up to date with the candidates.
+#[derive(Clone, Debug, Default)]
+pub struct Placement {
+    candidates: Vec<Candidate>,
+    /// Sorted by bundle.
+    placed: Vec<Placed>,
+}
+
+impl Placement {
+    /// Replaces the bundles; returns those whose home differs from before.
+    pub fn set_bundles(
+        &mut self,
+        bundles: impl IntoIterator<Item = (BundleKey, ZoneId)>,
+    ) -> Vec<Placed> {
+        let mut bundles: Vec<(BundleKey, ZoneId)> =
+            bundles.into_iter().collect();
+        bundles.sort_unstable();
+        bundles.dedup_by_key(|x| x.0);
+        let old = std::mem::take(&mut self.placed);
+        let candidates = &self.candidates;
+        self.placed = bundles
+            .into_iter()
+            .map(|(bundle, zone)| {
+                let (home, standby) = rank(bundle, zone, candidates);
+                Placed { bundle, zone, home, standby }
+            })
+            .collect();
+        let before = |bundle| {
+            let at = old.binary_search_by_key(&bundle, |x| x.bundle).ok();
+            at.and_then(|at| old[at].home)
+        };
+        let moved = self.placed.iter().filter(|x| x.home != before(x.bundle));
+        moved.copied().collect()
+    }
+
+    /// Replaces the candidates; returns the bundles whose home has moved.
+    ///
+    /// The cost for a bundle is the number of instances that came or went. A
+    /// bundle is ranked anew among all candidates only if it has lost its
+    /// home or standby.
+    pub fn set_candidates(
+        &mut self,
+        mut candidates: Vec<Candidate>,
+    ) -> Vec<Placed> {
+        candidates.sort_unstable_by_key(|x| x.instance);
+        let old = std::mem::replace(&mut self.candidates, candidates);
+        let lost = difference(&old, &self.candidates);
+        let new = difference(&self.candidates, &old);
+        let mut moved = Vec::new();
+        if lost.is_empty() && new.is_empty() {
+            return moved;
+        }
+        let find = |id: InstanceId| {
+            let at = old.binary_search_by_key(&id, |x| x.instance).ok();
+            at.map(|at| old[at])
+        };
+        for placed in &mut self.placed {
+            let held = [placed.home, placed.standby];
+            let broken = lost.iter().any(|x| held.contains(&Some(x.instance)));
+            let (home, standby) = if broken {
+                rank(placed.bundle, placed.zone, &self.candidates)
+            } else {
+                let mut few = new.clone();
+                few.extend(held.into_iter().flatten().filter_map(find));
+                rank(placed.bundle, placed.zone, &few)
+            };
+            placed.standby = standby;
+            if placed.home != home {
+                placed.home = home;
+                moved.push(*placed);
+            }
+        }
+        moved
+    }
+
+    /// Returns the home and standby of a bundle.
+    pub fn get(&self, bundle: BundleKey) -> Option<&Placed> {
+        let at = self.placed.binary_search_by_key(&bundle, |x| x.bundle);
+        at.ok().map(|at| &self.placed[at])
+    }
+
+    /// All bundles, sorted.
+    pub fn placed(&self) -> &[Placed] {
+        &self.placed
+    }
+}
+
+/// The candidates of `left` that are not in `right` in the same zone.
+fn difference(left: &[Candidate], right: &[Candidate]) -> Vec<Candidate> {
+    let absent = |x: &&Candidate| {
+        let at = right.binary_search_by_key(&x.instance, |y| y.instance);
+        at.is_err() || at.is_ok_and(|at| right[at].zone != x.zone)
+    };
+    left.iter().filter(absent).copied().collect()
+}
--- a/crates/core/tests/config_sync.rs
+++ b/crates/core/tests/config_sync.rs
@@ -232,8 +232,11 @@
         logged: Some(ConfigVersion(logged)),
         voters,
         control_group,
+        confirmed: None,
     };
-    let cases: [(&[(u64, u64, u32, u64, u64)], bool); 7] = [
+    // Sender, newest logged version, voters, group, age of the question.
+    type Given = (u64, u64, u32, u64, u64);
+    let cases: [(&[Given], bool); 7] = [
         (&[(1, 5, 3, GROUP, 0), (2, 5, 3, GROUP, 0)], true),
         (&[(1, 5, 3, GROUP, 0), (2, 6, 3, GROUP, 0)], false),
         (&[(1, 5, 3, GROUP, 0), (1, 5, 3, GROUP, 0)], false),
@@ -258,24 +261,18 @@
     }
 }
 
+fn is_push(message: &Message) -> bool {
+    matches!(message, Message::Push(_))
+}
+
 /// Guards against members that the tree leaves out or serves twice.
 #[test]
 fn the_tree_reaches_each_member_once() {
     for size in [20, 33, 300, 1_000] {
-        let hour = secs(3_600);
-        let options = SyncOptions {
-            compare_interval: hour,
-            renew_interval: hour,
-            ..SyncOptions::default()
-        };
-        let quiet = MembershipOptions {
-            probe_interval: hour,
-            ..MembershipOptions::default()
-        };
-        let mut net = Net::with_options(6, size, 3, true, (quiet, options));
+        let mut net = Net::new(6, size, 3, true);
+        net.dropped = |x| matches!(x, PeerMessage::Sync(x) if !is_push(x));
         net.measure = Some(|message| {
-            let push = |x: &Message| matches!(x, Message::Push(_));
-            matches!(message, PeerMessage::Sync(x) if push(x)).into()
+            matches!(message, PeerMessage::Sync(x) if is_push(x)).into()
         });
         net.commit(1, 100, &[0, 1, 2]);
         net.run(Duration::from_millis(50));
@@ -287,3 +284,38 @@
         assert!(most <= Some(16), "{most:?} pushes by one of {size}");
     }
 }
+
+/// Guards against a large fleet whose lease lapses where confirmations are
+/// passed on, against load on the control replicas that grows with it, and
+/// against service that ends with the control replicas.
+#[test]
+fn a_large_fleet_keeps_its_lease() {
+    // Small limits give a small fleet the three levels of a large one.
+    let options = SyncOptions {
+        direct_limit: 4,
+        confirm_fan_out: 4,
+        ..SyncOptions::default()
+    };
+    let options = (MembershipOptions::default(), options);
+    let mut net = Net::with_options(11, 70, 3, true, options);
+    net.commit(1, 100, &[0, 1, 2]);
+    assert!(net.run_until(secs(5), |x| all_serve(x, 1)));
+    net.run(secs(5));
+    net.nodes.iter_mut().for_each(|x| x.sync_sent = (0, 0));
+    assert!(!net.run_until(secs(10), |x| !all_serve(x, 1)));
+    // If all asked the control replicas, these would send 1,400 answers.
+    let most = net.nodes.iter().map(|x| x.sync_sent.0).max();
+    assert!(most <= Some(500), "{most:?} messages in ten seconds");
+    (0..3).for_each(|x| net.crash(x));
+    assert!(!net.run_until(secs(30), |x| !all_serve(x, 1)));
+}
+
+/// Guards against a confirmation that instances keep alive among themselves
+/// after the control group has stopped answering.
+#[test]
+fn confirmations_that_are_passed_on_grow_old() {
+    let mut net = serving(12);
+    net.cut(&[6, 7, 8, 9], &[0, 1, 2, 3, 4, 5]);
+    net.run(LEASE + LOOK);
+    assert!((6..10).all(|x| !net.serving(x)));
+}
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -63,6 +63,8 @@
     pub delay_us: (u64, u64),
     /// Length of a message, where bytes and processor time are measured.
     pub measure: Option<fn(&PeerMessage) -> usize>,
+    /// Messages that are lost.
+    pub dropped: fn(&PeerMessage) -> bool,
     pub membership_time: Duration,
     pub sync_time: Duration,
     options: (MembershipOptions, SyncOptions),
@@ -137,6 +139,7 @@
             duplicates: 0.0,
             delay_us: (500, 1_000),
             measure: None,
+            dropped: |_| false,
             membership_time: Duration::ZERO,
             sync_time: Duration::ZERO,
             options,
@@ -432,7 +435,9 @@
         sent.1 += length;
         let copies = 1 + u32::from(self.rng.random_bool(self.duplicates));
         for _ in 0..copies {
-            if to < self.nodes.len() && !self.rng.random_bool(self.loss) {
+            let lost =
+                self.rng.random_bool(self.loss) || (self.dropped)(&message);
+            if to < self.nodes.len() && !lost {
                 let (low, high) = self.delay_us;
                 let delay = self.rng.random_range(low..=high);
                 let at = self.now + Duration::from_micros(delay);
