Learn stragglers from lost hedges and give slow answers half their time

Cause: in the demo a searcher 100 times slower cost one answer of 40 its coverage and let the slowest query take 515 ms. explain showed three reasons: the 20 ms silence check gave slow answers up and used the retry budget; the hedge delay of 10 ms spent the burst on requests that were not late; and a straggler whose requests lose against a hedge never looked slow, because cancelled requests were not measured. Ruled out: a lost message between instances (every attempt was acknowledged). Change: a connection is suspected after half of the request's time; a cancelled request counts as at least as slow as the time it ran; a replica twice as slow as the best holder of a shard is passed over but for 2% of the choices; the hedge delay is at most three medians, 50 ms until known.

--- a/crates/core/src/query/budget.rs
+++ b/crates/core/src/query/budget.rs
@@ -53,11 +53,16 @@
 /// walks the histogram.
 const REFRESH: u64 = 64;
 
+/// Bounds the hedge delay in medians. When more than one request in twenty
+/// straggles, the 95th percentile is the straggler itself and hedges would
+/// come too late.
+const MAX_HEDGE_MEDIANS: u64 = 3;
+
 /// Recent shard latencies of a route.
 #[derive(Clone, Debug)]
 pub(crate) struct Latencies {
     histogram: Histogram<u16>,
-    p95_us: u64,
+    hedge_us: u64,
 }
 
 impl Latencies {
@@ -66,7 +71,7 @@
         // about 6 KB.
         let histogram = Histogram::new_with_bounds(1, 60_000_000, 2)
             .expect("the bounds of the histogram are valid");
-        Latencies { histogram, p95_us: 0 }
+        Latencies { histogram, hedge_us: 0 }
     }
 
     pub(crate) fn record(&mut self, latency: Duration) {
@@ -74,15 +79,18 @@
         self.histogram.saturating_record(micros);
         let n = self.histogram.len();
         if n >= ENOUGH && n.is_multiple_of(REFRESH) {
-            self.p95_us = self.histogram.value_at_quantile(0.95);
+            let p95 = self.histogram.value_at_quantile(0.95);
+            let median = self.histogram.value_at_quantile(0.5);
+            self.hedge_us = p95.min(median * MAX_HEDGE_MEDIANS);
         }
         if n >= WINDOW {
             self.histogram.reset();
         }
     }
 
-    /// The 95th percentile, once there are enough latencies.
-    pub(crate) fn p95(&self) -> Option<Duration> {
-        (self.p95_us > 0).then(|| Duration::from_micros(self.p95_us))
+    /// When a request counts as a straggler, once there are enough
+    /// latencies.
+    pub(crate) fn hedge_delay(&self) -> Option<Duration> {
+        (self.hedge_us > 0).then(|| Duration::from_micros(self.hedge_us))
     }
 }
--- a/crates/core/src/query/choose.rs
+++ b/crates/core/src/query/choose.rs
@@ -18,6 +18,13 @@
     time::Time,
 };
 
+/// A replica this many times slower than the fastest is an outlier.
+const OUTLIER_FACTOR: u32 = 2;
+
+/// Added to the bound, so that the distance between zones (up to about 1 ms
+/// one way) makes no outlier.
+const OUTLIER_MARGIN_US: u32 = 2_000;
+
 /// A chosen replica.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Choice {
@@ -71,6 +78,13 @@
         let idle = |slot| cold(slot) && self.target(slot).load() == 0;
         let any = |slot| usable(slot).is_some_and(Target::is_usable);
         let normal = |slot| Some(Choice { slot, floor: false });
+        let best = self.best_latency(holders);
+        // Now and then a slow replica gets a request all the same, so that
+        // its recovery is seen.
+        let retry_slow = rng.random_range(0..100) < self.options.slow_percent;
+        let fast = |slot| {
+            warm(slot) && (retry_slow || !is_outlier(self.target(slot), best))
+        };
         for shared in [true, false] {
             if shared
                 && purpose == Purpose::Serve
@@ -81,7 +95,8 @@
                 return normal(slot);
             }
             if let Some(slot) = self
-                .pick(rng, holders, shared, warm)
+                .pick(rng, holders, shared, fast)
+                .or_else(|| self.pick(rng, holders, shared, warm))
                 .or_else(|| self.pick(rng, &all.cold, shared, cold))
             {
                 return normal(slot);
@@ -98,6 +113,17 @@
         self.floor(holders, tried).map(|slot| Choice { slot, floor: true })
     }
 
+    /// Lowest latency that a usable holder of the shard reports.
+    fn best_latency(&self, holders: &[(u16, u32)]) -> u32 {
+        holders
+            .iter()
+            .map(|x| self.target(x.1))
+            .filter(|t| t.is_usable() && t.latency_us > 0)
+            .map(|t| t.latency_us)
+            .min()
+            .unwrap_or(0)
+    }
+
     /// The least bad of the replicas that reports advise against: one that
     /// is not leaving and has the least load, otherwise one that was
     /// reported as leaving only a short time ago.
@@ -218,6 +244,17 @@
     }
 }
 
+/// Whether a target is so much slower than another holder of the shard that
+/// requests should go elsewhere. Zone shares yield to that, because a slow
+/// replica in a zone would make every query with the shard slow.
+fn is_outlier(t: &Target, best_us: u32) -> bool {
+    best_us > 0
+        && t.latency_us
+            > best_us
+                .saturating_mul(OUTLIER_FACTOR)
+                .saturating_add(OUTLIER_MARGIN_US)
+}
+
 /// Two random members that suit, the same twice if there is only one.
 fn two_of(
     rng: &mut Pcg64Mcg,
--- a/crates/core/src/query/dispatch.rs
+++ b/crates/core/src/query/dispatch.rs
@@ -199,8 +199,9 @@
 
     /// Time after which a shard is a straggler.
     pub(super) fn hedge_delay(&self, route: usize) -> Duration {
-        let p95 = self.table.routes[route].latencies.p95();
-        p95.unwrap_or(self.options.initial_hedge_delay)
+        let delay = self.table.routes[route].latencies.hedge_delay();
+        delay
+            .unwrap_or(self.options.initial_hedge_delay)
             .max(self.options.min_hedge_delay)
     }
 
--- a/crates/core/src/query/options.rs
+++ b/crates/core/src/query/options.rs
@@ -34,6 +34,9 @@
     /// Percentage of the choices that goes to an idle cold target, so that
     /// it warms up although warm targets are preferred.
     pub cold_percent: u32,
+    /// Percentage of the choices in which a slow replica counts like the
+    /// others, so that its recovery is seen.
+    pub slow_percent: u32,
     /// Time for which the only holder of a shard is still used after it was
     /// first reported as leaving. Below the goal of 3 s of requirement H8.
     pub leaving_grace: Duration,
@@ -54,10 +57,11 @@
             mode: DispatchMode::Home,
             hedging: true,
             home_timeout: Duration::from_millis(20),
-            initial_hedge_delay: Duration::from_millis(10),
+            initial_hedge_delay: Duration::from_millis(50),
             min_hedge_delay: Duration::from_millis(1),
             extra_load_burst: 10,
             cold_percent: 10,
+            slow_percent: 2,
             leaving_grace: Duration::from_secs(2),
             max_deadline: Duration::from_secs(600),
             explained_queries: 1_000,
--- a/crates/core/src/target/conn.rs
+++ b/crates/core/src/target/conn.rs
@@ -114,7 +114,10 @@
             ConnState::Idle { since } => *since + options.idle_max,
             ConnState::Busy(sent) if sent.suspected.is_some() => sent.deadline,
             ConnState::Busy(sent) => {
-                sent.deadline.min(sent.quiet_since + silent_after)
+                let time = sent.deadline.since(sent.at);
+                let part = time * options.silent_percent / 100;
+                let suspect_at = sent.quiet_since + silent_after;
+                sent.deadline.min(suspect_at.max(sent.at + part))
             }
         }
     }
--- a/crates/core/src/target/exchange.rs
+++ b/crates/core/src/target/exchange.rs
@@ -174,6 +174,10 @@
         }
         let running = |c: &Conn| c.sent().is_some_and(|s| s.job == job);
         if let Some(i) = self.conns.iter().position(running) {
+            if let Some(sent) = self.conns[i].sent() {
+                let waited = cx.now.since(sent.at);
+                self.latency.observe_at_least(waited);
+            }
             self.drop_conn(cx, i);
         }
     }
--- a/crates/core/src/target/latency.rs
+++ b/crates/core/src/target/latency.rs
@@ -41,6 +41,17 @@
         self.samples = self.samples.saturating_add(1);
     }
 
+    /// Notes that an answer would have taken longer than this. A straggler
+    /// whose requests always lose against a hedge would otherwise never look
+    /// slow.
+    pub(crate) fn observe_at_least(&mut self, latency: Duration) {
+        let us = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
+        if us > self.smoothed {
+            self.smoothed = (self.smoothed * 3 + us) / 4;
+            self.samples = self.samples.max(1);
+        }
+    }
+
     /// Typical latency of the target when it is warm.
     pub(crate) fn base(&self) -> Option<Duration> {
         (self.samples >= SETTLED).then(|| Duration::from_micros(self.base))
--- a/crates/core/src/target/options.rs
+++ b/crates/core/src/target/options.rs
@@ -30,6 +30,11 @@
     pub silent_factor: u32,
     /// Lower bound of the time after which a connection is suspected.
     pub silent_min: Duration,
+    /// Part of a request's time, in percent, that passes before its
+    /// connection is suspected. Before that, a slow answer cannot be told
+    /// from a lost one; giving it up costs coverage once the retry budget is
+    /// used up. What is left is the time for another attempt.
+    pub silent_percent: u32,
     /// Idle connections are closed after this time.
     pub idle_max: Duration,
     /// Connections that were idle for longer carry no request that must not
@@ -77,6 +82,7 @@
             unknown_latency: Duration::from_millis(25),
             silent_factor: 4,
             silent_min: Duration::from_millis(20),
+            silent_percent: 50,
             idle_max: Duration::from_secs(30),
             idle_trust: Duration::from_secs(5),
             connect_timeout: Duration::from_secs(1),
--- a/crates/core/tests/query.rs
+++ b/crates/core/tests/query.rs
@@ -29,7 +29,12 @@
 }
 
 fn root_of(cfg: Configuration) -> Root {
-    let mut root = Root::new(cfg, QueryOptions::default(), 7);
+    // The times in these tests are those of a hedge delay of 10 ms.
+    let options = QueryOptions {
+        initial_hedge_delay: Duration::from_millis(10),
+        ..QueryOptions::default()
+    };
+    let mut root = Root::new(cfg, options, 7);
     for zone in ["a", "b"] {
         for shard in 0..2 {
             let name = format!("{zone}{shard}");
--- a/crates/core/tests/target.rs
+++ b/crates/core/tests/target.rs
@@ -348,6 +348,42 @@
     assert!(codes(&rig.effects).contains(&204));
 }
 
+/// Guards H2: an answer that is only slow must not be given up for a lost
+/// connection while most of its time is left.
+#[test]
+fn a_slow_answer_gets_half_of_its_time() {
+    let mut rig = Rig::new(TargetOptions {
+        fleet_is_new: true,
+        ..TargetOptions::default()
+    });
+    rig.step(TargetEvent::Configure(vec![spec(1, 1)]));
+    rig.health(Some(health(HealthStatus::Ok, BOOT)));
+    rig.warm_up();
+    let (_, job) = rig.send();
+    let half = job.deadline.since(rig.now) / 2;
+    assert_eq!(dones(&rig.pass(half - ms(1))), []);
+    rig.health(Some(health(HealthStatus::Ok, BOOT)));
+    assert_eq!(dones(&rig.effects), []);
+    rig.pass(ms(2));
+    rig.health(Some(health(HealthStatus::Ok, BOOT)));
+    assert_eq!(dones(&rig.effects), [(job.id, failed(Verdict::MayHaveRun))]);
+}
+
+/// Guards against a straggler whose requests are always cancelled because a
+/// hedge wins, and which therefore never looks slow.
+#[test]
+fn a_cancelled_request_counts_as_slow() {
+    let mut rig = Rig::ready(1);
+    let before = rig.report().latency_us;
+    for _ in 0..8 {
+        let (_, job) = rig.send();
+        rig.now += ms(15);
+        rig.step(TargetEvent::Cancel(job.id));
+        rig.pass(ms(2_000));
+    }
+    assert!(rig.report().latency_us > 2 * before);
+}
+
 /// Guards against killed requests of a target that is down or only slow.
 #[test]
 fn silence_is_not_concluded_without_proof() {
--- a/crates/core/tests/target_support/mod.rs
+++ b/crates/core/tests/target_support/mod.rs
@@ -92,8 +92,13 @@
 
     /// A new fleet with one target, whose first health probe is answered.
     pub fn with_target(slots: u32) -> Rig {
-        let options =
-            TargetOptions { fleet_is_new: true, ..TargetOptions::default() };
+        // Suspicion depends on the latency alone here; the part that a
+        // request's time has in it has a test of its own.
+        let options = TargetOptions {
+            fleet_is_new: true,
+            silent_percent: 0,
+            ..TargetOptions::default()
+        };
         let mut rig = Rig::new(options);
         rig.step(TargetEvent::Configure(vec![spec(1, slots)]));
         rig.health(Some(health(HealthStatus::Ok, BOOT)));
