Fix the test of the time that a slow answer gets

Cause: the test rig answers probes itself while time passes, so the result came one step earlier than the test looked.

--- a/crates/core/tests/target.rs
+++ b/crates/core/tests/target.rs
@@ -362,11 +362,8 @@
     let (_, job) = rig.send();
     let half = job.deadline.since(rig.now) / 2;
     assert_eq!(dones(&rig.pass(half - ms(1))), []);
-    rig.health(Some(health(HealthStatus::Ok, BOOT)));
-    assert_eq!(dones(&rig.effects), []);
-    rig.pass(ms(2));
-    rig.health(Some(health(HealthStatus::Ok, BOOT)));
-    assert_eq!(dones(&rig.effects), [(job.id, failed(Verdict::MayHaveRun))]);
+    let given_up = (job.id, failed(Verdict::MayHaveRun));
+    assert_eq!(dones(&rig.pass(ms(2))), [given_up]);
 }
 
 /// Guards against a straggler whose requests are always cancelled because a
