Make the test of a resumed instance depend on the gap

Cause: a trial without the handling of the gap passed the test, because no suspicion was open when the instance froze.

Change: the instance suspects a member just before it freezes, and its incarnation must have risen after a freeze beyond the suspicion timeout.

--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -133,6 +133,7 @@
     #[test]
     fn a_resumed_instance_blames_nobody(seed: u64, frozen_ms in 200..60_000u64) {
         let mut net = joined(seed, 10);
+        suspect(&mut net, 4, 7);
         net.freeze(4);
         net.run(Duration::from_millis(frozen_ms));
         net.resume(4);
@@ -141,9 +142,21 @@
         };
         prop_assert!(!net.run_until(secs(15), blames));
         prop_assert!(net.everyone_alive());
+        if frozen_ms > 4_000 {
+            prop_assert!(incarnation(&net, 4, 4) > 1);
+        }
     }
 }
 
+/// Tells node `at` that node `of` is suspect.
+fn suspect(net: &mut Net, at: usize, of: usize) {
+    let state = MemberState::Suspect;
+    let members = vec![Member { state, ..member(of, None) }];
+    let message = Message::Full { members, reply: false };
+    let from = net.nodes[1].id;
+    net.step_membership(at, MembershipEvent::Message(from, message));
+}
+
 fn any_dead(net: &Net) -> bool {
     let live = net.live();
     live.iter().any(|&at| {
@@ -161,11 +174,7 @@
 #[test]
 fn a_false_suspicion_is_refuted() {
     let mut net = joined(5, 10);
-    let state = MemberState::Suspect;
-    let members = vec![Member { state, ..member(7, None) }];
-    let message = Message::Full { members, reply: false };
-    let from = net.nodes[1].id;
-    net.step_membership(2, MembershipEvent::Message(from, message));
+    suspect(&mut net, 2, 7);
     assert_eq!(net.state(2, 7), Some(MemberState::Suspect));
     assert!(!net.run_until(secs(10), any_dead));
     assert!((0..10).all(|x| incarnation(&net, x, 7) == 2));
