--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -134,6 +134,10 @@
         event: Event,
         out: &mut impl Extend<Effect>,
     ) {
+        // Deadlines that have passed come first. After a freeze the lease
+        // must end before a query or a shard request is handled.
+        self.tick(now, out);
+        self.run(now, out);
         match event {
             Event::Start { recovered } => {
                 self.start_replica(now, recovered, out);
@@ -162,7 +166,6 @@
             Event::Shutdown => self.shut_down(now, out),
             Event::Tick => {}
         }
-        self.tick(now, out);
         self.run(now, out);
         self.finish_shutdown(now, out);
     }
--- a/crates/core/src/node/replica.rs
+++ b/crates/core/src/node/replica.rs
@@ -12,7 +12,8 @@
         Replica, Role, Status,
     },
     control::{
-        Applied, ChangeOutcome, ControlRequest, ControlState, Message,
+        Applied, ChangeOutcome, ControlReply, ControlRequest, ControlState,
+        Message,
         client::ClientEvent,
         repair::{Repair, RepairEffect, RepairEvent},
         service::{Origin, Service, ServiceEffect, ServiceEvent},
@@ -230,6 +231,16 @@
     ) {
         match message {
             Message::Request { sequence, request } => {
+                if self.must_refuse(now, &request) {
+                    let reply = ControlReply::Refused(
+                        "the control leader does not reach a majority of \
+                         the fleet"
+                            .into(),
+                    );
+                    let message = Message::Reply { sequence, reply };
+                    self.send_control(now, from, message, out);
+                    return;
+                }
                 let wall_ms =
                     self.options.wall_epoch_ms + now.as_micros() / 1_000;
                 let origin = Origin::Peer(from, sequence);
@@ -246,6 +257,22 @@
         }
     }
 
+    /// Whether this instance leads, but is cut off from most of the fleet.
+    ///
+    /// The other side would keep its configuration until the cut heals,
+    /// because it cannot tell that the control group lives. Above the size
+    /// at which members compare directly, too few are heard from to judge.
+    fn must_refuse(&self, now: Time, request: &ControlRequest) -> bool {
+        let leads = self
+            .replica
+            .as_ref()
+            .is_some_and(|r| r.status.role == Role::Leader);
+        matches!(request, ControlRequest::Change(_))
+            && leads
+            && self.members().len() <= self.options.sync.direct_limit
+            && !self.sync.reaches_fleet(now)
+    }
+
     /// Sends a control message, which may be for this instance.
     pub(super) fn send_control(
         &mut self,
--- a/crates/core/src/node/roles.rs
+++ b/crates/core/src/node/roles.rs
@@ -4,6 +4,7 @@
 
 use super::{Effect, Internal, Node, PlatformList, TargetHome};
 use crate::{
+    config_sync::SyncEvent,
     event::{LogEvent, membership::HOME_MOVED},
     id::{InstanceId, TargetId, ZoneId},
     membership::{Member, MemberState, MembershipEvent},
@@ -86,9 +87,7 @@
             .map(|m| Candidate { instance: m.id, zone: m.zone })
             .collect();
         self.control_members_changed(&present);
-        self.push(Internal::Sync(crate::config_sync::SyncEvent::Members(
-            self.membership.members().to_vec(),
-        )));
+        self.push(Internal::Sync(SyncEvent::Members(present)));
         if candidates != self.candidates {
             self.candidates = candidates;
             self.update_query_candidates();
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -6,6 +6,7 @@
 a sync can take long.
 */
 
+mod clock;
 mod handle;
 mod metrics;
 mod platform;
@@ -38,7 +39,7 @@
 use volo_http::server::Server;
 
 pub(crate) use self::handle::{Handle, Query, View};
-use self::{handle::Input, metrics::Metrics, views::Names};
+use self::{clock::Clock, handle::Input, metrics::Metrics, views::Names};
 use crate::{
     http::{caller_router, operator_router},
     peer::{self, Peers, Received},
@@ -190,7 +191,7 @@
     handle: Handle,
     metrics: Metrics,
     /// Time zero of the reducer.
-    epoch: Instant,
+    epoch: Clock,
     peers: Peers<Handle>,
     /// Number of addresses at which members are looked for.
     seeds: usize,
@@ -241,7 +242,7 @@
             seeds: settings.peers.len(),
             handle,
             metrics,
-            epoch: Instant::now(),
+            epoch: Clock::start(),
             connections: Connections::default(),
             storage,
             callers: Vec::new(),
@@ -322,14 +323,15 @@
     }
 
     fn next_wake(&self) -> Instant {
-        let deadline = self.node.next_deadline();
-        let micros = deadline.map_or(1_000_000, Time::as_micros);
-        // A deadline in the past is due now; sleeping never helps then.
-        self.epoch + Duration::from_micros(micros)
+        let wait = match self.node.next_deadline() {
+            Some(at) => at.since(self.now()),
+            None => Duration::from_secs(1),
+        };
+        Instant::now() + wait
     }
 
     fn now(&self) -> Time {
-        Time::from_micros(self.epoch.elapsed().as_micros() as u64)
+        self.epoch.now()
     }
 
     fn step(&mut self, event: Event, effects: &mut Vec<Effect>) {
