Test the cap below the slots and the limit after a lost connection

Cause: in trials on a scratch copy, no test failed when the limit of one request after the loss of every connection was taken out, and the random test did not reach a connection cap below the slots.

--- a/crates/core/tests/target.rs
+++ b/crates/core/tests/target.rs
@@ -528,3 +528,16 @@
     let told = |e: &TargetEffect| matches!(e, TargetEffect::Report(_));
     assert!(rig.effects.iter().any(told));
 }
+
+/// Guards H3: a target that lost every connection may have restarted, and
+/// must not get its full load before it has answered.
+#[test]
+fn a_target_without_connections_gets_one_request_until_it_answers() {
+    let mut rig = Rig::ready(2);
+    let (conn, _) = rig.send();
+    rig.step(TargetEvent::ConnClosed(conn, CloseReason::MayHaveSent));
+    assert_eq!(rig.report().limit, 1);
+    rig.pass(ms(30));
+    rig.serve(ms(5));
+    assert_eq!(rig.report().limit, 2);
+}
--- a/crates/core/tests/target_properties.rs
+++ b/crates/core/tests/target_properties.rs
@@ -104,6 +104,8 @@
             links: BTreeMap::new(),
             stopping: Vec::new(),
         };
+        // Here the cap on connections is below the slots.
+        model.specs[1].connections = 4;
         model.step(TargetEvent::Configure(model.specs.clone()));
         model
     }
