--- a/crates/core/src/query/choose.rs
+++ b/crates/core/src/query/choose.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     query::{
-        index::Holders,
+        index::{ByZone, Group, Holders},
         options::{DispatchMode, QueryOptions},
         table::{Table, Target},
     },
@@ -52,7 +52,7 @@
         purpose: Purpose,
         tried: impl Fn(u32) -> bool,
     ) -> Option<Choice> {
-        let holders = all.targets.as_slice();
+        let holders = &all.targets;
         let usable = |slot| (!tried(slot)).then(|| self.target(slot));
         if self.options.mode == DispatchMode::Direct {
             return self.direct(rng, holders, &tried);
@@ -103,7 +103,7 @@
     /// reported as leaving only a short time ago.
     fn floor(
         &self,
-        holders: &[(u16, u32)],
+        holders: &ByZone,
         tried: impl Fn(u32) -> bool,
     ) -> Option<u32> {
         // Of two equals, the one in this zone saves a hop between zones.
@@ -111,7 +111,7 @@
             let t = self.target(slot);
             (t.load(), Some(t.zone) != self.table.own_zone)
         };
-        let left = || holders.iter().map(|x| x.1).filter(|&s| !tried(s));
+        let left = || holders.slots().filter(|&s| !tried(s));
         let staying =
             |&slot: &u32| self.target(slot).leaving_since().is_none();
         let in_grace = |&slot: &u32| {
@@ -121,7 +121,7 @@
         };
         left().filter(staying).min_by_key(by_load).or_else(|| {
             // A leaving target is used only if nobody else holds the shard.
-            let only = holders.iter().all(|x| !staying(&x.1));
+            let only = holders.slots().all(|slot| !staying(&slot));
             left().filter(in_grace).min_by_key(by_load).filter(|_| only)
         })
     }
@@ -129,7 +129,7 @@
     fn direct(
         &self,
         rng: &mut Pcg64Mcg,
-        holders: &[(u16, u32)],
+        holders: &ByZone,
         tried: &impl Fn(u32) -> bool,
     ) -> Option<Choice> {
         let free = |slot: u32| {
@@ -150,7 +150,7 @@
     fn pick(
         &self,
         rng: &mut Pcg64Mcg,
-        holders: &[(u16, u32)],
+        holders: &ByZone,
         shared: bool,
         suits: impl Fn(u32) -> bool,
     ) -> Option<u32> {
@@ -169,27 +169,24 @@
     fn draw_zone<'h>(
         &self,
         rng: &mut Pcg64Mcg,
-        holders: &'h [(u16, u32)],
+        holders: &'h ByZone,
         shared: bool,
         excluded: u128,
-    ) -> Option<(u128, &'h [(u16, u32)])> {
+    ) -> Option<(u128, &'h [u32])> {
         let mut drawn = None;
         let mut total = 0;
         let mut bit = 1u128;
-        let mut rest = holders;
-        while let Some(&(zone, _)) = rest.first()
-            && bit != 0
-        {
-            let len = rest.partition_point(|x| x.0 == zone);
-            let (group, tail) = rest.split_at(len);
-            rest = tail;
-            let share = self.shares.get(usize::from(zone)).copied();
+        for Group { zone, slots } in &holders.groups {
+            if bit == 0 {
+                break;
+            }
+            let share = self.shares.get(usize::from(*zone)).copied();
             let share = share.unwrap_or(0);
             if (share > 0) == shared && excluded & bit == 0 {
                 let weight = share.max(1);
                 total += weight;
                 if total == weight || rng.random_range(0..total) < weight {
-                    drawn = Some((bit, group));
+                    drawn = Some((bit, slots.as_slice()));
                 }
             }
             bit <<= 1;
@@ -221,17 +218,17 @@
 /// Two random members that suit, the same twice if there is only one.
 fn two_of(
     rng: &mut Pcg64Mcg,
-    group: &[(u16, u32)],
+    group: &[u32],
     suits: &impl Fn(u32) -> bool,
 ) -> Option<(u32, u32)> {
     let n = group.len();
     if n == 1 {
-        let slot = group[0].1;
+        let slot = group[0];
         return suits(slot).then_some((slot, slot));
     }
     let from =
-        |start: usize| (start..n).chain(0..start).find(|&i| suits(group[i].1));
+        |start: usize| (start..n).chain(0..start).find(|&i| suits(group[i]));
     let i = from(rng.random_range(0..n))?;
     let j = from((i + rng.random_range(1..n)) % n)?;
-    Some((group[i].1, group[j].1))
+    Some((group[i], group[j]))
 }
--- a/crates/core/src/query/dispatch.rs
+++ b/crates/core/src/query/dispatch.rs
@@ -70,10 +70,9 @@
         let index = &self.table.routes[route].index.snapshots[index];
         let hopeless = |shard| {
             let holders = &index.holders(shard).targets;
-            let in_time = |&(_, slot): &(u16, u32)| {
-                self.table.targets[slot as usize].wait() <= budget
-            };
-            !holders.is_empty() && !holders.iter().any(in_time)
+            let in_time =
+                |slot: u32| self.table.targets[slot as usize].wait() <= budget;
+            !holders.is_empty() && !holders.slots().any(in_time)
         };
         match query.asked() {
             Asked::All => (0..index.shard_count).any(hopeless),
--- a/crates/core/src/query/index.rs
+++ b/crates/core/src/query/index.rs
@@ -29,20 +29,76 @@
     (hash % u64::from(shard_count.max(1))) as u32
 }
 
+/// Targets of one zone.
+#[derive(Clone, Debug)]
+pub(crate) struct Group {
+    pub(crate) zone: u16,
+    /// Sorted.
+    pub(crate) slots: Vec<u32>,
+}
+
+/// Targets grouped by zone, so that drawing a zone reads no target.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ByZone {
+    /// Sorted by zone; none is empty.
+    pub(crate) groups: Vec<Group>,
+}
+
+impl ByZone {
+    pub(crate) fn is_empty(&self) -> bool {
+        self.groups.is_empty()
+    }
+
+    pub(crate) fn slots(&self) -> impl Iterator<Item = u32> + '_ {
+        self.groups.iter().flat_map(|g| g.slots.iter().copied())
+    }
+
+    /// Returns whether it was absent.
+    fn insert(&mut self, (zone, slot): (u16, u32)) -> bool {
+        let i = match self.groups.binary_search_by_key(&zone, |g| g.zone) {
+            Ok(i) => i,
+            Err(i) => {
+                self.groups.insert(i, Group { zone, slots: Vec::new() });
+                i
+            }
+        };
+        let slots = &mut self.groups[i].slots;
+        let place = slots.binary_search(&slot);
+        if let Err(j) = place {
+            slots.insert(j, slot);
+        }
+        place.is_err()
+    }
+
+    /// Returns whether it was present.
+    fn remove(&mut self, (zone, slot): (u16, u32)) -> bool {
+        let found = self.groups.binary_search_by_key(&zone, |g| g.zone);
+        let Ok(i) = found else { return false };
+        let slots = &mut self.groups[i].slots;
+        let Ok(j) = slots.binary_search(&slot) else { return false };
+        slots.remove(j);
+        if slots.is_empty() {
+            self.groups.remove(i);
+        }
+        true
+    }
+}
+
 /// Targets that hold one shard.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Holders {
-    /// Zone and slot of each target, sorted.
-    pub(crate) targets: Vec<(u16, u32)>,
+    pub(crate) targets: ByZone,
     /// Those of them that are usable and cold.
-    pub(crate) cold: Vec<(u16, u32)>,
+    pub(crate) cold: ByZone,
     /// How many of them are usable.
     usable: u32,
 }
 
 /// Holders of a shard that nobody holds.
 pub(crate) static NOBODY: Holders =
-    Holders { targets: Vec::new(), cold: Vec::new(), usable: 0 };
+    Holders { targets: EMPTY, cold: EMPTY, usable: 0 };
+
+const EMPTY: ByZone = ByZone { groups: Vec::new() };
 
 /// What reports say about a target, as far as the index depends on it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -132,13 +188,10 @@
             index.shards.resize_with(shard + 1, Holders::default);
         }
         let holders = &mut index.shards[shard];
-        if let Err(j) = holders.targets.binary_search(&at) {
-            holders.targets.insert(j, at);
+        if holders.targets.insert(at) {
             index.holders += 1;
-            if is.cold
-                && let Err(j) = holders.cold.binary_search(&at)
-            {
-                holders.cold.insert(j, at);
+            if is.cold {
+                holders.cold.insert(at);
             }
             if is.usable {
                 holders.usable += 1;
@@ -161,13 +214,10 @@
         let Some(holders) = index.shards.get_mut(h.shard as usize) else {
             return;
         };
-        if let Ok(j) = holders.targets.binary_search(&at) {
-            holders.targets.remove(j);
+        if holders.targets.remove(at) {
             index.holders -= 1;
-            if is.cold
-                && let Ok(j) = holders.cold.binary_search(&at)
-            {
-                holders.cold.remove(j);
+            if is.cold {
+                holders.cold.remove(at);
             }
             if is.usable {
                 holders.usable -= 1;
--- a/crates/core/src/query/mod.rs
+++ b/crates/core/src/query/mod.rs
@@ -17,6 +17,7 @@
 mod options;
 mod recover;
 mod root;
+mod route;
 mod standby;
 mod table;
 
--- a/crates/core/src/query/table.rs
+++ b/crates/core/src/query/table.rs
@@ -5,13 +5,14 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::{
-    config::{AnswerPolicy, Configuration, Priority, Route},
+    config::Configuration,
     id::{InstanceId, RouteId, TargetId, ZoneId},
     placement::{self, BundleKey, Candidate},
     query::{
         budget::{ExtraLoad, Latencies},
         index::{Condition, RouteIndex},
         options::{DispatchMode, QueryOptions},
+        route::{RouteEntry, asked_shards, zone_shares},
     },
     snapshot::Holding,
     target::{TargetReport, TargetState},
@@ -95,24 +96,6 @@
     standby: Option<InstanceId>,
 }
 
-/// A route with its index, budget and latencies.
-#[derive(Debug)]
-pub(crate) struct RouteEntry {
-    pub(crate) id: RouteId,
-    pub(crate) shards: Option<Arc<[u32]>>,
-    /// Share of each zone, by its position.
-    pub(crate) shares: Vec<u32>,
-    pub(crate) deadline: Duration,
-    pub(crate) priority: Priority,
-    pub(crate) policy: AnswerPolicy,
-    pub(crate) repeatable: bool,
-    pub(crate) index: RouteIndex,
-    pub(crate) extra: ExtraLoad,
-    pub(crate) latencies: Latencies,
-    /// When the use of a floor was last logged.
-    pub(crate) floor_logged: Option<Time>,
-}
-
 /// Targets, homes and routes.
 #[derive(Debug, Default)]
 pub(crate) struct Table {
@@ -479,24 +462,3 @@
         }
     }
 }
-
-fn asked_shards(route: &Route) -> Option<Arc<[u32]>> {
-    let mut shards = route.shards.clone()?;
-    shards.sort_unstable();
-    shards.dedup();
-    Some(shards.into())
-}
-
-fn zone_shares(cfg: &Configuration, route: &Route) -> Vec<u32> {
-    cfg.availability_zones
-        .iter()
-        .map(|z| {
-            route
-                .shares
-                .iter()
-                .filter(|s| s.availability_zone == z.name)
-                .map(|s| s.percent)
-                .sum()
-        })
-        .collect()
-}
