--- a/crates/core/src/query/table.rs
+++ b/crates/core/src/query/table.rs
@@ -5,13 +5,14 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::{
-    config::{AnswerPolicy, Configuration, Priority, Route},
+    config::Configuration,
     id::{InstanceId, RouteId, TargetId, ZoneId},
     placement::{self, BundleKey, Candidate},
     query::{
         budget::{ExtraLoad, Latencies},
         index::{Condition, RouteIndex},
         options::{DispatchMode, QueryOptions},
+        route::{RouteEntry, asked_shards, zone_shares},
     },
     snapshot::Holding,
     target::{TargetReport, TargetState},
@@ -22,7 +23,8 @@
 /// grow the state without bound.
 const MAX_HOLDINGS: usize = 4_096;
 
-/// A target and its newest report.
+/// A target and its newest report. What a target holds is kept apart, so
+/// that the part that decisions read fits in a cache line.
 #[derive(Clone, Debug)]
 pub(crate) struct Target {
     pub(crate) id: TargetId,
@@ -36,7 +38,6 @@
     pub(crate) latency_us: u32,
     pub(crate) queued: u32,
     running: u32,
-    holds: Vec<Holding>,
     /// Requests of this instance that have not ended.
     pending: u32,
     /// Those when the newest report came; the report includes them.
@@ -108,29 +109,13 @@
     standby: Option<InstanceId>,
 }
 
-/// A route with its index, budget and latencies.
-#[derive(Debug)]
-pub(crate) struct RouteEntry {
-    pub(crate) id: RouteId,
-    pub(crate) shards: Option<Arc<[u32]>>,
-    /// Share of each zone, by its position.
-    pub(crate) shares: Vec<u32>,
-    pub(crate) deadline: Duration,
-    pub(crate) priority: Priority,
-    pub(crate) policy: AnswerPolicy,
-    pub(crate) repeatable: bool,
-    pub(crate) index: RouteIndex,
-    pub(crate) extra: ExtraLoad,
-    pub(crate) latencies: Latencies,
-    /// When the use of a floor was last logged.
-    pub(crate) floor_logged: Option<Time>,
-}
-
 /// Targets, homes and routes.
 #[derive(Debug, Default)]
 pub(crate) struct Table {
     pub(crate) configuration: Option<Arc<Configuration>>,
     pub(crate) targets: Vec<Target>,
+    /// What each target holds, in the order of `targets`.
+    holds: Vec<Vec<Holding>>,
     pub(crate) routes: Vec<RouteEntry>,
     bundles: Vec<Bundle>,
     zones_out: Vec<bool>,
@@ -223,7 +208,8 @@
                 .ok()
         };
         let old = std::mem::take(&mut self.targets);
-        self.bundles.clear();
+        let mut old_holds = std::mem::take(&mut self.holds);
+        let ranked = std::mem::take(&mut self.bundles);
         let mut targets = Vec::with_capacity(old.len());
         let mut keys: Vec<(BundleKey, u32)> = Vec::new();
         for (s, service) in cfg.services.iter().enumerate() {
@@ -252,7 +238,6 @@
                     latency_us: 0,
                     queued: 0,
                     running: 0,
-                    holds: Vec::new(),
                     pending: 0,
                     reported_pending: 0,
                     leaving_since: None,
@@ -274,7 +259,8 @@
             targets[i as usize].bundle = self.bundles.len() as u32 - 1;
         }
         targets.sort_unstable_by_key(|t| t.id);
-        for t in &mut targets {
+        self.holds.resize_with(targets.len(), Vec::new);
+        for (t, holds) in targets.iter_mut().zip(&mut self.holds) {
             if let Ok(i) = old.binary_search_by_key(&t.id, |x| x.id) {
                 let x = &old[i];
                 t.state = x.state;
@@ -282,7 +268,7 @@
                 t.latency_us = x.latency_us;
                 t.queued = x.queued;
                 t.running = x.running;
-                t.holds.clone_from(&x.holds);
+                *holds = std::mem::take(&mut old_holds[i]);
                 t.pending = x.pending;
                 t.reported_pending = x.reported_pending;
                 t.leaving_since = x.leaving_since;
@@ -301,7 +287,7 @@
             .map(|i| i as u16);
         self.configure_routes(&cfg, options);
         self.configuration = Some(cfg);
-        self.rank_all(options, me);
+        self.rank_bundles(&ranked, options, me);
         for slot in 0..self.targets.len() {
             self.index_target(slot as u32, true);
         }
@@ -410,8 +396,22 @@
         }
     }
 
-    fn rank_all(&mut self, options: &QueryOptions, me: InstanceId) {
+    /// Ranks the bundles that are not among those already ranked. Ranking
+    /// all of them at the design size costs millions of hashes.
+    fn rank_bundles(
+        &mut self,
+        ranked: &[Bundle],
+        options: &QueryOptions,
+        me: InstanceId,
+    ) {
         for bundle in &mut self.bundles {
+            if let Ok(i) = ranked.binary_search_by_key(&bundle.key, |b| b.key)
+                && ranked[i].zone == bundle.zone
+            {
+                bundle.home = ranked[i].home;
+                bundle.standby = ranked[i].standby;
+                continue;
+            }
             (bundle.home, bundle.standby) = match options.mode {
                 DispatchMode::Direct => (Some(me), None),
                 DispatchMode::Home => {
@@ -437,8 +437,8 @@
         let TargetReport { state, limit, running, queued, mut holds, .. } =
             report;
         holds.truncate(MAX_HOLDINGS);
-        let reindex =
-            t.condition() != condition(Some(state), limit) || t.holds != holds;
+        let reindex = t.condition() != condition(Some(state), limit)
+            || self.holds[slot as usize] != holds;
         if reindex {
             self.index_target(slot, false);
         }
@@ -454,7 +454,7 @@
             _ => None,
         };
         if reindex {
-            t.holds = holds;
+            self.holds[slot as usize] = holds;
             self.index_target(slot, true);
         }
     }
@@ -470,7 +470,7 @@
         let at = (t.zone, slot);
         for &r in &self.service_routes[t.service as usize] {
             let index = &mut self.routes[r as usize].index;
-            for h in &t.holds {
+            for h in &self.holds[slot as usize] {
                 if add {
                     index.insert(h, at, is);
                 } else {
@@ -480,24 +480,3 @@
         }
     }
 }
-
-fn asked_shards(route: &Route) -> Option<Arc<[u32]>> {
-    let mut shards = route.shards.clone()?;
-    shards.sort_unstable();
-    shards.dedup();
-    Some(shards.into())
-}
-
-fn zone_shares(cfg: &Configuration, route: &Route) -> Vec<u32> {
-    cfg.availability_zones
-        .iter()
-        .map(|z| {
-            route
-                .shares
-                .iter()
-                .filter(|s| s.availability_zone == z.name)
-                .map(|s| s.percent)
-                .sum()
-        })
-        .collect()
-}
