--- a/crates/core/src/consensus/transfer.rs
+++ b/crates/core/src/consensus/transfer.rs
@@ -3,7 +3,9 @@
 
 use bytes::{Bytes, BytesMut};
 
-use super::{Consensus, Message, Peer, Replica, State, StoredSnapshot, Write};
+use super::{
+    Consensus, Message, Payload, Peer, Replica, State, StoredSnapshot, Write,
+};
 use crate::{
     consensus::ConsensusEffect, event::control as kinds, id::ReplicaId,
     time::Time,
@@ -49,6 +51,17 @@
 
     pub(super) fn take_snapshot(&mut self, index: u64, data: Bytes) {
         self.snapshot_asked = false;
+        // The state machine counts commands only, so the state also covers
+        // the other entries up to its next command.
+        let mut index = index.max(self.log.snapshot_index());
+        while index < self.applied
+            && self
+                .log
+                .entry(index + 1)
+                .is_some_and(|e| !matches!(e.payload, Payload::Command(_)))
+        {
+            index += 1;
+        }
         let Some(term) = self.log.term_at(index) else { return };
         if index > self.applied || index <= self.log.snapshot_index() {
             return;
--- a/crates/core/tests/cluster/mod.rs
+++ b/crates/core/tests/cluster/mod.rs
@@ -539,15 +539,14 @@
         self.wait("agreement", |c| {
             let Some(leader) = c.leader() else { return false };
             let Some(status) = c.status(leader) else { return false };
-            let last = c.nodes[leader].applied;
+            let last = c.nodes[leader].state.index();
             let newest = c.committed.keys().next_back().copied();
             status.commit == status.last_index
                 && newest.is_none_or(|n| last >= n)
                 && status.members.iter().all(|m| {
-                    c.nodes
-                        .iter()
-                        .any(|n| n.replica.id == m.id && n.applied == last)
-                        || c.nodes.iter().all(|n| n.replica.id != m.id)
+                    c.nodes.iter().any(|n| {
+                        n.replica.id == m.id && n.state.index() == last
+                    }) || c.nodes.iter().all(|n| n.replica.id != m.id)
                 })
         });
     }
