--- /dev/null
+++ b/src/storage/error.rs
@@ -0,0 +1,73 @@
+//! Errors of the data folder.
+
+use std::{
+    error::Error,
+    fmt, io,
+    path::{Path, PathBuf},
+};
+
+/// What kind of failure it was.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StorageErrorKind {
+    /// Another process uses the folder.
+    Locked,
+    /// A record or file is damaged.
+    Damaged,
+    /// The operating system reported a failure.
+    Io,
+    /// An earlier write failed.
+    Failed,
+}
+
+/// A failure of the data folder.
+#[derive(Debug)]
+pub struct StorageError {
+    kind: StorageErrorKind,
+    path: PathBuf,
+    message: String,
+    source: Option<io::Error>,
+}
+
+impl StorageError {
+    pub(super) fn new(
+        kind: StorageErrorKind,
+        path: &Path,
+        message: String,
+    ) -> StorageError {
+        StorageError { kind, path: path.to_owned(), message, source: None }
+    }
+
+    pub(super) fn io(
+        action: &str,
+        path: &Path,
+        source: io::Error,
+    ) -> StorageError {
+        StorageError {
+            kind: StorageErrorKind::Io,
+            path: path.to_owned(),
+            message: format!("cannot {action}"),
+            source: Some(source),
+        }
+    }
+
+    /// What kind of failure it was.
+    pub fn kind(&self) -> StorageErrorKind {
+        self.kind
+    }
+}
+
+impl fmt::Display for StorageError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.path.display(), self.message)?;
+        if let Some(source) = &self.source {
+            write!(f, ": {source}")?;
+        }
+        Ok(())
+    }
+}
+
+impl Error for StorageError {
+    fn source(&self) -> Option<&(dyn Error + 'static)> {
+        self.source.as_ref().map(|e| e as &(dyn Error + 'static))
+    }
+}
--- /dev/null
+++ b/src/storage/mod.rs
@@ -0,0 +1,230 @@
+/*!
+Files of a control replica.
+
+The data folder holds an identity, checksummed segments of records, and a
+lock. A record is a write of the replicated log: term and vote, entries, or a
+snapshot. Recovery replays the records in order. Nothing is reported as
+written before it is synced, and after the first failure nothing is reported
+at all: the daemon stops instead.
+*/
+
+mod error;
+mod record;
+mod segment;
+mod thread;
+
+use std::{
+    fs::{self, File, OpenOptions},
+    io::{Read, Write as _},
+    path::{Path, PathBuf},
+};
+
+use primrosemast_core::{
+    consensus::{Recovered, Write},
+    id::ReplicaId,
+};
+
+pub use self::{
+    error::{StorageError, StorageErrorKind},
+    thread::StorageThread,
+};
+use self::{record::encode, segment::Segment};
+
+/// A new segment is begun when the present one exceeds this size, so that
+/// space can be freed behind a snapshot.
+const SEGMENT_BYTES: u64 = 4 << 20;
+
+/// An open data folder.
+#[derive(Debug)]
+pub struct Storage {
+    folder: PathBuf,
+    /// Holds the lock of the folder while it is open.
+    _lock: File,
+    segment: Segment,
+    /// The last hard state, repeated at the head of each segment, because
+    /// older segments are removed.
+    hard_state: Option<Write>,
+    failed: bool,
+}
+
+impl Storage {
+    /// Opens a data folder, and creates it if it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// Fails if another process uses the folder, if it cannot be read or
+    /// written, or if a record other than the last one is damaged.
+    pub fn open(
+        folder: &Path,
+    ) -> Result<(Storage, ReplicaId, Recovered), StorageError> {
+        fs::create_dir_all(folder)
+            .map_err(|e| StorageError::io("create", folder, e))?;
+        let lock = lock(folder)?;
+        let numbers = segment::list(folder)?;
+        let replica = identity(folder, numbers.is_empty())?;
+        let mut recovered = Recovered::default();
+        let mut hard_state = None;
+        let last = numbers.last().copied();
+        for &number in &numbers {
+            let is_last = Some(number) == last;
+            for write in segment::read(folder, number, is_last)? {
+                if matches!(write, Write::HardState { .. }) {
+                    hard_state = Some(write.clone());
+                }
+                recovered.follow(write);
+            }
+        }
+        let segment = match last {
+            Some(number) => Segment::append_to(folder, number)?,
+            None => Segment::create(folder, 1)?,
+        };
+        let storage = Storage {
+            folder: folder.to_owned(),
+            _lock: lock,
+            segment,
+            hard_state,
+            failed: false,
+        };
+        Ok((storage, replica, recovered))
+    }
+
+    /// Writes and syncs a batch with one sync.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the batch is not known to be on disk. Every later call fails
+    /// too, because the content of the file is then unknown.
+    pub fn write(&mut self, batch: &[Write]) -> Result<(), StorageError> {
+        if self.failed {
+            return Err(StorageError::new(
+                StorageErrorKind::Failed,
+                &self.folder,
+                "an earlier write failed".into(),
+            ));
+        }
+        let result = self.try_write(batch);
+        self.failed = result.is_err();
+        result
+    }
+
+    fn try_write(&mut self, batch: &[Write]) -> Result<(), StorageError> {
+        let mut buf = Vec::new();
+        let mut snapshot = false;
+        for write in batch {
+            match write {
+                Write::HardState { .. } => {
+                    self.hard_state = Some(write.clone());
+                }
+                Write::Snapshot(_) => snapshot = true,
+                Write::Append { .. } => {}
+            }
+            encode(write, &mut buf)?;
+        }
+        self.segment.write(&buf)?;
+        self.segment.sync()?;
+        if snapshot {
+            self.compact(batch)?;
+        } else if self.segment.len() > SEGMENT_BYTES {
+            self.segment = self.next_segment(&[])?;
+        }
+        Ok(())
+    }
+
+    /// Starts a segment with everything that recovery needs and removes the
+    /// older ones.
+    fn compact(&mut self, batch: &[Write]) -> Result<(), StorageError> {
+        let Some(at) =
+            batch.iter().rposition(|w| matches!(w, Write::Snapshot(_)))
+        else {
+            return Ok(());
+        };
+        let Write::Snapshot(snapshot) = &batch[at] else { return Ok(()) };
+        // Entries behind the snapshot were written before it, so they are
+        // read back from the old segments.
+        let mut recovered = Recovered::default();
+        for number in segment::list(&self.folder)? {
+            for write in segment::read(&self.folder, number, false)? {
+                recovered.follow(write);
+            }
+        }
+        let mut head = vec![Write::Snapshot(snapshot.clone())];
+        if !recovered.entries.is_empty() {
+            head.push(Write::Append {
+                after: snapshot.index,
+                entries: recovered.entries,
+            });
+        }
+        let next = self.next_segment(&head)?;
+        let keep = next.number();
+        self.segment = next;
+        for number in segment::list(&self.folder)? {
+            if number < keep {
+                segment::remove(&self.folder, number)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn next_segment(&self, head: &[Write]) -> Result<Segment, StorageError> {
+        let mut buf = Vec::new();
+        for write in self.hard_state.iter().chain(head) {
+            encode(write, &mut buf)?;
+        }
+        // The head is written and synced under a temporary name, so that a
+        // crash leaves either no new segment or a whole one.
+        Segment::create_with(&self.folder, self.segment.number() + 1, &buf)
+    }
+}
+
+/// Takes the lock of a folder.
+fn lock(folder: &Path) -> Result<File, StorageError> {
+    let path = folder.join("lock");
+    let file = OpenOptions::new()
+        .create(true)
+        .truncate(false)
+        .write(true)
+        .open(&path)
+        .map_err(|e| StorageError::io("open", &path, e))?;
+    file.try_lock().map_err(|e| {
+        StorageError::new(
+            StorageErrorKind::Locked,
+            &path,
+            format!("another process uses the data folder: {e}"),
+        )
+    })?;
+    Ok(file)
+}
+
+/// Reads the replica's identity, or makes one in an empty folder.
+fn identity(folder: &Path, empty: bool) -> Result<ReplicaId, StorageError> {
+    let path = folder.join("identity");
+    match fs::File::open(&path) {
+        Ok(mut file) => {
+            let mut text = String::new();
+            file.read_to_string(&mut text)
+                .map_err(|e| StorageError::io("read", &path, e))?;
+            u64::from_str_radix(text.trim(), 16).map(ReplicaId).map_err(|_| {
+                StorageError::new(
+                    StorageErrorKind::Damaged,
+                    &path,
+                    "the identity is not a hexadecimal number".into(),
+                )
+            })
+        }
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound && empty => {
+            let id = ReplicaId(rand::random::<u64>().max(1));
+            let temporary = folder.join("identity.new");
+            let mut file = File::create(&temporary)
+                .map_err(|e| StorageError::io("create", &temporary, e))?;
+            writeln!(file, "{id}")
+                .and_then(|()| file.sync_all())
+                .map_err(|e| StorageError::io("write", &temporary, e))?;
+            fs::rename(&temporary, &path)
+                .map_err(|e| StorageError::io("rename", &path, e))?;
+            segment::sync_folder(folder)?;
+            Ok(id)
+        }
+        // Records without an identity are somebody else's votes.
+        Err(e) => Err(StorageError::io("read", &path, e)),
+    }
+}
--- /dev/null
+++ b/src/storage/segment.rs
@@ -0,0 +1,190 @@
+//! Segments: files of records, numbered in the order of their writing.
+
+use std::{
+    fs::{self, File, OpenOptions},
+    io::Write as _,
+    path::{Path, PathBuf},
+};
+
+use primrosemast_core::consensus::Write;
+
+use super::{
+    StorageError, StorageErrorKind,
+    record::{Decoded, decode},
+};
+
+const SUFFIX: &str = ".segment";
+
+/// The segment that is written.
+#[derive(Debug)]
+pub(super) struct Segment {
+    number: u64,
+    path: PathBuf,
+    file: File,
+    len: u64,
+}
+
+impl Segment {
+    /// Creates an empty segment.
+    pub(super) fn create(
+        folder: &Path,
+        number: u64,
+    ) -> Result<Segment, StorageError> {
+        Segment::create_with(folder, number, &[])
+    }
+
+    /// Creates a segment that holds `head`, which is synced.
+    pub(super) fn create_with(
+        folder: &Path,
+        number: u64,
+        head: &[u8],
+    ) -> Result<Segment, StorageError> {
+        let temporary = folder.join("segment.new");
+        let mut file = File::create(&temporary)
+            .map_err(|e| StorageError::io("create", &temporary, e))?;
+        file.write_all(head)
+            .and_then(|()| file.sync_all())
+            .map_err(|e| StorageError::io("write", &temporary, e))?;
+        let path = path(folder, number);
+        fs::rename(&temporary, &path)
+            .map_err(|e| StorageError::io("rename", &path, e))?;
+        sync_folder(folder)?;
+        Segment::append_to(folder, number)
+    }
+
+    /// Opens a segment for appending.
+    pub(super) fn append_to(
+        folder: &Path,
+        number: u64,
+    ) -> Result<Segment, StorageError> {
+        let path = path(folder, number);
+        let file = OpenOptions::new()
+            .append(true)
+            .open(&path)
+            .map_err(|e| StorageError::io("open", &path, e))?;
+        let len = file
+            .metadata()
+            .map_err(|e| StorageError::io("inspect", &path, e))?
+            .len();
+        Ok(Segment { number, path, file, len })
+    }
+
+    pub(super) fn number(&self) -> u64 {
+        self.number
+    }
+
+    pub(super) fn len(&self) -> u64 {
+        self.len
+    }
+
+    pub(super) fn write(&mut self, buf: &[u8]) -> Result<(), StorageError> {
+        self.len += buf.len() as u64;
+        self.file
+            .write_all(buf)
+            .map_err(|e| StorageError::io("write", &self.path, e))
+    }
+
+    pub(super) fn sync(&self) -> Result<(), StorageError> {
+        self.file
+            .sync_data()
+            .map_err(|e| StorageError::io("sync", &self.path, e))
+    }
+}
+
+/// Numbers of the segments in a folder, sorted.
+pub(super) fn list(folder: &Path) -> Result<Vec<u64>, StorageError> {
+    let entries = fs::read_dir(folder)
+        .map_err(|e| StorageError::io("list", folder, e))?;
+    let mut numbers = Vec::new();
+    for entry in entries {
+        let entry = entry.map_err(|e| StorageError::io("list", folder, e))?;
+        let name = entry.file_name();
+        let number = name
+            .to_str()
+            .and_then(|name| name.strip_suffix(SUFFIX))
+            .and_then(|stem| stem.parse().ok());
+        numbers.extend(number);
+    }
+    numbers.sort_unstable();
+    let gap = numbers.windows(2).any(|pair| pair[1] != pair[0] + 1);
+    if gap {
+        return Err(StorageError::new(
+            StorageErrorKind::Damaged,
+            folder,
+            "a segment is missing".into(),
+        ));
+    }
+    Ok(numbers)
+}
+
+/// Reads the records of a segment. A torn tail of the last segment is cut
+/// off; it was never reported as written.
+pub(super) fn read(
+    folder: &Path,
+    number: u64,
+    is_last: bool,
+) -> Result<Vec<Write>, StorageError> {
+    let path = path(folder, number);
+    let bytes =
+        fs::read(&path).map_err(|e| StorageError::io("read", &path, e))?;
+    let mut writes = Vec::new();
+    let mut at = 0;
+    while at < bytes.len() {
+        match decode(&bytes[at..]) {
+            Decoded::Record(write, length) => {
+                writes.push(*write);
+                at += length;
+            }
+            // Only the end of the file can be torn. A damaged record with
+            // whole records behind it was synced once.
+            Decoded::Incomplete | Decoded::Damaged
+                if is_last && is_torn(&bytes[at..]) =>
+            {
+                truncate(&path, at as u64)?;
+                break;
+            }
+            Decoded::Incomplete | Decoded::Damaged => {
+                return Err(StorageError::new(
+                    StorageErrorKind::Damaged,
+                    &path,
+                    format!("damaged record at byte {at}"),
+                ));
+            }
+        }
+    }
+    Ok(writes)
+}
+
+/// Whether no whole record stands anywhere behind the first byte.
+fn is_torn(bytes: &[u8]) -> bool {
+    (1..bytes.len())
+        .all(|at| !matches!(decode(&bytes[at..]), Decoded::Record(..)))
+}
+
+fn truncate(path: &Path, len: u64) -> Result<(), StorageError> {
+    let file = OpenOptions::new()
+        .write(true)
+        .open(path)
+        .map_err(|e| StorageError::io("open", path, e))?;
+    file.set_len(len)
+        .and_then(|()| file.sync_all())
+        .map_err(|e| StorageError::io("truncate", path, e))
+}
+
+/// Removes a segment.
+pub(super) fn remove(folder: &Path, number: u64) -> Result<(), StorageError> {
+    let path = path(folder, number);
+    fs::remove_file(&path).map_err(|e| StorageError::io("remove", &path, e))?;
+    sync_folder(folder)
+}
+
+/// Makes created, renamed and removed files durable.
+pub(super) fn sync_folder(folder: &Path) -> Result<(), StorageError> {
+    File::open(folder)
+        .and_then(|f| f.sync_all())
+        .map_err(|e| StorageError::io("sync", folder, e))
+}
+
+fn path(folder: &Path, number: u64) -> PathBuf {
+    folder.join(format!("{number:020}{SUFFIX}"))
+}
