Add the service, the client and the repair of the control group

Cause: requests must reach the leader, and a lost disk must be replaced without an operator. Change: control/service.rs, client.rs and repair.rs.

--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -6,6 +6,9 @@
 own. See section 6 of the design page.
 */
 
+pub mod client;
+pub mod repair;
+pub mod service;
 mod state;
 mod types;
 
