--- a/src/storage/error.rs
+++ b/src/storage/error.rs
@@ -13,6 +13,8 @@
     Locked,
     /// A record or file is damaged.
     Damaged,
+    /// The disk is full.
+    Full,
     /// The operating system reported a failure.
     Io,
     /// An earlier write failed.
@@ -42,8 +44,14 @@
         path: &Path,
         source: io::Error,
     ) -> StorageError {
+        let kind = match source.kind() {
+            io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded => {
+                StorageErrorKind::Full
+            }
+            _ => StorageErrorKind::Io,
+        };
         StorageError {
-            kind: StorageErrorKind::Io,
+            kind,
             path: path.to_owned(),
             message: format!("cannot {action}"),
             source: Some(source),
--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -61,7 +61,6 @@
             .map_err(|e| StorageError::io("create", folder, e))?;
         let lock = lock(folder)?;
         let numbers = segment::list(folder)?;
-        let replica = identity(folder, numbers.is_empty())?;
         let mut recovered = Recovered::default();
         let mut hard_state = None;
         let last = numbers.last().copied();
@@ -71,13 +70,39 @@
                 if matches!(write, Write::HardState { .. }) {
                     hard_state = Some(write.clone());
                 }
+                if !follows(&recovered, &write) {
+                    return Err(StorageError::new(
+                        StorageErrorKind::Damaged,
+                        folder,
+                        format!(
+                            "entries are missing in segment {number}: {}",
+                            describe(&write)
+                        ),
+                    ));
+                }
                 recovered.follow(write);
             }
         }
+        let identity_path = folder.join("identity");
+        if last.is_none() && identity_path.exists() {
+            // Under its old identity the replica would vote again in terms
+            // in which it has voted.
+            return Err(StorageError::new(
+                StorageErrorKind::Damaged,
+                folder,
+                "the log is missing; remove the folder, so that the \
+                 instance joins as a new replica"
+                    .into(),
+            ));
+        }
         let segment = match last {
             Some(number) => Segment::append_to(folder, number)?,
             None => Segment::create(folder, 1)?,
         };
+        // The identity comes after the first segment: a crash in between
+        // leaves an empty segment, which has not been used yet.
+        let replica =
+            identity(&identity_path, recovered == Recovered::default())?;
         let storage = Storage {
             folder: folder.to_owned(),
             _lock: lock,
@@ -118,8 +143,8 @@
                 Write::Snapshot(_) => snapshot = true,
                 Write::Append { .. } => {}
             }
-            encode(write, &mut buf)?;
         }
+        encode(batch, &mut buf)?;
         self.segment.write(&buf)?;
         self.segment.sync()?;
         if snapshot {
@@ -167,9 +192,9 @@
 
     fn next_segment(&self, head: &[Write]) -> Result<Segment, StorageError> {
         let mut buf = Vec::new();
-        for write in self.hard_state.iter().chain(head) {
-            encode(write, &mut buf)?;
-        }
+        let writes: Vec<Write> =
+            self.hard_state.iter().chain(head).cloned().collect();
+        encode(&writes, &mut buf)?;
         // The head is written and synced under a temporary name, so that a
         // crash leaves either no new segment or a whole one.
         Segment::create_with(&self.folder, self.segment.number() + 1, &buf)
@@ -195,36 +220,52 @@
     Ok(file)
 }
 
-/// Reads the replica's identity, or makes one in an empty folder.
-fn identity(folder: &Path, empty: bool) -> Result<ReplicaId, StorageError> {
-    let path = folder.join("identity");
-    match fs::File::open(&path) {
+/// Whether entries follow on those before them.
+fn follows(held: &Recovered, write: &Write) -> bool {
+    let Write::Append { after, entries } = write else { return true };
+    let base = held.snapshot.as_ref().map_or(0, |s| s.index);
+    let last = base + held.entries.len() as u64;
+    (base..=last).contains(after)
+        && entries.iter().zip(after + 1..).all(|(e, i)| e.index == i)
+}
+
+fn describe(write: &Write) -> String {
+    match write {
+        Write::Append { after, .. } => format!("append after {after}"),
+        Write::Snapshot(s) => format!("snapshot at {}", s.index),
+        Write::HardState { term, .. } => format!("term {term}"),
+    }
+}
+
+/// Reads the replica's identity, or makes one for a folder without records.
+fn identity(path: &Path, unused: bool) -> Result<ReplicaId, StorageError> {
+    match File::open(path) {
         Ok(mut file) => {
             let mut text = String::new();
             file.read_to_string(&mut text)
-                .map_err(|e| StorageError::io("read", &path, e))?;
+                .map_err(|e| StorageError::io("read", path, e))?;
             u64::from_str_radix(text.trim(), 16).map(ReplicaId).map_err(|_| {
                 StorageError::new(
                     StorageErrorKind::Damaged,
-                    &path,
+                    path,
                     "the identity is not a hexadecimal number".into(),
                 )
             })
         }
-        Err(e) if e.kind() == std::io::ErrorKind::NotFound && empty => {
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound && unused => {
             let id = ReplicaId(rand::random::<u64>().max(1));
-            let temporary = folder.join("identity.new");
+            let temporary = path.with_extension("new");
             let mut file = File::create(&temporary)
                 .map_err(|e| StorageError::io("create", &temporary, e))?;
             writeln!(file, "{id}")
                 .and_then(|()| file.sync_all())
                 .map_err(|e| StorageError::io("write", &temporary, e))?;
-            fs::rename(&temporary, &path)
-                .map_err(|e| StorageError::io("rename", &path, e))?;
-            segment::sync_folder(folder)?;
+            fs::rename(&temporary, path)
+                .map_err(|e| StorageError::io("rename", path, e))?;
+            segment::sync_folder(path.parent().unwrap_or(path))?;
             Ok(id)
         }
         // Records without an identity are somebody else's votes.
-        Err(e) => Err(StorageError::io("read", &path, e)),
+        Err(e) => Err(StorageError::io("read", path, e)),
     }
 }
--- a/src/storage/record.rs
+++ b/src/storage/record.rs
@@ -1,4 +1,7 @@
-//! Records: length, checksum, and a write in MessagePack.
+//! Records: length, checksum, and a batch of writes in MessagePack.
+//!
+//! A batch is one record, so that a crash can tear no more than the last
+//! record, in whatever order the pages reach the disk.
 
 use std::path::Path;
 
@@ -11,7 +14,7 @@
 
 /// Appends a record to `buf`.
 pub(super) fn encode(
-    write: &Write,
+    batch: &[Write],
     buf: &mut Vec<u8>,
 ) -> Result<(), StorageError> {
     let unencodable = |message: String| {
@@ -21,7 +24,7 @@
             message,
         )
     };
-    let body = rmp_serde::to_vec(write)
+    let body = rmp_serde::to_vec(batch)
         .map_err(|e| unencodable(format!("cannot encode: {e}")))?;
     let length = u32::try_from(body.len())
         .map_err(|_| unencodable("larger than 4 GiB".into()))?;
@@ -43,7 +46,7 @@
 /// What stands at the head of some bytes.
 pub(super) enum Decoded {
     /// A record and the bytes that it takes.
-    Record(Box<Write>, usize),
+    Record(Vec<Write>, usize),
     /// Fewer bytes than a record takes.
     Incomplete,
     /// Bytes that are no record.
@@ -71,9 +74,7 @@
         return Decoded::Damaged;
     }
     match rmp_serde::from_slice(body) {
-        Ok(write) => {
-            Decoded::Record(Box::new(write), HEADER_BYTES + body.len())
-        }
+        Ok(batch) => Decoded::Record(batch, HEADER_BYTES + body.len()),
         Err(_) => Decoded::Damaged,
     }
 }
--- a/src/storage/segment.rs
+++ b/src/storage/segment.rs
@@ -99,7 +99,7 @@
     for entry in entries {
         let entry = entry.map_err(|e| StorageError::io("list", folder, e))?;
         let name = entry.file_name();
-        let number = name
+        let number: Option<u64> = name
             .to_str()
             .and_then(|name| name.strip_suffix(SUFFIX))
             .and_then(|stem| stem.parse().ok());
@@ -131,8 +131,8 @@
     let mut at = 0;
     while at < bytes.len() {
         match decode(&bytes[at..]) {
-            Decoded::Record(write, length) => {
-                writes.push(*write);
+            Decoded::Record(batch, length) => {
+                writes.extend(batch);
                 at += length;
             }
             // Only the end of the file can be torn. A damaged record with
@@ -174,7 +174,8 @@
 /// Removes a segment.
 pub(super) fn remove(folder: &Path, number: u64) -> Result<(), StorageError> {
     let path = path(folder, number);
-    fs::remove_file(&path).map_err(|e| StorageError::io("remove", &path, e))?;
+    fs::remove_file(&path)
+        .map_err(|e| StorageError::io("remove", &path, e))?;
     sync_folder(folder)
 }
 
