Test the control group

Cause: changes, claims, requests and repair had no tests. Change: tests/control.rs for bounded state, resends, claims, client, service and repair, and a second loss right after a repair.

--- /dev/null
+++ b/crates/core/tests/control.rs
@@ -0,0 +1,364 @@
+//! Guards the control group: changes, claims, requests and repair.
+
+mod cluster;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use cluster::*;
+use primrosemast_core::{
+    consensus::{ConsensusEvent, MemberChange},
+    control::{client::*, repair::*, service::*, *},
+    id::*,
+    query::ClaimResult,
+    time::Time,
+    verdict::Verdict,
+};
+
+fn change(id: &str, expected: u64) -> Change {
+    Change {
+        change_id: id.into(),
+        expected_version: ConfigVersion(expected),
+        document: Bytes::from(id.as_bytes().to_vec()),
+    }
+}
+
+fn claim(request_id: &str, query: u64, at_ms: u64) -> Claim {
+    Claim { request_id: request_id.into(), query: QueryId(query), at_ms }
+}
+
+fn settle(request_id: &str, query: u64, verdict: Verdict) -> Command {
+    Command::Settle(Settle {
+        request_id: request_id.into(),
+        query: QueryId(query),
+        verdict,
+    })
+}
+
+fn apply(state: &mut ControlState, command: &Command) -> Applied {
+    state.apply(state.index() + 1, &command.encode())
+}
+
+fn try_claim(state: &mut ControlState, c: Claim) -> ClaimResult {
+    match apply(state, &Command::Claim(c)) {
+        Applied::Claim(result) => result,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against two accepted changes from one version, and against a
+/// resend with another outcome than the first, also after a restore.
+#[test]
+fn racing_and_resent_changes() {
+    let mut state = ControlState::default();
+    let outcome = |state: &mut ControlState, id: &str, expected| match apply(
+        state,
+        &Command::Change(change(id, expected)),
+    ) {
+        Applied::Change { outcome, .. } => outcome,
+        other => panic!("{other:?}"),
+    };
+    let accepted = ChangeOutcome::Accepted(ConfigVersion(1));
+    let conflict = ChangeOutcome::Conflict(ConfigVersion(1));
+    assert_eq!(outcome(&mut state, "a", 0), accepted);
+    assert_eq!(outcome(&mut state, "b", 0), conflict);
+    let mut restored = ControlState::default();
+    restored.restore(&state.snapshot()).expect("snapshot");
+    assert_eq!(outcome(&mut restored, "a", 1), accepted);
+    assert_eq!(outcome(&mut restored, "b", 1), conflict);
+    assert_eq!(restored.version(), ConfigVersion(1));
+    let waiting = [
+        Command::Change(change("c", 1)).encode(),
+        Command::Claim(claim("r", 1, 0)).encode(),
+    ];
+    assert_eq!(restored.logged_version(waiting.iter()), ConfigVersion(2));
+}
+
+/// Guards against a request that runs twice, and against ids that stay
+/// blocked after a request that did not run.
+#[test]
+fn claims_are_exclusive_until_released() {
+    let mut state = ControlState::default();
+    let s = &mut state;
+    assert_eq!(try_claim(s, claim("r", 1, 0)), ClaimResult::Granted);
+    assert_eq!(try_claim(s, claim("r", 1, 0)), ClaimResult::Granted);
+    assert_eq!(try_claim(s, claim("r", 2, 0)), ClaimResult::Taken(None));
+    apply(s, &settle("r", 2, Verdict::NotRun));
+    assert_eq!(try_claim(s, claim("r", 2, 0)), ClaimResult::Taken(None));
+    apply(s, &settle("r", 1, Verdict::NotRun));
+    assert_eq!(try_claim(s, claim("r", 2, 0)), ClaimResult::Granted);
+    apply(s, &settle("r", 2, Verdict::Ran));
+    apply(s, &settle("r", 2, Verdict::NotRun));
+    let taken = ClaimResult::Taken(Some(Verdict::Ran));
+    assert_eq!(try_claim(s, claim("r", 3, CLAIM_TTL_MS - 1)), taken);
+    // An earlier clock of another leader does not bring time back.
+    assert_eq!(try_claim(s, claim("x", 4, 5)), ClaimResult::Granted);
+    assert_eq!(
+        try_claim(s, claim("r", 5, CLAIM_TTL_MS)),
+        ClaimResult::Granted
+    );
+    assert_eq!(s.claim_count(), 2);
+}
+
+/// Guards against memory that grows with the number of changes and claims.
+#[test]
+fn outcomes_and_claims_are_bounded() {
+    let mut state = ControlState::default();
+    for i in 0..MAX_OUTCOMES as u64 + 50 {
+        let id = format!("change-{i}");
+        apply(&mut state, &Command::Change(change(&id, i)));
+    }
+    assert_eq!(state.outcome_count(), MAX_OUTCOMES);
+    assert!(state.outcome("change-49").is_none());
+    assert!(state.outcome("change-50").is_some());
+    for i in 0..MAX_CLAIMS as u64 {
+        let id = format!("{i:x}");
+        let result = try_claim(&mut state, claim(&id, 1, i / 1_000));
+        assert_eq!(result, ClaimResult::Granted);
+    }
+    let full = try_claim(&mut state, claim("one more", 1, 0));
+    assert_eq!(full, ClaimResult::Unavailable);
+    let later = claim("one more", 1, CLAIM_TTL_MS);
+    assert_eq!(try_claim(&mut state, later), ClaimResult::Granted);
+}
+
+/// Guards against a log that grows without bound, and against a slow
+/// restart: few records are read, whatever the number of changes.
+#[test]
+fn ten_thousand_changes_leave_a_short_log() {
+    let mut cluster = Cluster::voters(3, 7);
+    for i in 0..10_000u64 {
+        let leader = cluster.wait_leader();
+        let id = format!("change-{i}");
+        let command = cluster.next_change(leader, &id);
+        cluster.commit(&command);
+    }
+    cluster.settle();
+    for i in 0..3 {
+        let held = cluster.nodes[i].disk.entries.len();
+        assert!(held < 5_000, "replica {i} holds {held} entries");
+        assert!(cluster.nodes[i].disk.snapshot.is_some());
+    }
+}
+
+/// Guards against a restart that replays all changes ever made.
+#[test]
+fn a_restart_reads_few_records() {
+    let mut cluster = Cluster::voters(3, 8);
+    for i in 0..1_500u64 {
+        let leader = cluster.wait_leader();
+        let id = format!("change-{i}");
+        let command = cluster.next_change(leader, &id);
+        cluster.commit(&command);
+    }
+    cluster.settle();
+    for i in 0..3 {
+        cluster.crash(i);
+    }
+    for i in 0..3 {
+        cluster.start(i);
+        assert!(cluster.nodes[i].records_read < 1_100);
+    }
+    cluster.settle();
+    assert!(cluster.nodes.iter().all(|n| n.state.version().0 == 1_500));
+}
+
+/// Lets the repair at the leader act until nothing is left to do.
+fn repair(cluster: &mut Cluster, group_size: usize, millis: u64) {
+    let mut repair = Repair::new(group_size, 1 << 40);
+    let end = cluster.now + Duration::from_millis(millis);
+    while cluster.now < end {
+        if let Some(leader) = cluster.leader() {
+            let status = cluster.status(leader).expect("status");
+            let event = RepairEvent::Status(status);
+            let mut out = Vec::new();
+            repair.step(cluster.now, event, &mut out);
+            for effect in out {
+                if let RepairEffect::ChangeMembers(token, change) = effect {
+                    let event = ConsensusEvent::ChangeMembers(token, change);
+                    cluster.step(leader, event);
+                }
+            }
+        }
+        cluster.run(20);
+        let ended: Vec<_> = cluster
+            .outcomes
+            .iter()
+            .filter(|(token, _)| repair.owns(**token))
+            .map(|(token, result)| (*token, result.clone()))
+            .collect();
+        for (token, result) in ended {
+            let event = RepairEvent::Outcome(token, result);
+            repair.step(cluster.now, event, &mut Vec::new());
+        }
+    }
+}
+
+/// Guards against a repair that only looks complete: a second replica is
+/// lost right after the first was replaced, and nothing may be missing.
+#[test]
+fn a_second_loss_right_after_a_repair() {
+    for seed in 0..10 {
+        let mut cluster = Cluster::voters(3, seed);
+        for i in 0..50 {
+            let leader = cluster.wait_leader();
+            let id = format!("change-{i}");
+            let command = cluster.next_change(leader, &id);
+            cluster.commit(&command);
+        }
+        for lost in [2, 1, 0] {
+            cluster.lose_disk(lost);
+            cluster.start(lost);
+            let joined = cluster.nodes[lost].replica.clone();
+            cluster.change(MemberChange::AddLearner(joined));
+            repair(&mut cluster, 3, 8_000);
+            let leader = cluster.wait_leader();
+            let status = cluster.status(leader).expect("status");
+            let voters = status.members.iter().filter(|m| m.voter).count();
+            assert_eq!((voters, status.members.len()), (3, 3), "seed {seed}");
+        }
+        cluster.settle();
+        assert!(cluster.nodes.iter().all(|n| n.state.version().0 == 50));
+    }
+}
+
+/// Guards against a repair that removes or promotes for the sake of a
+/// learner which is dead, and so takes the majority away.
+#[test]
+fn repair_waits_for_a_live_learner() {
+    let mut cluster = Cluster::voters(3, 3);
+    cluster.lose_disk(2);
+    let joined = cluster.nodes[2].replica.clone();
+    cluster.change(MemberChange::AddLearner(joined));
+    repair(&mut cluster, 3, 5_000);
+    let leader = cluster.wait_leader();
+    let status = cluster.status(leader).expect("status");
+    assert_eq!(status.members.iter().filter(|m| m.voter).count(), 3);
+    assert_eq!(status.members.len(), 4);
+}
+
+fn sent(out: &[ClientEffect]) -> Vec<(InstanceId, u64)> {
+    out.iter()
+        .filter_map(|e| match e {
+            ClientEffect::Send(to, Message::Request { sequence, .. }) => {
+                Some((*to, *sequence))
+            }
+            _ => None,
+        })
+        .collect()
+}
+
+fn done(out: &[ClientEffect]) -> Option<&ControlReply> {
+    out.iter().find_map(|e| match e {
+        ClientEffect::Done(_, reply) => Some(reply),
+        _ => None,
+    })
+}
+
+/// Submits a request, answers each attempt, and returns the reply and
+/// whether a settlement was sent after it.
+fn submit(
+    request: ControlRequest,
+    answer: impl Fn(InstanceId) -> Option<ControlReply>,
+) -> (ControlReply, bool) {
+    let mut client = Client::new(1);
+    let mut out = Vec::new();
+    let replicas = vec![InstanceId(1), InstanceId(2), InstanceId(3)];
+    let mut now = Time::ZERO;
+    client.step(now, ClientEvent::Replicas(replicas), &mut out);
+    let token = Token(9);
+    let event = ClientEvent::Submit { token, request, budget_us: 1_000_000 };
+    client.step(now, event, &mut out);
+    for _ in 0..1_000 {
+        if let Some(reply) = done(&out) {
+            let settled = out.iter().any(|e| {
+                matches!(
+                    e,
+                    ClientEffect::Send(
+                        _,
+                        Message::Request {
+                            request: ControlRequest::Settle(_),
+                            ..
+                        }
+                    )
+                )
+            });
+            return (reply.clone(), settled);
+        }
+        let attempts = sent(&out);
+        out.clear();
+        for (from, sequence) in attempts {
+            if let Some(reply) = answer(from) {
+                let event = ClientEvent::Reply { from, sequence, reply };
+                client.step(now, event, &mut out);
+            }
+        }
+        if out.is_empty() {
+            now = client.next_deadline().expect("deadline");
+            client.step(now, ClientEvent::Tick, &mut out);
+        }
+    }
+    panic!("no end");
+}
+
+/// Guards against "nothing was proposed" for a request that may have been,
+/// and against claims that stay behind.
+#[test]
+fn a_client_tells_unknown_from_refused() {
+    let a_change = || ControlRequest::Change(change("a", 0));
+    let a_claim = || ControlRequest::Claim(claim("r", 1, 0));
+    let no_leader = |_| Some(ControlReply::NotLeader(None));
+    let (reply, _) = submit(a_change(), no_leader);
+    assert!(matches!(reply, ControlReply::Refused(_)), "{reply:?}");
+    let (reply, _) = submit(a_change(), |_| None);
+    assert_eq!(reply, ControlReply::Unknown);
+    let unavailable = ControlReply::Claim(ClaimResult::Unavailable);
+    assert_eq!(submit(a_claim(), no_leader), (unavailable.clone(), false));
+    assert_eq!(submit(a_claim(), |_| None), (unavailable, true));
+    // Replicas that name each other as leader must not keep it busy.
+    let (reply, _) = submit(a_change(), |from| {
+        let other = InstanceId(from.0 % 3 + 1);
+        Some(ControlReply::NotLeader(Some(other)))
+    });
+    assert!(matches!(reply, ControlReply::Refused(_)), "{reply:?}");
+    let outcome =
+        ControlReply::Change(ChangeOutcome::Accepted(ConfigVersion(1)));
+    let (reply, _) = submit(a_change(), |from| {
+        Some(match from {
+            InstanceId(2) => outcome.clone(),
+            _ => ControlReply::NotLeader(Some(InstanceId(2))),
+        })
+    });
+    assert_eq!(reply, outcome);
+}
+
+/// Guards against replies that go to the wrong request, and against a claim
+/// that is granted before it is committed.
+#[test]
+fn a_service_replies_only_after_the_outcome() {
+    let mut service = Service::new(100);
+    let mut out = Vec::new();
+    let event = ServiceEvent::Request {
+        origin: Origin::Peer(InstanceId(4), 77),
+        request: ControlRequest::Claim(claim("r", 1, 0)),
+        wall_ms: 1_234,
+    };
+    service.step(event, &mut out);
+    let [ServiceEffect::Propose(token, command)] = &out[..] else {
+        panic!("{out:?}");
+    };
+    let Some(Command::Claim(proposed)) = Command::decode(command) else {
+        panic!("no claim");
+    };
+    assert_eq!(proposed.at_ms, 1_234);
+    let token = *token;
+    out.clear();
+    let applied = Applied::Claim(ClaimResult::Granted);
+    service.step(ServiceEvent::Applied { index: 5, applied }, &mut out);
+    out.clear();
+    service.step(ServiceEvent::Outcome(token, Ok(5)), &mut out);
+    let reply = ControlReply::Claim(ClaimResult::Granted);
+    let expected = Message::Reply { sequence: 77, reply };
+    assert_eq!(out, [ServiceEffect::Send(InstanceId(4), expected)]);
+    assert!(!service.owns(token));
+}
