Test elections, partitions, removal and learners of the log

Cause: the mechanisms had only the random schedules as guard. Change: focused tests for votes, pre-vote, check-quorum, own entries, removed replicas, other groups, learners and the time of an election.

--- a/crates/core/tests/consensus.rs
+++ b/crates/core/tests/consensus.rs
@@ -5,6 +5,7 @@
 use cluster::*;
 use primrosemast_core::consensus::*;
 use proptest::prelude::*;
+use std::time::Duration;
 
 /// Guards against a group that cannot be founded or grown.
 #[test]
@@ -78,7 +79,7 @@
             Action::LoseDisk(i) => lose_disk(cluster, i),
             Action::Freeze(i, ms) => {
                 cluster.nodes[i].frozen =
-                    cluster.now + std::time::Duration::from_millis(ms);
+                    cluster.now + Duration::from_millis(ms);
             }
             Action::Split(mask) => {
                 for i in 0..count {
@@ -191,3 +192,164 @@
         cluster.settle();
     }
 }
+
+/// Guards against a vote that is forgotten in a crash, which would let two
+/// replicas lead in one term. Elections run against slow disks while
+/// replicas crash at any moment.
+#[test]
+fn a_vote_survives_a_crash() {
+    for seed in 0..60 {
+        // Close timeouts make two candidates in one term likely.
+        let options = ConsensusOptions {
+            election_max: Duration::from_millis(505),
+            ..ConsensusOptions::default()
+        };
+        let mut cluster = Cluster::with(3, seed, options);
+        cluster.enlist();
+        cluster.faults.delay_us = (200, 40_000);
+        cluster.faults.sync_us = (1_000, 60_000);
+        for round in 0..60u64 {
+            if let Some(leader) = cluster.leader() {
+                cluster.crash(leader);
+                cluster.start(leader);
+            }
+            let i = (seed + round) as usize % 3;
+            cluster.run(480 + (seed * 31 + round * 17) % 120);
+            cluster.crash(i);
+            cluster.start(i);
+            cluster.run(10 + round % 40);
+        }
+        cluster.settle();
+    }
+}
+
+/// Guards against a replica that deposes a working leader when it returns
+/// from the far side of a partition or from a freeze.
+#[test]
+fn a_returning_replica_does_not_depose_the_leader() {
+    for seed in 0..20 {
+        let mut cluster = Cluster::voters(3, seed);
+        let leader = cluster.wait_leader();
+        let term = cluster.status(leader).expect("status").term;
+        let cut = (leader + 1) % 3;
+        cluster.side[cut] = 1;
+        cluster.run(20_000);
+        cluster.side[cut] = 0;
+        cluster.run(3_000);
+        cluster.nodes[cut].frozen = cluster.now + Duration::from_secs(5);
+        cluster.run(8_000);
+        let status = cluster.status(leader).expect("status");
+        assert_eq!((status.role, status.term), (Role::Leader, term));
+    }
+}
+
+/// Guards against a group without a leader for longer than 1.5 s after its
+/// leader is lost.
+#[test]
+fn a_lost_leader_is_replaced_in_time() {
+    for seed in 0..200 {
+        let count = 3 + (seed as usize % 2) * 2;
+        let mut cluster = Cluster::voters(count, seed);
+        let leader = cluster.wait_leader();
+        cluster.run(seed % 100);
+        cluster.crash(leader);
+        let start = cluster.now;
+        cluster.wait("a new leader", |c| c.leader().is_some());
+        let span = cluster.now.since(start);
+        assert!(span <= Duration::from_millis(1_500), "seed {seed}: {span:?}");
+    }
+}
+
+/// Guards against a leader on the minority side that keeps its role, and
+/// against the loss or the double outcome of what it had accepted.
+#[test]
+fn a_leader_without_a_majority_steps_down() {
+    let mut cluster = Cluster::voters(5, 4);
+    let old = cluster.wait_leader();
+    cluster.side[old] = 1;
+    let change = cluster.next_change(old, "lost");
+    let token = cluster.propose(old, &change);
+    cluster.run(1_200);
+    let status = cluster.status(old).expect("status");
+    assert_ne!(status.role, Role::Leader);
+    assert_eq!(cluster.outcomes[&token], Err(ProposeError::Unknown));
+    let leader = cluster.wait_leader();
+    let other = cluster.next_change(leader, "kept");
+    cluster.commit(&other);
+    cluster.settle();
+    assert!(!cluster.first.contains_key("lost"));
+    assert!(cluster.nodes.iter().all(|n| n.state.version().0 == 1));
+}
+
+/// Guards against a removed replica that disturbs the others, and against
+/// messages of another group.
+#[test]
+fn a_removed_replica_and_another_group_are_ignored() {
+    let mut cluster = Cluster::voters(4, 5);
+    let leader = cluster.wait_leader();
+    let term = cluster.status(leader).expect("status").term;
+    let removed = (leader + 1) % 4;
+    let id = cluster.nodes[removed].replica.id;
+    cluster.change(MemberChange::Remove(id));
+    for _ in 0..5 {
+        cluster.crash(removed);
+        cluster.start(removed);
+        cluster.run(3_000);
+    }
+    let to = cluster.nodes[leader].replica.id;
+    let envelope = Envelope {
+        group: 12,
+        from: id,
+        to,
+        answer_to: None,
+        message: Message::VoteReply { term: term + 9, granted: true },
+    };
+    cluster.step(leader, ConsensusEvent::Message(envelope));
+    let status = cluster.status(leader).expect("status");
+    assert_eq!((status.role, status.term), (Role::Leader, term));
+    assert!(cluster.logs.iter().any(|l| l.starts_with("FOREIGN_GROUP")));
+}
+
+/// Guards against a leader that commits with its own entry before that is
+/// synced: with one of two disks silent, nothing may be accepted.
+#[test]
+fn an_unsynced_entry_does_not_count() {
+    let mut cluster = Cluster::voters(2, 6);
+    cluster.run(500);
+    let leader = cluster.wait_leader();
+    cluster.faults.sync_us = (200_000, 200_000);
+    let change = cluster.next_change(leader, "a");
+    let token = cluster.propose(leader, &change);
+    cluster.run(150);
+    assert!(!cluster.outcomes.contains_key(&token));
+    cluster.wait("a commit", |c| c.outcomes.contains_key(&token));
+}
+
+/// Guards against a learner that votes before it holds the log.
+#[test]
+fn a_learner_is_promoted_only_when_caught_up() {
+    let mut cluster = Cluster::new(2, 9);
+    for i in 0..500 {
+        let leader = cluster.wait_leader();
+        let id = format!("change-{i}");
+        let change = cluster.next_change(leader, &id);
+        cluster.commit(&change);
+    }
+    cluster.crash(1);
+    let learner = cluster.nodes[1].replica.clone();
+    cluster.change(MemberChange::AddLearner(learner.clone()));
+    cluster.run(1_000);
+    let token = cluster.token();
+    let event = ConsensusEvent::ChangeMembers(
+        token,
+        MemberChange::Promote(learner.id),
+    );
+    cluster.step(0, event);
+    assert!(matches!(
+        cluster.outcomes[&token],
+        Err(ProposeError::Rejected(_))
+    ));
+    cluster.start(1);
+    cluster.change(MemberChange::Promote(learner.id));
+    assert_eq!(cluster.nodes[1].state.version().0, 500);
+}
