Let a replica stand for election until its removal is committed

Cause: a leader that crashed while it removed itself kept the longest log but was no voter in it, so a group of two stayed without a leader. Found by histories_agree. Change: a replica stands while any configuration that may be in force has its vote; only voters of the newest configuration count.

--- a/crates/core/src/consensus/election.rs
+++ b/crates/core/src/consensus/election.rs
@@ -20,7 +20,7 @@
             if now >= leader.heartbeat_at {
                 self.heartbeat(now);
             }
-        } else if self.is_voter() && now >= self.election_at {
+        } else if self.may_campaign() && now >= self.election_at {
             self.ask_pre_votes(now);
         }
     }
@@ -34,7 +34,7 @@
         // Asking does no harm, so it is repeated sooner than an election.
         let pause = self.options.heartbeat;
         self.election_at = now + self.random(pause, pause * 2);
-        if self.is_majority(1) {
+        if self.is_majority(&[self.id]) {
             self.campaign(now);
             return;
         }
@@ -131,8 +131,8 @@
         if !votes.contains(&from) {
             votes.push(from);
         }
-        let count = votes.len();
-        if self.is_majority(count) {
+        let votes = votes.clone();
+        if self.is_majority(&votes) {
             self.campaign(now);
         }
     }
@@ -203,7 +203,7 @@
         if let State::Candidate { votes, .. } = &self.state {
             // The own vote is required, because it must be synced before
             // anything of this term is sent.
-            if votes.contains(&self.id) && self.is_majority(votes.len()) {
+            if votes.contains(&self.id) && self.is_majority(votes) {
                 self.lead(now);
             }
         }
--- a/crates/core/src/consensus/log.rs
+++ b/crates/core/src/consensus/log.rs
@@ -110,6 +110,15 @@
         at.checked_sub(1).map_or(&[], |at| &self.members[at].1)
     }
 
+    /// Everyone in the members as of `commit` or in a later change.
+    pub(crate) fn possible_members(
+        &self,
+        commit: u64,
+    ) -> impl Iterator<Item = &Replica> {
+        let at = self.members.partition_point(|(i, _)| *i <= commit);
+        self.members[at.saturating_sub(1)..].iter().flat_map(|(_, m)| m)
+    }
+
     pub(crate) fn push(&mut self, entry: Entry) {
         if let Payload::Members(members) = &entry.payload {
             self.members.push((entry.index, members.clone()));
--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -257,7 +257,7 @@
     pub fn next_deadline(&self) -> Option<Time> {
         match &self.state {
             State::Leader(leader) => Some(leader.heartbeat_at),
-            _ if self.is_voter() => Some(self.election_at),
+            _ if self.may_campaign() => Some(self.election_at),
             _ => None,
         }
     }
@@ -480,6 +480,16 @@
         self.log.members().iter().any(|m| m.id == self.id && m.voter)
     }
 
+    /// Whether this replica stands for election: it votes, or its removal is
+    /// not known to be committed. Without the latter, a leader that crashes
+    /// while it removes itself could leave a log that is longer than all
+    /// others and that no candidate has.
+    fn may_campaign(&self) -> bool {
+        self.log
+            .possible_members(self.commit)
+            .any(|m| m.id == self.id && m.voter)
+    }
+
     fn voters(&self) -> impl Iterator<Item = &Replica> {
         self.log.members().iter().filter(|m| m.voter)
     }
@@ -491,8 +501,9 @@
         members
     }
 
-    /// Whether `count` voters are a majority of the members now.
-    fn is_majority(&self, count: usize) -> bool {
+    /// Whether these replicas include a majority of the voters now.
+    fn is_majority(&self, votes: &[ReplicaId]) -> bool {
+        let count = self.voters().filter(|v| votes.contains(&v.id)).count();
         count > self.voters().count() / 2
     }
 
--- a/crates/core/tests/cluster/mod.rs
+++ b/crates/core/tests/cluster/mod.rs
@@ -364,6 +364,12 @@
     pub fn wait(&mut self, what: &str, done: impl Fn(&Cluster) -> bool) {
         let end = self.now + Duration::from_secs(60);
         let reached = self.run_until(end, &done);
+        if !reached {
+            for (i, node) in self.nodes.iter().enumerate() {
+                let index = node.state.index();
+                println!("{i}: applied {index}, {:?}", self.status(i));
+            }
+        }
         assert!(reached, "seed {}: not reached: {what}", self.seed);
     }
 
--- a/crates/core/tests/consensus.rs
+++ b/crates/core/tests/consensus.rs
@@ -353,3 +353,26 @@
     cluster.change(MemberChange::Promote(learner.id));
     assert_eq!(cluster.nodes[1].state.version().0, 500);
 }
+
+/// Guards against a group of two that stays without a leader after its
+/// leader crashed while it removed itself: its log is then the longest, and
+/// it is no voter in it.
+#[test]
+fn a_leader_may_crash_while_it_removes_itself() {
+    for millis in 0..10 {
+        let mut cluster = Cluster::voters(2, 11);
+        let leader = cluster.wait_leader();
+        cluster.side[1 - leader] = 1;
+        let id = cluster.nodes[leader].replica.id;
+        let token = cluster.token();
+        let change = MemberChange::Remove(id);
+        let event = ConsensusEvent::ChangeMembers(token, change);
+        cluster.step(leader, event);
+        cluster.run(millis);
+        cluster.crash(leader);
+        cluster.settle();
+        let leader = cluster.wait_leader();
+        let change = cluster.next_change(leader, "a");
+        cluster.commit(&change);
+    }
+}
