--- a/crates/core/src/event/mod.rs
+++ b/crates/core/src/event/mod.rs
@@ -34,7 +34,7 @@
     pub code: u16,
     /// Severity.
     pub level: Level,
-    /// Short name in snake case.
+    /// Short name; printed in lower case.
     pub name: &'static str,
     /// What it means and what an operator should do.
     pub meaning: &'static str,
--- a/crates/core/src/query/choose.rs
+++ b/crates/core/src/query/choose.rs
@@ -21,6 +21,9 @@
 /// A replica this many times slower than the fastest is an outlier.
 const OUTLIER_FACTOR: u32 = 2;
 
+/// Holders of a shard up to which their latencies are compared.
+const MAX_COMPARED: usize = 8;
+
 /// Added to the bound, so that the distance between zones (up to about 1 ms
 /// one way) makes no outlier.
 const OUTLIER_MARGIN_US: u32 = 2_000;
@@ -113,11 +116,17 @@
         self.floor(holders, tried).map(|slot| Choice { slot, floor: true })
     }
 
-    /// Lowest latency that a usable holder of the shard reports.
-    fn best_latency(&self, holders: &[(u16, u32)]) -> u32 {
+    /// Lowest latency that a usable holder of the shard reports, or 0 if
+    /// there are many holders: the choice of the better of two then avoids a
+    /// slow one at a cost that does not depend on their number.
+    fn best_latency(&self, holders: &ByZone) -> u32 {
+        let count: usize = holders.groups.iter().map(|g| g.slots.len()).sum();
+        if count > MAX_COMPARED {
+            return 0;
+        }
         holders
-            .iter()
-            .map(|x| self.target(x.1))
+            .slots()
+            .map(|slot| self.target(slot))
             .filter(|t| t.is_usable() && t.latency_us > 0)
             .map(|t| t.latency_us)
             .min()
--- a/crates/core/src/query/table.rs
+++ b/crates/core/src/query/table.rs
@@ -46,19 +46,6 @@
 }
 
 impl Target {
-    /// The newest report.
-    fn known_report(&self) -> Option<TargetReport> {
-        Some(TargetReport {
-            target: self.id,
-            state: self.state?,
-            limit: self.limit,
-            running: self.running,
-            queued: self.queued,
-            latency_us: self.latency_us,
-            holds: self.holds.clone(),
-        })
-    }
-
     /// Requests that run or wait, as far as this instance knows.
     pub(crate) fn load(&self) -> u32 {
         let known = self.running + self.queued + self.pending;
@@ -138,9 +125,19 @@
         Some(i as u32)
     }
 
+    /// The newest report of a target, if there is one.
     pub(crate) fn known_report(&self, id: TargetId) -> Option<TargetReport> {
-        let slot = self.find(id)?;
-        self.targets[slot as usize].known_report()
+        let slot = self.find(id)? as usize;
+        let t = &self.targets[slot];
+        Some(TargetReport {
+            target: id,
+            state: t.state?,
+            limit: t.limit,
+            running: t.running,
+            queued: t.queued,
+            latency_us: t.latency_us,
+            holds: self.holds[slot].clone(),
+        })
     }
 
     pub(crate) fn route_position(&self, id: RouteId) -> Option<usize> {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,7 +1,7 @@
 /*!
 The operators' command-line tool.
 
-Every command ends with a [`Report`]: an exit code, text for people and JSON
+Every command ends with a report: an exit code, text for people and JSON
 for programs. Progress that matters when the tool is interrupted, such as the
 id of a change, goes to standard error before the change is sent.
 */
--- a/src/settings/instance.rs
+++ b/src/settings/instance.rs
@@ -166,8 +166,6 @@
     pub drain_grace_ms: u64,
     /// Longest wait for running requests at shutdown.
     pub drain_limit_ms: u64,
-    /// How long a claim of a request id is kept.
-    pub claim_ttl_ms: u64,
 }
 
 impl Default for Timing {
@@ -187,7 +185,6 @@
             platform_list_interval_ms: 2_000,
             drain_grace_ms: 3_000,
             drain_limit_ms: 25_000,
-            claim_ttl_ms: 24 * 60 * 60 * 1_000,
         }
     }
 }
