--- a/crates/core/tests/cluster/mod.rs
+++ b/crates/core/tests/cluster/mod.rs
@@ -35,6 +35,8 @@
     pub applied: u64,
     pub restores: u64,
     pub records_read: usize,
+    /// Added to the time of each sync.
+    pub slow_disk_us: u64,
     inbox: Vec<Event>,
 }
 
@@ -138,6 +140,7 @@
                 applied: 0,
                 restores: 0,
                 records_read: 0,
+                slow_disk_us: 0,
                 inbox: Vec::new(),
             });
             cluster.start(i);
@@ -157,7 +160,12 @@
 
     /// Adds and promotes every replica.
     pub fn enlist(&mut self) {
-        for i in 1..self.nodes.len() {
+        self.enlist_first(self.nodes.len());
+    }
+
+    /// Adds and promotes the first replicas.
+    pub fn enlist_first(&mut self, count: usize) {
+        for i in 1..count {
             let add = MemberChange::AddLearner(self.nodes[i].replica.clone());
             self.change(add);
             let id = self.nodes[i].replica.id;
@@ -220,7 +228,8 @@
                 ConsensusEffect::Persist { ticket, write } => {
                     self.nodes[i].unsynced.push_back((ticket, write));
                     let (min, max) = self.faults.sync_us;
-                    let wait = self.rng.random_range(min..=max);
+                    let wait = self.rng.random_range(min..=max)
+                        + self.nodes[i].slow_disk_us;
                     self.schedule(i, wait, Event::Synced(ticket));
                 }
                 ConsensusEffect::Apply { index, command } => {
