Count only replicas with the newest members in a confirmation

Cause: a trial of the operators' guide removed a replica that was down; once restarted with its old folder it still believed that it voted, and together with one voter it confirmed the configuration of a fresh instance. A stale voter and a removed one could so confirm an old version. Ruled out: the check of the control group (it is the same group). Change: an answer carries the log index of the sender's list of members, and only answers with the newest list count. Also from that trial: bootstrap applies the configuration it is given and says why it is refused, the first apply needs no expected version, a missing quorum is reported before the tool gives up, and replica figures are live. Result: the new test fails without the change (both answers counted) and passes with it; config_sync and cli tests pass.

--- a/crates/core/src/config_sync/lease.rs
+++ b/crates/core/src/config_sync/lease.rs
@@ -14,6 +14,7 @@
     pub(crate) version: ConfigVersion,
     pub(crate) logged: Option<ConfigVersion>,
     pub(crate) voters: u32,
+    pub(crate) members_index: u64,
     pub(crate) control_group: u64,
     pub(crate) confirmed: Option<Confirmation>,
 }
@@ -52,11 +53,15 @@
         let answers = self.answers.iter().chain(&own);
         let of_group =
             answers.filter(|x| x.control_group == group && x.logged.is_some());
-        // Replicas may know different numbers of voters while the group
-        // changes; the largest is the safe one.
-        let voters = of_group.clone().map(|x| x.voters).max().unwrap_or(0);
+        // Only replicas with the newest list of members count. A replica
+        // that was removed while it was down still believes that it votes.
+        // Majorities of successive lists overlap, so among a majority of an
+        // older list there is always one that knows the newer list.
+        let newest = of_group.clone().map(|x| x.members_index).max();
+        let current = of_group.filter(|x| Some(x.members_index) == newest);
+        let voters = current.clone().map(|x| x.voters).max().unwrap_or(0);
         let agreeing =
-            of_group.filter(|x| x.logged <= Some(version)).count() as u64;
+            current.filter(|x| x.logged <= Some(version)).count() as u64;
         voters > 0 && agreeing * 2 > u64::from(voters)
     }
 
--- a/crates/core/src/config_sync/mod.rs
+++ b/crates/core/src/config_sync/mod.rs
@@ -78,6 +78,9 @@
         /// still runs.
         #[serde(default)]
         confirmed: Option<Confirmation>,
+        /// Place in the log of the list that `voters` was taken from.
+        #[serde(default)]
+        members_index: u64,
     },
     /// Send me the document if it is newer than this.
     Pull {
@@ -105,6 +108,8 @@
         voters: u32,
         /// Newest version in its log, committed or not.
         logged: ConfigVersion,
+        /// Place in the log of the last change of the members.
+        members_index: u64,
     },
     /// Time has passed.
     Tick,
--- a/crates/core/src/config_sync/reducer.rs
+++ b/crates/core/src/config_sync/reducer.rs
@@ -22,6 +22,7 @@
     voter: bool,
     voters: u32,
     logged: ConfigVersion,
+    members_index: u64,
 }
 
 /// Distribution of the configuration and the lease to serve.
@@ -173,8 +174,9 @@
             SyncEvent::Committed(record) => {
                 self.install(now, Arc::new(record), None);
             }
-            SyncEvent::Replica { voter, voters, logged } => {
-                self.own_replica = Some(OwnReplica { voter, voters, logged });
+            SyncEvent::Replica { voter, voters, logged, members_index } => {
+                self.own_replica =
+                    Some(OwnReplica { voter, voters, logged, members_index });
                 self.evaluate(now);
             }
             SyncEvent::Tick => self.on_tick(now),
@@ -252,6 +254,7 @@
                         voters: answer.voters,
                         control_group: answer.control_group,
                         confirmed: answer.confirmed,
+                        members_index: answer.members_index,
                     },
                 );
                 self.pull_if_newer(now, from, version);
@@ -263,11 +266,13 @@
                 voters,
                 control_group,
                 confirmed,
+                members_index,
             } => {
                 if let Some(round) = &mut self.round
                     && round.sequence == sequence
                 {
                     round.record(Answer {
+                        members_index,
                         from,
                         version,
                         logged,
@@ -299,6 +304,7 @@
             version: self.version(),
             logged: replica.filter(|x| x.voter).map(|x| x.logged),
             voters: replica.map_or(0, |x| x.voters),
+            members_index: replica.map_or(0, |x| x.members_index),
             control_group: me.map_or(0, |x| x.control_group),
             confirmed: self.confirmation(now),
         }
--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -295,6 +295,7 @@
             members,
             progress,
             active,
+            members_index: self.log.members_index(),
         }
     }
 
--- a/crates/core/src/consensus/types.rs
+++ b/crates/core/src/consensus/types.rs
@@ -1,6 +1,6 @@
 //! Messages, events, effects and stored forms of the replicated log.
 
-use std::net::SocketAddr;
+use std::{fmt, net::SocketAddr};
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -379,4 +379,19 @@
     /// timeout, in their order.
     #[serde(default)]
     pub active: Vec<bool>,
+    /// Index of the last change of the members.
+    #[serde(default)]
+    pub members_index: u64,
+}
+
+impl fmt::Display for MemberChange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            MemberChange::AddLearner(replica) => {
+                write!(f, "add_learner:{}", replica.id)
+            }
+            MemberChange::Promote(id) => write!(f, "promote:{id}"),
+            MemberChange::Remove(id) => write!(f, "remove:{id}"),
+        }
+    }
 }
--- a/crates/core/src/control/repair.rs
+++ b/crates/core/src/control/repair.rs
@@ -86,7 +86,7 @@
                     self.next_token += 1;
                     let token = Token(self.next_token);
                     self.running = Some(token);
-                    log(&kinds::REPAIR_STEP, format!("{change:?}"), out);
+                    log(&kinds::REPAIR_STEP, format!("change={change}"), out);
                     out.extend([RepairEffect::ChangeMembers(token, change)]);
                 }
             }
--- a/crates/core/src/node/replica.rs
+++ b/crates/core/src/node/replica.rs
@@ -44,7 +44,7 @@
     status: Status,
     join_at: Time,
     /// What was last told to the configuration sync.
-    told: Option<(bool, u32, ConfigVersion)>,
+    told: Option<(bool, u32, ConfigVersion, u64)>,
 }
 
 impl ReplicaNode {
@@ -87,8 +87,8 @@
     }
 
     /// The control replica's status, if there is one.
-    pub fn control_status(&self) -> Option<&Status> {
-        self.replica.as_ref().map(|r| &r.status)
+    pub fn control_status(&self) -> Option<Status> {
+        self.replica.as_ref().map(|r| r.consensus.status())
     }
 
     /// Outcome of a change, as far as this instance's replica knows it.
@@ -493,13 +493,15 @@
         let voters = members.iter().filter(|m| m.voter).count() as u32;
         let logged =
             replica.state.logged_version(replica.consensus.unapplied());
-        let present = (voter, voters, logged);
+        let members_index = replica.status.members_index;
+        let present = (voter, voters, logged, members_index);
         if replica.told != Some(present) {
             replica.told = Some(present);
             self.push(Internal::Sync(SyncEvent::Replica {
                 voter,
                 voters,
                 logged,
+                members_index,
             }));
         }
     }
--- a/crates/core/src/node/types.rs
+++ b/crates/core/src/node/types.rs
@@ -58,7 +58,9 @@
             wall_epoch_ms: 0,
             drain_grace: Duration::from_secs(3),
             drain_limit: Duration::from_secs(25),
-            change_budget: Duration::from_secs(5),
+            // Below the time that the command-line tool waits for a
+            // response, so that it learns of a missing quorum.
+            change_budget: Duration::from_secs(3),
             settle_budget: Duration::from_secs(10),
         }
     }
--- a/crates/core/tests/config_sync.rs
+++ b/crates/core/tests/config_sync.rs
@@ -233,6 +233,7 @@
         voters,
         control_group,
         confirmed: None,
+        members_index: 1,
     };
     // Sender, newest logged version, voters, group, age of the question.
     type Given = (u64, u64, u32, u64, u64);
@@ -261,6 +262,33 @@
     }
 }
 
+/// Guards H4 and H10: a replica that was removed while it was down still
+/// believes that it votes and must not help to confirm an old version.
+#[test]
+fn a_removed_replica_does_not_confirm() {
+    let confirms = |indexes: [u64; 2], voters: [u32; 2]| {
+        let members = (0..3).map(|x| member(x, replica(GROUP)));
+        let (mut sync, sequence) =
+            asking(members.chain([member(9, None)]).collect());
+        for i in 0..2 {
+            let message = Message::Compared {
+                sequence,
+                version: ConfigVersion(5),
+                logged: Some(ConfigVersion(5)),
+                voters: voters[i],
+                control_group: GROUP,
+                confirmed: None,
+                members_index: indexes[i],
+            };
+            let event = SyncEvent::Message(InstanceId(1 + i as u64), message);
+            sync.step(Time::from_millis(3), event, &mut Vec::new());
+        }
+        sync.serving()
+    };
+    assert!(confirms([7, 7], [2, 2]));
+    assert!(!confirms([7, 3], [2, 3]));
+}
+
 fn is_push(message: &Message) -> bool {
     matches!(message, Message::Push(_))
 }
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -294,7 +294,8 @@
         if let Some(Replica { voters, logged, .. }) = self.nodes[index].replica
         {
             let voter = true;
-            let event = SyncEvent::Replica { voter, voters, logged };
+            let event =
+                SyncEvent::Replica { voter, voters, logged, members_index: 1 };
             self.step_sync(index, event);
         }
     }
--- a/src/cli/change.rs
+++ b/src/cli/change.rs
@@ -40,7 +40,7 @@
     let operators = operators(args)?;
     let expected_version = match args.get_one::<u64>("expected_version") {
         Some(version) => ConfigVersion(*version),
-        None => running(&operators).await?.version,
+        None => running_version(&operators).await?,
     };
     submit(args, &operators, expected_version, configuration).await
 }
@@ -109,6 +109,15 @@
     body(&ask(operators, &Call::get("/v1/configuration")).await?)
 }
 
+/// Version in force; 0 at a site that has no configuration yet.
+async fn running_version(operators: &[SocketAddr]) -> Step<ConfigVersion> {
+    let reply = ask(operators, &Call::get("/v1/configuration")).await?;
+    if reply.status == 404 {
+        return Ok(ConfigVersion(0));
+    }
+    Ok(body::<ConfigurationResponse>(&reply)?.version)
+}
+
 /// Sends a change and waits for it if asked to.
 async fn submit(
     args: &ArgMatches,
--- a/src/daemon/views.rs
+++ b/src/daemon/views.rs
@@ -94,7 +94,7 @@
         serving: node.serving(),
         ready: node.ready(),
         draining: node.draining(),
-        control: node.control_status().cloned(),
+        control: node.control_status(),
         members,
         targets: targets(node),
     }
--- a/src/http/operator.rs
+++ b/src/http/operator.rs
@@ -4,7 +4,9 @@
 use http::StatusCode;
 use http_body_util::{BodyExt, Limited};
 use primrosemast_core::{
+    config::Configuration,
     control::{Change, ChangeOutcome, ControlReply},
+    id::ConfigVersion,
     node::{OperatorReply, OperatorRequest},
 };
 use serde::de::DeserializeOwned;
@@ -41,7 +43,7 @@
             async move { show(handle.view(Query::Explain(id)).await) }
         }
     };
-    let outcome = {
+    let change_outcome = {
         let handle = handle.clone();
         move |PathParams(id): PathParams<String>| {
             let handle = handle.clone();
@@ -73,7 +75,7 @@
         .route("/v1/status", get(status))
         .route("/v1/configuration", get(configuration))
         .route("/v1/changes", post(change))
-        .route("/v1/changes/{id}", get(outcome))
+        .route("/v1/changes/{id}", get(change_outcome))
         .route("/v1/explain/{id}", get(explain))
         .route("/v1/replicas", post(replicas))
         .route("/metrics", get(metrics))
@@ -129,20 +131,31 @@
             "change_id must have 1 to 200 characters".into(),
         );
     }
+    let response = propose(handle, req).await;
+    let status = match response.outcome {
+        Outcome::Accepted => StatusCode::OK,
+        Outcome::Conflict => StatusCode::CONFLICT,
+        Outcome::NoQuorum => StatusCode::SERVICE_UNAVAILABLE,
+        Outcome::Unknown => StatusCode::GATEWAY_TIMEOUT,
+        Outcome::Refused => StatusCode::UNPROCESSABLE_ENTITY,
+    };
+    json(status, &response)
+}
+
+/// Checks a change and has it committed.
+async fn propose(handle: &Handle, req: ChangeRequest) -> ChangeResponse {
     let mut problems = check_configuration(&req.configuration);
     problems.retain(Problem::is_error);
     if !problems.is_empty() {
         let lines: Vec<String> =
             problems.iter().map(ToString::to_string).collect();
-        return change_response(Outcome::Refused, None, lines.join("\n"));
+        return outcome(Outcome::Refused, None, lines.join("\n"));
     }
     let mut configuration = req.configuration;
     configuration.sort();
     let document = match rmp_serde::to_vec_named(&configuration) {
         Ok(document) => document.into(),
-        Err(e) => {
-            return change_response(Outcome::Refused, None, e.to_string());
-        }
+        Err(e) => return outcome(Outcome::Refused, None, e.to_string()),
     };
     let change = Change {
         change_id: req.change_id,
@@ -150,35 +163,29 @@
         document,
     };
     match handle.operate(OperatorRequest::Change(change)).await {
-        Some(OperatorReply::Control(reply)) => control_response(reply),
+        Some(OperatorReply::Control(reply)) => control_outcome(reply),
         Some(OperatorReply::Refused(message)) => {
-            change_response(Outcome::NoQuorum, None, message)
+            outcome(Outcome::NoQuorum, None, message)
+        }
+        Some(OperatorReply::Bootstrapped) | None => {
+            outcome(Outcome::Unknown, None, "the instance stopped".into())
         }
-        Some(OperatorReply::Bootstrapped) | None => change_response(
-            Outcome::Unknown,
-            None,
-            "the instance stopped".into(),
-        ),
     }
 }
 
-fn control_response(reply: ControlReply) -> Response {
+fn control_outcome(reply: ControlReply) -> ChangeResponse {
     match reply {
-        ControlReply::Change(ChangeOutcome::Accepted(version)) => {
-            change_response(
-                Outcome::Accepted,
-                Some(version),
-                format!("accepted as version {version}"),
-            )
-        }
-        ControlReply::Change(ChangeOutcome::Conflict(version)) => {
-            change_response(
-                Outcome::Conflict,
-                Some(version),
-                format!("conflict: the current version is {version}"),
-            )
-        }
-        ControlReply::NotLeader(_) => change_response(
+        ControlReply::Change(ChangeOutcome::Accepted(version)) => outcome(
+            Outcome::Accepted,
+            Some(version),
+            format!("accepted as version {version}"),
+        ),
+        ControlReply::Change(ChangeOutcome::Conflict(version)) => outcome(
+            Outcome::Conflict,
+            Some(version),
+            format!("conflict: the current version is {version}"),
+        ),
+        ControlReply::NotLeader(_) => outcome(
             Outcome::NoQuorum,
             None,
             "no quorum: no control leader could be reached; nothing was \
@@ -186,11 +193,11 @@
                 .into(),
         ),
         ControlReply::Refused(message) => {
-            change_response(Outcome::NoQuorum, None, message)
+            outcome(Outcome::NoQuorum, None, message)
         }
         ControlReply::Unknown
         | ControlReply::Claim(_)
-        | ControlReply::Done => change_response(
+        | ControlReply::Done => outcome(
             Outcome::Unknown,
             None,
             "no answer from the control leader; resend the same change id"
@@ -199,19 +206,12 @@
     }
 }
 
-fn change_response(
+fn outcome(
     outcome: Outcome,
-    version: Option<primrosemast_core::id::ConfigVersion>,
+    version: Option<ConfigVersion>,
     message: String,
-) -> Response {
-    let status = match outcome {
-        Outcome::Accepted => StatusCode::OK,
-        Outcome::Conflict => StatusCode::CONFLICT,
-        Outcome::NoQuorum => StatusCode::SERVICE_UNAVAILABLE,
-        Outcome::Unknown => StatusCode::GATEWAY_TIMEOUT,
-        Outcome::Refused => StatusCode::UNPROCESSABLE_ENTITY,
-    };
-    json(status, &ChangeResponse { outcome, version, message })
+) -> ChangeResponse {
+    ChangeResponse { outcome, version, message }
 }
 
 async fn replicas(handle: &Handle, req: Request) -> Response {
@@ -234,23 +234,52 @@
             );
         }
     };
-    let (done, message) = match handle.operate(request).await {
+    let message = match handle.operate(request).await {
         Some(OperatorReply::Bootstrapped) => {
-            (true, "the control group was founded".into())
+            return first_configuration(handle, req.configuration).await;
         }
         Some(OperatorReply::Control(ControlReply::Done)) => {
-            (true, "done".into())
+            return replica_response("done".into());
         }
         Some(OperatorReply::Control(ControlReply::Refused(message)))
-        | Some(OperatorReply::Refused(message)) => (false, message),
+        | Some(OperatorReply::Refused(message)) => message,
         Some(OperatorReply::Control(ControlReply::NotLeader(_))) => {
-            (false, "no control leader could be reached".into())
+            "no control leader could be reached".into()
         }
         Some(OperatorReply::Control(_)) | None => {
-            (false, "the outcome is not known; look at the status".into())
+            "the outcome is not known; look at the status".into()
         }
     };
-    let status =
-        if done { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-    json(status, &ReplicaResponse { done, message, control: None })
+    error(StatusCode::SERVICE_UNAVAILABLE, "refused", message)
+}
+
+/// Applies the first configuration of a new control group, if one was given.
+async fn first_configuration(
+    handle: &Handle,
+    configuration: Option<Configuration>,
+) -> Response {
+    let founded = "the control group was founded";
+    let Some(configuration) = configuration else {
+        return replica_response(founded.into());
+    };
+    let change = ChangeRequest {
+        change_id: format!("bootstrap-{:016x}", rand::random::<u64>()),
+        expected_version: ConfigVersion(0),
+        configuration,
+    };
+    let ChangeResponse { outcome, message, .. } =
+        propose(handle, change).await;
+    if outcome == Outcome::Accepted {
+        return replica_response(format!("{founded}; {message}"));
+    }
+    error(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "configuration_not_accepted",
+        format!("{founded}, but not its configuration: {message}"),
+    )
+}
+
+fn replica_response(message: String) -> Response {
+    let response = ReplicaResponse { done: true, message, control: None };
+    json(StatusCode::OK, &response)
 }
