Test races of operators and a lost disk with real processes

The replicated log had been tested with the reducers only. Each test starts its own small fleet of daemons.

--- /dev/null
+++ b/tests/recovery_support/mod.rs
@@ -0,0 +1,294 @@
+//! A small fleet with its searchers, and observers of its state.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::{
+    future::Future,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use primrosemast_standin::{
+    client::{self, Reply},
+    fleet::{Fleet, FleetOptions, wait_for},
+    site::{Group, Site},
+};
+use serde_json::{Value, json};
+use tokio::{sync::Semaphore, task::JoinHandle};
+
+pub const ZONES: [&str; 2] = ["az-a", "az-b"];
+
+/// Fleets that run at the same time in one test program. Each has up to five
+/// processes that sync files, and the machine may have few cores.
+static FLEETS: Semaphore = Semaphore::const_new(3);
+
+/// A running fleet with the searchers of one route, `search`.
+pub struct Bench {
+    pub fleet: Fleet,
+    pub site: Site,
+    _permit: tokio::sync::SemaphorePermit<'static>,
+}
+
+impl Bench {
+    /// Starts `entries` entry instances, the first `control` of them with a
+    /// control replica, and applies the first configuration.
+    pub async fn start(entries: usize, control: usize) -> Bench {
+        let options = FleetOptions::spread(entries, control, &ZONES);
+        Bench::with(options).await
+    }
+
+    pub async fn with(options: FleetOptions) -> Bench {
+        let bench = Bench::without_group(options).await;
+        let configuration = bench.site.configuration();
+        bench.fleet.bootstrap(&configuration).await.expect("bootstrap");
+        bench
+    }
+
+    /// Starts a fleet whose control group is not founded yet.
+    pub async fn without_group(options: FleetOptions) -> Bench {
+        let permit = FLEETS.acquire().await.expect("never closed");
+        let groups = [Group { shards: 2, ..Group::default() }];
+        let site = Site::start(&ZONES, &groups).await.expect("searchers");
+        let program = Path::new(env!("CARGO_BIN_EXE_primrosemastd"));
+        let fleet = Fleet::start(&[program], options).await.expect("fleet");
+        Bench { fleet, site, _permit: permit }
+    }
+
+    /// The site's configuration, distinguishable by `n`.
+    pub fn variant(&self, n: u64) -> Value {
+        let mut document = self.site.configuration();
+        document["routes"][0]["deadline_ms"] = json!(2_000 + n);
+        document
+    }
+
+    pub fn operators(&self) -> Vec<SocketAddr> {
+        self.fleet.instances().iter().map(|i| i.addresses().operator).collect()
+    }
+
+    /// Sends a change until its outcome is known, as operators do.
+    pub async fn change(
+        &self,
+        i: usize,
+        id: &str,
+        base: u64,
+        n: u64,
+    ) -> Reply {
+        let body = change_body(id, base, &self.variant(n));
+        change_until_known(self.operators()[i], &body).await
+    }
+
+    /// Changes the configuration and expects that it is accepted.
+    pub async fn accept(&self, i: usize, id: &str, base: u64) {
+        let reply = self.change(i, id, base, base + 1).await;
+        assert_eq!(reply.body["outcome"], "accepted", "{:?}", reply.body);
+        assert_eq!(reply.body["version"], base + 1);
+    }
+
+    /// The instance whose replica leads, as most of the replicas see it.
+    pub async fn leader(&self) -> usize {
+        let found = wait_for("a control leader", || async {
+            let mut leaders = Vec::new();
+            for i in 0..self.fleet.instances().len() {
+                let Ok(status) = self.fleet.status(i).await else { continue };
+                if status["control"]["role"] == "leader" {
+                    leaders.push((status["control"]["term"].as_u64()?, i));
+                }
+            }
+            leaders.into_iter().max().map(|(_, i)| i)
+        });
+        found.await.expect("a leader")
+    }
+
+    /// Waits until the status of an instance satisfies a condition.
+    pub async fn until(
+        &self,
+        i: usize,
+        what: &str,
+        holds: impl Fn(&Value) -> bool,
+    ) -> Value {
+        let found = wait_for(what, || async {
+            let status = self.fleet.status(i).await.ok()?;
+            holds(&status).then_some(status)
+        })
+        .await;
+        match found {
+            Ok(status) => status,
+            Err(e) => panic!(
+                "{e}; status {:?}; log of instance {i}:\n{}",
+                self.fleet.status(i).await,
+                self.fleet.instances()[i].log()
+            ),
+        }
+    }
+
+    /// Waits until every running instance has a version in force.
+    pub async fn version(&self, version: u64) {
+        self.fleet.wait_version(version).await.expect("the version");
+    }
+
+    /// Waits until a whole answer comes from an instance.
+    pub async fn serves(&self, i: usize) {
+        let found = wait_for("a whole answer", || async {
+            whole_answer(&self.fleet, i).await.then_some(())
+        });
+        found.await.unwrap_or_else(|e| {
+            panic!("{e}:\n{}", self.fleet.instances()[i].log())
+        });
+    }
+
+    pub fn watch(&self) -> Watch {
+        Watch::start(self.operators())
+    }
+}
+
+pub async fn whole_answer(fleet: &Fleet, i: usize) -> bool {
+    let reply = fleet.query(i, "search", &[], &json!({"q": 1})).await;
+    reply.is_ok_and(|r| r.status == 200 && r.body["coverage"]["answered"] == 2)
+}
+
+pub fn change_body(id: &str, base: u64, configuration: &Value) -> Value {
+    json!({
+        "change_id": id,
+        "expected_version": base,
+        "configuration": configuration,
+    })
+}
+
+/// Sends a change again until it is accepted or gets a conflict.
+pub async fn change_until_known(operator: SocketAddr, body: &Value) -> Reply {
+    let sent = wait_for("a known outcome", || async {
+        let reply = client::post(operator, "/v1/changes", body).await.ok()?;
+        let known = ["accepted", "conflict"];
+        known.iter().any(|&o| reply.body["outcome"] == o).then_some(reply)
+    });
+    sent.await.expect("the outcome")
+}
+
+/// Voters of the group as a status shows them.
+pub fn voters(status: &Value) -> Vec<u64> {
+    replicas(status, true)
+}
+
+/// Replica ids of a status.
+pub fn replicas(status: &Value, voter: bool) -> Vec<u64> {
+    status["control"]["members"]
+        .as_array()
+        .into_iter()
+        .flatten()
+        .filter(|m| m["voter"] == voter)
+        .filter_map(|m| m["id"].as_u64())
+        .collect()
+}
+
+/// The member that an instance knows by a name.
+pub fn member<'a>(status: &'a Value, name: &str) -> Option<&'a Value> {
+    status["members"].as_array()?.iter().find(|m| m["name"] == name)
+}
+
+/// Segments of a data folder, in order.
+pub fn segments(folder: &Path) -> Vec<PathBuf> {
+    let mut all: Vec<PathBuf> = std::fs::read_dir(folder)
+        .expect("the data folder")
+        .map(|e| e.expect("an entry").path())
+        .filter(|p| p.extension().is_some_and(|e| e == "segment"))
+        .collect();
+    all.sort();
+    all
+}
+
+/// Reads the configuration of all instances all the time, and records each
+/// version that went back.
+pub struct Watch {
+    seen: Arc<Mutex<Seen>>,
+    task: JoinHandle<()>,
+}
+
+#[derive(Default)]
+struct Seen {
+    newest: Vec<u64>,
+    reads: u64,
+    faults: Vec<String>,
+    /// Version and document hash.
+    hashes: Vec<(u64, String)>,
+}
+
+impl Watch {
+    fn start(operators: Vec<SocketAddr>) -> Watch {
+        let newest = vec![0; operators.len()];
+        let seen = Arc::new(Mutex::new(Seen { newest, ..Seen::default() }));
+        let shared = Arc::clone(&seen);
+        let task = tokio::spawn(async move {
+            loop {
+                for (i, &operator) in operators.iter().enumerate() {
+                    let read = client::get(operator, "/v1/configuration");
+                    let limit = Duration::from_secs(1);
+                    // An instance that does not run or is frozen shows
+                    // nothing.
+                    if let Ok(Ok(reply)) =
+                        tokio::time::timeout(limit, read).await
+                    {
+                        shared.lock().unwrap().add(i, &reply);
+                    }
+                }
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        });
+        Watch { seen, task }
+    }
+
+    /// Forgets what an instance showed; used where it starts again with
+    /// nothing on its disk.
+    pub fn forget(&self, i: usize) {
+        self.seen.lock().unwrap().newest[i] = 0;
+    }
+
+    /// Ends the watch; fails if a version went back at an instance or two
+    /// documents had the same version.
+    pub fn check(self) {
+        self.task.abort();
+        let seen = self.seen.lock().unwrap();
+        assert!(seen.reads > 0, "nothing was read");
+        assert!(seen.faults.is_empty(), "{:#?}", seen.faults);
+    }
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Seen {
+    fn add(&mut self, i: usize, reply: &Reply) {
+        let Some(version) = reply.body["version"].as_u64() else { return };
+        self.reads += 1;
+        if version < self.newest[i] {
+            let newest = self.newest[i];
+            self.faults
+                .push(format!("instance {i}: {version} after {newest}"));
+        }
+        self.newest[i] = version;
+        let hash = reply.body["hash"].to_string();
+        match self.hashes.iter().find(|(v, _)| *v == version) {
+            Some((_, other)) if *other != hash => self
+                .faults
+                .push(format!("instance {i}: two documents of {version}")),
+            Some(_) => {}
+            None => self.hashes.push((version, hash)),
+        }
+    }
+}
+
+/// Runs futures at the same time and collects what they give.
+pub async fn all<T: Send + 'static>(
+    futures: impl IntoIterator<Item = impl Future<Output = T> + Send + 'static>,
+) -> Vec<T> {
+    let tasks: Vec<_> = futures.into_iter().map(tokio::spawn).collect();
+    let mut out = Vec::new();
+    for task in tasks {
+        out.push(task.await.expect("the task"));
+    }
+    out
+}
