Test silent partitions, restarts and damaged data with real processes

Covers an isolated follower and leader, a leader cut in one direction, 300 changes followed by restarts of one and of all instances, a torn tail, a flipped byte, and a second daemon on one data folder.

--- a/tests/control_group.rs
+++ b/tests/control_group.rs
@@ -3,12 +3,15 @@
 
 mod recovery_support;
 
-use std::time::Duration;
+use std::{process::Command, time::Duration};
 
-use primrosemast_standin::client::Reply;
+use http::Method;
+use primrosemast_standin::client::{self, Reply};
 use recovery_support::{
-    Bench, all, change_body, change_until_known, member, replicas, voters,
+    Bench, all, change_body, change_until_known, member, replicas, segments,
+    voters,
 };
+use serde_json::json;
 use tokio::task::JoinHandle;
 
 /// Pause between the changes of a race, so that some of them are sent after
@@ -134,3 +137,226 @@
     }
     watch.check();
 }
+
+/// What an isolated instance is told to do during a partition, and what it
+/// may respond.
+async fn check_isolated(bench: &Bench, i: usize, base: u64) {
+    let body = change_body("isolated", base, &bench.variant(900));
+    let change =
+        client::post(bench.operators()[i], "/v1/changes", &body).await;
+    let outcome = change.expect("a reply").body["outcome"].clone();
+    assert!(outcome == "no_quorum" || outcome == "unknown", "{outcome}");
+    bench.until(i, "not ready", |s| s["ready"] == false).await;
+    let status = bench.fleet.status(i).await.expect("status");
+    assert_eq!(status["serving"], false);
+    let caller = bench.fleet.instances()[i].addresses().caller;
+    let ready = client::get(caller, "/ready").await.expect("a reply");
+    assert_eq!(ready.status, 503);
+    let query = bench.fleet.query(i, "search", &[], &json!({})).await;
+    let query = query.expect("a reply");
+    assert_eq!(query.status, 503, "{query:?}");
+    assert_eq!(query.body["verdict"], "not_run", "{query:?}");
+}
+
+/// Cuts an instance off, changes the configuration through the others, and
+/// heals the partition.
+async fn partition(bench: &Bench, i: usize) {
+    let watch = bench.watch();
+    let other = (i + 1) % 3;
+    bench.fleet.isolate(i, true);
+    tokio::join!(
+        async {
+            bench.accept(other, "during-1", 1).await;
+            bench.accept(3, "during-2", 2).await;
+        },
+        check_isolated(bench, i, 1),
+    );
+    let alone = bench.fleet.status(i).await.expect("status");
+    assert_eq!(alone["version"], 1, "an isolated instance learned of 2");
+    bench.fleet.isolate(i, false);
+    bench.version(3).await;
+    bench.serves(i).await;
+    // What was proposed on the wrong side does not come back.
+    bench.accept(i, "after", 3).await;
+    bench.version(4).await;
+    watch.check();
+}
+
+/// Guards against a follower that goes on serving an old configuration
+/// behind a silent partition, or shows it after the partition healed.
+#[tokio::test(flavor = "multi_thread")]
+async fn isolated_follower_refuses_and_returns_with_the_newest_version() {
+    let bench = Bench::start(4, 3).await;
+    let follower = (bench.leader().await + 1) % 3;
+    partition(&bench, follower).await;
+}
+
+/// Guards against a leader that accepts changes behind a silent partition.
+#[tokio::test(flavor = "multi_thread")]
+async fn isolated_leader_accepts_nothing() {
+    let bench = Bench::start(4, 3).await;
+    let leader = bench.leader().await;
+    partition(&bench, leader).await;
+}
+
+/// Guards against a leader that keeps its office, although its messages
+/// reach nobody or no reply reaches it.
+#[tokio::test(flavor = "multi_thread")]
+async fn leader_that_is_cut_one_way_is_replaced() {
+    let bench = Bench::start(4, 3).await;
+    let watch = bench.watch();
+    for (round, outgoing) in [(0, true), (1, false)] {
+        let leader = bench.leader().await;
+        let cut = |cut| {
+            for other in (0..4).filter(|&o| o != leader) {
+                let (from, to) =
+                    if outgoing { (leader, other) } else { (other, leader) };
+                bench.fleet.cut_one_way(from, to, cut);
+            }
+        };
+        cut(true);
+        let base = 1 + 2 * round;
+        let other = (leader + 1) % 3;
+        bench.accept(other, &format!("cut-{round}-1"), base).await;
+        bench.accept(3, &format!("cut-{round}-2"), base + 1).await;
+        let changed = bench.leader().await;
+        assert_ne!(changed, leader, "outgoing {outgoing}");
+        cut(false);
+        bench.version(base + 2).await;
+    }
+    watch.check();
+}
+
+fn folder_bytes(folder: &std::path::Path) -> u64 {
+    std::fs::read_dir(folder)
+        .expect("the data folder")
+        .map(|e| e.and_then(|e| e.metadata()).expect("an entry").len())
+        .sum()
+}
+
+/// Guards against a log that grows without bound, and against instances that
+/// do not come back after hundreds of changes.
+#[tokio::test(flavor = "multi_thread")]
+async fn instances_restart_after_hundreds_of_changes() {
+    let mut bench = Bench::start(4, 3).await;
+    let watch = bench.watch();
+    let operator = bench.operators()[bench.leader().await];
+    let mut client = client::Client::connect(operator).await.expect("client");
+    for base in 1..=300 {
+        let id = format!("change-{base}");
+        let body = change_body(&id, base, &bench.variant(base % 7));
+        let headers = [("content-type", "application/json")];
+        let reply = client
+            .send(Method::POST, "/v1/changes", &headers, body.to_string())
+            .await
+            .expect("a reply");
+        assert_eq!(reply.body["version"], base + 1, "{reply:?}");
+    }
+    bench.version(301).await;
+    for i in 0..3 {
+        let folder = bench.fleet.data_folder(i);
+        let files = segments(&folder).len();
+        let bytes = folder_bytes(&folder);
+        assert!(files <= 2, "{files} segments");
+        assert!(bytes <= 5 << 20, "{bytes} bytes");
+    }
+    bench.fleet.kill(1);
+    bench.fleet.restart(1).expect("restart");
+    bench.version(301).await;
+    bench.serves(1).await;
+    for i in 0..4 {
+        bench.fleet.kill(i);
+    }
+    // Instance 3 has no disk, so it starts with nothing.
+    watch.forget(3);
+    for i in 0..4 {
+        bench.fleet.restart(i).expect("restart");
+    }
+    bench.version(301).await;
+    for i in 0..4 {
+        bench.serves(i).await;
+    }
+    let again = bench.change(2, "change-17", 17, 17 % 7).await;
+    assert_eq!(again.body["outcome"], "accepted");
+    assert_eq!(again.body["version"], 18);
+    watch.check();
+}
+
+/// Guards against a replica that stays away after a crash in the middle of a
+/// write.
+#[tokio::test(flavor = "multi_thread")]
+async fn torn_tail_is_truncated() {
+    let mut bench = Bench::start(4, 3).await;
+    let watch = bench.watch();
+    let random: Vec<u8> = (0..97u32).map(|n| (n * 89 + 7) as u8).collect();
+    for (base, appended) in [(1, true), (2, false)] {
+        bench.accept(0, &format!("before-{base}"), base).await;
+        bench.version(base + 1).await;
+        bench.fleet.kill(2);
+        let path = segments(&bench.fleet.data_folder(2)).pop().unwrap();
+        let mut bytes = std::fs::read(&path).expect("the segment");
+        if appended {
+            bytes.extend(&random);
+        } else {
+            // Within the last record, which has a longer head.
+            bytes.truncate(bytes.len() - 5);
+        }
+        std::fs::write(&path, &bytes).expect("written");
+        // The cut record comes back from the leader.
+        watch.forget(2);
+        bench.fleet.restart(2).expect("restart");
+        bench.version(base + 1).await;
+        let known = std::fs::read(&path).expect("the segment");
+        assert!(!appended || known[..] != bytes[..], "nothing was cut");
+    }
+    // The replica counts again: with it and one other there is a majority.
+    bench.fleet.kill(0);
+    bench.accept(2, "after", 3).await;
+    watch.check();
+}
+
+/// Guards against a replica that serves from a damaged log, and against an
+/// error that does not say which file is damaged.
+#[tokio::test(flavor = "multi_thread")]
+async fn damaged_record_stops_the_daemon() {
+    let mut bench = Bench::start(4, 3).await;
+    for base in 1..=3 {
+        bench.accept(0, &format!("change-{base}"), base).await;
+    }
+    bench.version(4).await;
+    bench.fleet.kill(2);
+    let path = segments(&bench.fleet.data_folder(2)).pop().unwrap();
+    let mut bytes = std::fs::read(&path).expect("the segment");
+    let middle = bytes.len() / 2;
+    bytes[middle] ^= 0x10;
+    std::fs::write(&path, &bytes).expect("written");
+    let (code, log) = run_daemon(&bench, 2);
+    assert_eq!(code, Some(1), "{log}");
+    let file = path.file_name().unwrap().to_str().unwrap();
+    assert!(log.contains(file), "{log}");
+    assert!(log.contains("damaged record at byte"), "{log}");
+    assert_eq!(std::fs::read(&path).expect("the segment"), bytes);
+    bench.accept(0, "without-it", 4).await;
+}
+
+/// Guards against two processes that write to one log.
+#[tokio::test(flavor = "multi_thread")]
+async fn data_folder_serves_one_daemon() {
+    let bench = Bench::start(4, 3).await;
+    let (code, log) = run_daemon(&bench, 1);
+    assert_eq!(code, Some(1), "{log}");
+    assert!(log.contains("another process uses the data folder"), "{log}");
+    bench.accept(1, "still-there", 1).await;
+}
+
+/// Runs a daemon with the settings of an instance until it ends.
+fn run_daemon(bench: &Bench, i: usize) -> (Option<i32>, String) {
+    let name = bench.fleet.instances()[i].name();
+    let settings = bench.fleet.folder().join(format!("{name}.jsonc"));
+    let out = Command::new(env!("CARGO_BIN_EXE_primrosemastd"))
+        .arg("--settings")
+        .arg(settings)
+        .output()
+        .expect("the daemon starts");
+    (out.status.code(), String::from_utf8_lossy(&out.stderr).into_owned())
+}
