Apply the configuration that replica bootstrap carries

Found by operators_tool_works_against_real_daemons: after `replica bootstrap BASE` every instance stayed at version 0, and the wait for version 1 ended after 60 s. The operator API read `configuration` of the request and ignored it, and the tool reported success. Ruled out: the tool, whose request carries the document (tests/cli.rs checks it), and the log, which commits changes right after a bootstrap.

The daemon now checks the configuration before it founds the group, so that an invalid one leaves no group behind, and applies it as a change from version 0. The response says whether it was accepted.

Before: timeout after 60 s. After: version 1 in force, test continues.

--- a/src/http/operator.rs
+++ b/src/http/operator.rs
@@ -1,10 +1,13 @@
 //! The operators' API.
 
+use bytes::Bytes;
 use futures::{FutureExt, future::BoxFuture};
 use http::StatusCode;
 use http_body_util::{BodyExt, Limited};
 use primrosemast_core::{
+    config::Configuration,
     control::{Change, ChangeOutcome, ControlReply},
+    id::ConfigVersion,
     node::{OperatorReply, OperatorRequest},
 };
 use serde::de::DeserializeOwned;
@@ -30,6 +33,9 @@
 /// Largest body of an operator's request, in bytes.
 const MAX_BODY_BYTES: usize = 64 << 20;
 
+/// Message of a request whose outcome could not be learned.
+const OUTCOME_UNKNOWN: &str = "the outcome is not known; look at the status";
+
 /// Routes of the operators' listener.
 pub(crate) fn router(handle: &Handle) -> Router {
     let status = view(handle, || Query::Status);
@@ -129,19 +135,10 @@
             "change_id must have 1 to 200 characters".into(),
         );
     }
-    let mut problems = check_configuration(&req.configuration);
-    problems.retain(Problem::is_error);
-    if !problems.is_empty() {
-        let lines: Vec<String> =
-            problems.iter().map(ToString::to_string).collect();
-        return change_response(Outcome::Refused, None, lines.join("\n"));
-    }
-    let mut configuration = req.configuration;
-    configuration.sort();
-    let document = match rmp_serde::to_vec_named(&configuration) {
-        Ok(document) => document.into(),
-        Err(e) => {
-            return change_response(Outcome::Refused, None, e.to_string());
+    let document = match encode(req.configuration) {
+        Ok(document) => document,
+        Err(message) => {
+            return change_response(Outcome::Refused, None, message);
         }
     };
     let change = Change {
@@ -162,6 +159,25 @@
     }
 }
 
+/// Checks a configuration and encodes it for the log.
+///
+/// # Errors
+///
+/// Fails with one line for each problem.
+fn encode(mut configuration: Configuration) -> Result<Bytes, String> {
+    let mut problems = check_configuration(&configuration);
+    problems.retain(Problem::is_error);
+    if !problems.is_empty() {
+        let lines: Vec<String> =
+            problems.iter().map(ToString::to_string).collect();
+        return Err(lines.join("\n"));
+    }
+    configuration.sort();
+    rmp_serde::to_vec_named(&configuration)
+        .map(Bytes::from)
+        .map_err(|e| e.to_string())
+}
+
 fn control_response(reply: ControlReply) -> Response {
     match reply {
         ControlReply::Change(ChangeOutcome::Accepted(version)) => {
@@ -201,7 +217,7 @@
 
 fn change_response(
     outcome: Outcome,
-    version: Option<primrosemast_core::id::ConfigVersion>,
+    version: Option<ConfigVersion>,
     message: String,
 ) -> Response {
     let status = match outcome {
@@ -221,7 +237,7 @@
     };
     let request = match (req.action, req.replica) {
         (ReplicaAction::Bootstrap, _) => {
-            OperatorRequest::Bootstrap { group: rand::random::<u64>().max(1) }
+            return bootstrap(handle, req.configuration).await;
         }
         (ReplicaAction::Remove, Some(replica)) => {
             OperatorRequest::Remove(replica)
@@ -235,9 +251,6 @@
         }
     };
     let (done, message) = match handle.operate(request).await {
-        Some(OperatorReply::Bootstrapped) => {
-            (true, "the control group was founded".into())
-        }
         Some(OperatorReply::Control(ControlReply::Done)) => {
             (true, "done".into())
         }
@@ -246,10 +259,61 @@
         Some(OperatorReply::Control(ControlReply::NotLeader(_))) => {
             (false, "no control leader could be reached".into())
         }
+        Some(OperatorReply::Control(_) | OperatorReply::Bootstrapped)
+        | None => (false, OUTCOME_UNKNOWN.into()),
+    };
+    replica_response(done, message)
+}
+
+/// Founds a control group and applies its first configuration, if there is
+/// one.
+async fn bootstrap(
+    handle: &Handle,
+    configuration: Option<Configuration>,
+) -> Response {
+    // Checked first, so that a configuration that is not valid leaves no
+    // group behind.
+    let document = match configuration.map(encode).transpose() {
+        Ok(document) => document,
+        Err(message) => return replica_response(false, message),
+    };
+    let group = rand::random::<u64>().max(1);
+    match handle.operate(OperatorRequest::Bootstrap { group }).await {
+        Some(OperatorReply::Bootstrapped) => {}
+        Some(OperatorReply::Refused(message)) => {
+            return replica_response(false, message);
+        }
         Some(OperatorReply::Control(_)) | None => {
-            (false, "the outcome is not known; look at the status".into())
+            return replica_response(false, OUTCOME_UNKNOWN.into());
         }
+    }
+    let founded = "the control group was founded";
+    let Some(document) = document else {
+        return replica_response(true, founded.into());
     };
+    let change = Change {
+        change_id: format!("bootstrap-{group:016x}"),
+        expected_version: ConfigVersion(0),
+        document,
+    };
+    match handle.operate(OperatorRequest::Change(change)).await {
+        Some(OperatorReply::Control(ControlReply::Change(
+            ChangeOutcome::Accepted(version),
+        ))) => replica_response(
+            true,
+            format!("{founded}; the configuration is version {version}"),
+        ),
+        _ => replica_response(
+            false,
+            format!(
+                "{founded}, but its first configuration is not known to be \
+                 accepted; apply it again"
+            ),
+        ),
+    }
+}
+
+fn replica_response(done: bool, message: String) -> Response {
     let status =
         if done { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
     json(status, &ReplicaResponse { done, message, control: None })
