Let explain ask the members until one knows the request

Found by operators_tool_works_against_real_daemons: the tool took the 404 of the first instance as the answer, although only the instance that served a request can explain it and operators behind a load balancer do not know which one that was. It exited with 1. Now it asks the given addresses and then every member that is not dead, and reports the first 404 if none knows the request.

Adds tests/configuration.rs: distribution to an instance that is cut off from the control replicas, queries without any control replica, an instance that resumes after a pause while a zone was taken out, and the operators' tool.

--- a/src/cli/view.rs
+++ b/src/cli/view.rs
@@ -8,7 +8,7 @@
 
 use super::{
     CALL_LIMIT, Code, Report, Step, ask, body,
-    client::{self, Call},
+    client::{self, Call, Reply},
     operators,
     output::{row, table},
 };
@@ -134,7 +134,7 @@
     let operators = operators(args)?;
     let path = format!("/v1/explain/{}", encode(id));
     let decisions: ExplainResponse =
-        body(&ask(&operators, &Call::get(path)).await?)?;
+        body(&find(&operators, &Call::get(path)).await?)?;
     let lines = decisions.as_array().and_then(|items| {
         items.iter().map(Value::as_str).collect::<Option<Vec<_>>>()
     });
@@ -145,6 +145,34 @@
     Ok(Report::done(text, decisions))
 }
 
+/// Asks the given instances and then the other members until one knows the
+/// answer. Only the instance that served a request can explain it, and behind
+/// a load balancer the operator does not know which one that was.
+async fn find(operators: &[SocketAddr], call: &Call) -> Step<Reply> {
+    let reply = ask(operators, call).await?;
+    if reply.is_success() {
+        return Ok(reply);
+    }
+    let status = ask(operators, &Call::get("/v1/status")).await?;
+    let status: Option<StatusResponse> = status.parse();
+    let members = status
+        .iter()
+        .flat_map(|s| &s.members)
+        .filter(|m| m.state != MemberState::Dead)
+        .map(|m| m.operator_address);
+    let mut addresses = operators.to_vec();
+    addresses.extend(members);
+    addresses.sort_unstable();
+    addresses.dedup();
+    for address in addresses {
+        match client::call(address, call, CALL_LIMIT).await {
+            Ok(reply) if reply.is_success() => return Ok(reply),
+            _ => {}
+        }
+    }
+    Ok(reply)
+}
+
 /// Percent-encodes a path segment.
 fn encode(segment: &str) -> String {
     let mut out = String::new();
--- /dev/null
+++ b/tests/configuration.rs
@@ -0,0 +1,308 @@
+//! Distribution of the configuration and the operators' tool, with real
+//! processes.
+
+mod recovery_support;
+
+use std::{
+    path::{Path, PathBuf},
+    process::{Command, Output},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use http::Method;
+use primrosemast_standin::{
+    client,
+    fleet::{FleetOptions, InstanceOptions, wait_for},
+};
+use recovery_support::{Bench, ZONES, change_body, whole_answer};
+use serde_json::{Value, json};
+
+/// Guards against an instance that depends on its own connections to the
+/// control replicas: it gets new configurations and keeps its lease through
+/// the other entry instances.
+#[tokio::test(flavor = "multi_thread")]
+async fn instance_cut_off_from_control_follows_its_fellows() {
+    let bench = Bench::start(5, 3).await;
+    let watch = bench.watch();
+    bench.serves(4).await;
+    for control in 0..3 {
+        bench.fleet.cut(4, control, true);
+    }
+    let operator = bench.operators()[0];
+    for base in 1..=3 {
+        let body =
+            change_body(&format!("change-{base}"), base, &bench.variant(base));
+        let reply = client::post(operator, "/v1/changes", &body).await;
+        assert_eq!(reply.expect("a reply").body["outcome"], "accepted");
+        bench.until(4, "the new version", |s| s["version"] == base + 1).await;
+        // Three rounds are longer than the lease of 2 s.
+        for _ in 0..20 {
+            let status = bench.fleet.status(4).await.expect("status");
+            assert_eq!(status["serving"], true, "{status}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+    bench.serves(4).await;
+    for control in 0..3 {
+        bench.fleet.cut(4, control, false);
+    }
+    bench.version(4).await;
+    watch.check();
+}
+
+/// Two control instances that serve no callers, and three that do.
+fn dedicated_control() -> FleetOptions {
+    let mut options = FleetOptions::spread(3, 0, &ZONES);
+    for zone in ZONES {
+        options.instances.push(InstanceOptions {
+            zone: zone.into(),
+            entry: false,
+            control: true,
+        });
+    }
+    options
+}
+
+/// Guards against an outage of queries when all control replicas are lost,
+/// and against a change that is accepted without them.
+#[tokio::test(flavor = "multi_thread")]
+async fn queries_go_on_without_control_replicas() {
+    let mut bench = Bench::with(dedicated_control()).await;
+    let watch = bench.watch();
+    for i in 0..3 {
+        bench.serves(i).await;
+    }
+    bench.fleet.kill(3);
+    bench.fleet.kill(4);
+    // Longer than the lease (2 s) and than the suspicion (3 s), so that the
+    // control instances are dead for the others too.
+    let mut whole = 0;
+    for n in 0..60 {
+        whole += u32::from(whole_answer(&bench.fleet, n % 3).await);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(whole, 60, "{}", bench.fleet.instances()[0].log());
+    let body = change_body("without-control", 1, &bench.variant(1));
+    let reply = client::post(bench.operators()[0], "/v1/changes", &body).await;
+    let reply = reply.expect("a reply");
+    assert_eq!(reply.body["outcome"], "no_quorum", "{reply:?}");
+    assert_eq!(reply.status, 503);
+    bench.fleet.restart(3).expect("restart");
+    bench.fleet.restart(4).expect("restart");
+    bench.version(1).await;
+    bench.accept(0, "with-control", 1).await;
+    bench.version(2).await;
+    watch.check();
+}
+
+/// Queries through an instance, one after the other, until told to stop.
+struct Load {
+    stop: Arc<AtomicBool>,
+    answered: Arc<AtomicU32>,
+    tasks: Vec<tokio::task::JoinHandle<()>>,
+}
+
+impl Load {
+    fn start(bench: &Bench, i: usize, callers: u32) -> Load {
+        let stop = Arc::new(AtomicBool::new(false));
+        let answered = Arc::new(AtomicU32::new(0));
+        let address = bench.fleet.instances()[i].addresses().caller;
+        let tasks = (0..callers).map(|_| {
+            let (stop, answered) = (Arc::clone(&stop), Arc::clone(&answered));
+            tokio::spawn(async move {
+                while !stop.load(Ordering::Relaxed) {
+                    let path = "/v1/routes/search/query";
+                    let reply = client::request(
+                        address,
+                        Method::POST,
+                        path,
+                        &[],
+                        r#"{"q":1}"#,
+                    );
+                    if reply.await.is_ok_and(|r| r.status == 200) {
+                        answered.fetch_add(1, Ordering::Relaxed);
+                    }
+                }
+            })
+        });
+        let tasks = tasks.collect();
+        Load { stop, answered, tasks }
+    }
+
+    fn answered(&self) -> u32 {
+        self.answered.load(Ordering::Relaxed)
+    }
+
+    async fn stop(self) {
+        self.stop.store(true, Ordering::Relaxed);
+        for task in self.tasks {
+            task.await.expect("the task");
+        }
+    }
+}
+
+/// Guards against an instance that resumes after a long pause and sends work
+/// by the configuration that it had before.
+#[tokio::test(flavor = "multi_thread")]
+async fn resumed_instance_sends_nothing_to_a_zone_that_is_out() {
+    let bench = Bench::start(4, 3).await;
+    let watch = bench.watch();
+    for i in 0..4 {
+        bench.serves(i).await;
+    }
+    let frozen = bench.fleet.instances()[3].name().to_owned();
+    let state = |status: &Value, name: &str| {
+        recovery_support::member(status, name)
+            .map_or(Value::Null, |m| m["state"].clone())
+    };
+    // Requests of these callers wait in the frozen instance and in its
+    // listen queue, and run when it resumes.
+    let load = Load::start(&bench, 3, 8);
+    wait_for("load", || async { (load.answered() > 20).then_some(()) })
+        .await
+        .expect("load");
+    bench.fleet.freeze(3);
+    for i in 0..3 {
+        let gone = |s: &Value| state(s, &frozen) == "dead";
+        bench.until(i, "the frozen instance is dead", gone).await;
+    }
+    let out = bench.site.with_zones_out(&["az-a"]);
+    let body = change_body("out", 1, &out);
+    let reply = client::post(bench.operators()[0], "/v1/changes", &body).await;
+    assert_eq!(reply.expect("a reply").body["outcome"], "accepted");
+    for i in 0..3 {
+        bench.until(i, "version 2", |s| s["version"] == 2).await;
+        bench.serves(i).await;
+    }
+    let in_zone = || bench.site.members.iter().filter(|m| m.zone == "az-a");
+    wait_for("the zone is quiet", || async {
+        let quiet = |m: &primrosemast_standin::site::Member| {
+            m.searcher.record().last_request_ms.is_none_or(|ms| ms > 500)
+        };
+        in_zone().all(quiet).then_some(())
+    })
+    .await
+    .expect("a quiet zone");
+    in_zone().for_each(|m| m.searcher.reset_record());
+    let before = load.answered();
+    bench.fleet.thaw(3);
+    for i in 0..4 {
+        let back = |s: &Value| state(s, &frozen) == "alive";
+        bench.until(i, "the instance is a member again", back).await;
+    }
+    bench.version(2).await;
+    wait_for("answers after the pause", || async {
+        (load.answered() > before + 20).then_some(())
+    })
+    .await
+    .expect("answers");
+    load.stop().await;
+    let sent: u64 = in_zone().map(|m| m.searcher.record().requests).sum();
+    assert_eq!(sent, 0, "{}", bench.fleet.instances()[3].log());
+    watch.check();
+}
+
+/// Runs the operators' tool.
+async fn tool(bench: &Bench, args: &[&str]) -> Output {
+    let operators: Vec<String> =
+        bench.operators().iter().map(ToString::to_string).collect();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_primrosemast"));
+    command.env("PRIMROSEMAST_OPERATOR", operators.join(",")).args(args);
+    tokio::task::spawn_blocking(move || command.output().expect("the tool"))
+        .await
+        .expect("the tool")
+}
+
+/// Runs the tool and expects an exit code; returns its output as JSON.
+async fn tool_json(bench: &Bench, args: &[&str], code: i32) -> Value {
+    let mut all = vec!["--json"];
+    all.extend(args);
+    let out = tool(bench, &all).await;
+    let text = String::from_utf8_lossy(&out.stdout).into_owned();
+    let errors = String::from_utf8_lossy(&out.stderr);
+    assert_eq!(out.status.code(), Some(code), "{args:?}: {text} {errors}");
+    serde_json::from_str(&text)
+        .unwrap_or_else(|e| panic!("{args:?}: {e}: {text} {errors}"))
+}
+
+fn write_base(folder: &Path, name: &str, document: &Value) -> PathBuf {
+    let path = folder.join(name);
+    std::fs::write(&path, document.to_string()).expect("written");
+    path
+}
+
+/// Guards against a tool that works against stand-ins of the operator API
+/// only.
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_tool_works_against_real_daemons() {
+    let options = FleetOptions::spread(3, 3, &ZONES);
+    let bench = Bench::without_group(options).await;
+    let folder = bench.fleet.folder();
+    let base = write_base(folder, "base.jsonc", &bench.site.configuration());
+    let base = base.to_str().expect("UTF-8");
+    let next = write_base(folder, "next.jsonc", &bench.variant(1));
+    let next = next.to_str().expect("UTF-8");
+    let first = bench.operators()[0].to_string();
+
+    // A configuration that is not valid leaves no group behind.
+    let mut invalid = bench.site.configuration();
+    invalid["routes"][0]["shares"][0]["percent"] = json!(99);
+    let req = json!({"action": "bootstrap", "configuration": invalid});
+    let operator = bench.operators()[0];
+    let reply = client::post(operator, "/v1/replicas", &req).await;
+    assert_eq!(reply.expect("a reply").body["done"], false);
+
+    let args = ["replica", "bootstrap", base, "--operator", &first];
+    tool_json(&bench, &args, 0).await;
+    bench.version(1).await;
+    // The group exists, so a second one must not be founded anywhere.
+    let third = bench.operators()[2].to_string();
+    let args = ["replica", "bootstrap", "--operator", &third];
+    let refused = tool(&bench, &args).await;
+    assert_eq!(refused.status.code(), Some(1), "{refused:?}");
+
+    tool_json(&bench, &["apply", next, "--wait"], 0).await;
+    for i in 0..3 {
+        let status = bench.fleet.status(i).await.expect("status");
+        assert_eq!(status["version"], 2, "--wait returned too early");
+    }
+    let args = ["apply", base, "--expected-version", "1"];
+    tool_json(&bench, &args, 3).await;
+
+    tool_json(&bench, &["zone", "out", "az-a", "--wait"], 0).await;
+    let operator = bench.operators()[1];
+    let page = client::get(operator, "/v1/configuration").await;
+    let page = page.expect("a reply").body;
+    assert_eq!(page["version"], 3);
+    let zones = &page["configuration"]["availability_zones"];
+    assert_eq!(zones[0], json!({"name": "az-a", "state": "out"}));
+
+    let status = tool_json(&bench, &["status"], 0).await;
+    let text = status.to_string();
+    for instance in bench.fleet.instances() {
+        assert!(text.contains(instance.name()), "{text}");
+    }
+
+    bench.serves(1).await;
+    let caller = bench.fleet.instances()[1].addresses().caller.to_string();
+    let args = [
+        "query",
+        "search",
+        "--caller",
+        &caller,
+        "--request-id",
+        "lookup-1",
+        "--body",
+        r#"{"q":1}"#,
+    ];
+    let answer = tool_json(&bench, &args, 0).await;
+    assert!(answer.to_string().contains("\"answered\":2"), "{answer}");
+    let explained = tool_json(&bench, &["explain", "lookup-1"], 0).await;
+    assert!(explained.to_string().contains("lookup-1"), "{explained}");
+    let unknown = tool(&bench, &["explain", "never-sent"]).await;
+    assert_eq!(unknown.status.code(), Some(1), "{unknown:?}");
+}
