Test the replicated log under random faults

Two writers send changes, each until its outcome is known, while instances are killed, lose their disk, are isolated, cut in one direction or frozen. At the end the accepted versions are without gaps or duplicates, and resent changes get their first outcome. The seed is fixed; FAULT_SEED tries others.

--- a/tests/control_group.rs
+++ b/tests/control_group.rs
@@ -3,15 +3,25 @@
 
 mod recovery_support;
 
-use std::{process::Command, time::Duration};
+use std::{
+    net::SocketAddr,
+    process::Command,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use http::Method;
 use primrosemast_standin::client::{self, Reply};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
 use recovery_support::{
-    Bench, all, change_body, change_until_known, member, replicas, segments,
-    voters,
+    Bench, Watch, all, change_body, change_until_known, member, replicas,
+    segments, voters,
 };
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::task::JoinHandle;
 
 /// Pause between the changes of a race, so that some of them are sent after
@@ -360,3 +370,150 @@
         .expect("the daemon starts");
     (out.status.code(), String::from_utf8_lossy(&out.stderr).into_owned())
 }
+
+/// Seed of the random faults; others can be tried with the environment
+/// variable `FAULT_SEED`.
+const FAULT_SEED: u64 = 7;
+
+/// Faults that one run injects.
+const FAULT_ROUNDS: u32 = 4;
+
+/// Writes changes from the version that an instance shows, each until its
+/// outcome is known, and gives their outcomes.
+async fn write(
+    operators: Vec<SocketAddr>,
+    document: Value,
+    writer: u64,
+    stop: Arc<AtomicBool>,
+) -> Vec<(Value, Value)> {
+    let limit = Duration::from_secs(6);
+    let mut done = Vec::new();
+    for n in 0.. {
+        if stop.load(Ordering::Relaxed) {
+            break;
+        }
+        let turn = (writer + n) as usize;
+        let read = client::get(
+            operators[turn % operators.len()],
+            "/v1/configuration",
+        );
+        let Ok(Ok(page)) = tokio::time::timeout(limit, read).await else {
+            continue;
+        };
+        let Some(base) = page.body["version"].as_u64() else { continue };
+        let mut next = document.clone();
+        next["routes"][0]["deadline_ms"] = json!(1_000 * writer + n % 1_000);
+        let body = change_body(&format!("{writer}-{n}"), base, &next);
+        for attempt in 0.. {
+            let operator = operators[(turn + attempt) % operators.len()];
+            let sent = client::post(operator, "/v1/changes", &body);
+            if let Ok(Ok(reply)) = tokio::time::timeout(limit, sent).await
+                && (reply.body["outcome"] == "accepted"
+                    || reply.body["outcome"] == "conflict")
+            {
+                done.push((body, reply.body));
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+    done
+}
+
+async fn inject(bench: &mut Bench, watch: &Watch, rng: &mut Pcg32) {
+    let i = rng.random_range(0..3);
+    let fault = rng.random_range(0..6);
+    let pause = Duration::from_millis(rng.random_range(100..1_500));
+    println!("instance {i}, fault {fault}, {pause:?}");
+    match fault {
+        0 | 1 => {
+            bench.fleet.kill(i);
+            if fault == 1 {
+                let folder = bench.fleet.data_folder(i);
+                std::fs::remove_dir_all(folder).expect("removed");
+                watch.forget(i);
+            }
+            tokio::time::sleep(pause).await;
+            bench.fleet.restart(i).expect("restart");
+        }
+        2 => {
+            bench.fleet.isolate(i, true);
+            tokio::time::sleep(pause * 2).await;
+            bench.fleet.isolate(i, false);
+        }
+        3 => {
+            bench.fleet.freeze(i);
+            tokio::time::sleep(pause * 2).await;
+            bench.fleet.thaw(i);
+        }
+        _ => {
+            let cut = |cut| {
+                for other in (0..4).filter(|&o| o != i) {
+                    let pair =
+                        if fault == 4 { (i, other) } else { (other, i) };
+                    bench.fleet.cut_one_way(pair.0, pair.1, cut);
+                }
+            };
+            cut(true);
+            tokio::time::sleep(pause).await;
+            cut(false);
+        }
+    }
+}
+
+/// Guards against accepted changes that are lost, two accepted changes of a
+/// version, and a second outcome of a change, under random faults.
+#[tokio::test(flavor = "multi_thread")]
+async fn random_faults_lose_no_accepted_change() {
+    let seed = std::env::var("FAULT_SEED")
+        .map_or(FAULT_SEED, |s| s.parse().expect("a number"));
+    let mut rng = Pcg32::seed_from_u64(seed);
+    let mut bench = Bench::start(4, 3).await;
+    let watch = bench.watch();
+    let stop = Arc::new(AtomicBool::new(false));
+    let writers: Vec<_> = (1..=2)
+        .map(|writer| {
+            tokio::spawn(write(
+                bench.operators(),
+                bench.site.configuration(),
+                writer,
+                Arc::clone(&stop),
+            ))
+        })
+        .collect();
+    for _ in 0..FAULT_ROUNDS {
+        inject(&mut bench, &watch, &mut rng).await;
+        // One failure at a time, as long as a repair takes.
+        let leader = bench.leader().await;
+        bench
+            .until(leader, "three voters", |s| {
+                s["control"]["role"] != "leader"
+                    || (voters(s).len() == 3 && replicas(s, false).is_empty())
+            })
+            .await;
+    }
+    stop.store(true, Ordering::Relaxed);
+    let mut done = Vec::new();
+    for writer in writers {
+        done.extend(writer.await.expect("the writer"));
+    }
+    let mut accepted: Vec<u64> = done
+        .iter()
+        .filter(|(_, reply)| reply["outcome"] == "accepted")
+        .map(|(_, reply)| reply["version"].as_u64().expect("a version"))
+        .collect();
+    accepted.sort_unstable();
+    let all: Vec<u64> = (2..accepted.len() as u64 + 2).collect();
+    assert_eq!(accepted, all, "seed {seed}");
+    bench.version(accepted.len() as u64 + 1).await;
+    // A sample; the whole would take longer than the faults.
+    let operators = bench.operators();
+    for (n, (body, reply)) in done.iter().enumerate().step_by(9) {
+        let operator = operators[n % operators.len()];
+        let again = change_until_known(operator, body).await;
+        assert_eq!(again.body["outcome"], reply["outcome"], "seed {seed}");
+        assert_eq!(again.body["version"], reply["version"], "seed {seed}");
+    }
+    println!("{} changes, {} accepted", done.len(), accepted.len());
+    watch.check();
+}
