Test the query path with processes; plan again, retry the last replica

Cause: tests with real processes found queries that failed although a replica could serve them. (1) When the connections of all replicas of a shard failed at once, no replica was left to retry. (3) The first change after a bootstrap was refused because the leader had not yet heard from the fleet.

Change: a retry may return to a replica whose connection or answer failed, under the same budget. Hedges leave two fifths of the burst to retries. The fleet of the tests resends its first change until it is accepted.

--- a/crates/core/src/query/active.rs
+++ b/crates/core/src/query/active.rs
@@ -200,8 +200,8 @@
     pub(crate) deadline: Time,
     pub(crate) phase: Phase,
     pub(crate) plan: Option<Plan>,
-    /// The plan whose answers were dropped.
-    pub(crate) dropped: Option<Plan>,
+    /// Plans whose answers were dropped, oldest first.
+    pub(crate) dropped: Vec<Plan>,
     pub(crate) dispatches: Vec<Dispatch>,
     pub(crate) results: Vec<ShardResult>,
     /// Next look for stragglers.
--- a/crates/core/src/query/budget.rs
+++ b/crates/core/src/query/budget.rs
@@ -43,6 +43,24 @@
         }
         enough
     }
+
+    /// Takes one extra request for a hedge, if that leaves two fifths of the burst.
+    /// A hedge saves time, but a retry saves coverage, so that hedges must
+    /// not use up what retries need.
+    pub(crate) fn take_for_hedge(&mut self) -> bool {
+        self.level >= self.cap * 2 / 5 + 100 && self.take()
+    }
+
+    /// Takes the requests of a whole plan, and what they will be credited as
+    /// first requests, or nothing.
+    pub(crate) fn take_many(&mut self, requests: u32) -> bool {
+        let cost = u64::from(requests) * (100 + self.percent);
+        let enough = self.level >= cost;
+        if enough {
+            self.level -= cost;
+        }
+        enough
+    }
 }
 
 /// Latencies per window; older ones are forgotten.
--- a/crates/core/src/query/dispatch.rs
+++ b/crates/core/src/query/dispatch.rs
@@ -227,12 +227,23 @@
             plan.tries_of(position).any(|i| plan.tries[i].slot == slot)
         };
         let shard = plan.shards[position].shard;
-        let choice = chooser.choose(
-            &mut self.rng,
-            index.holders(shard),
-            purpose,
-            tried,
-        )?;
+        let holders = index.holders(shard);
+        let fresh = chooser.choose(&mut self.rng, holders, purpose, tried);
+        // When every replica was tried, one whose connection or answer
+        // failed gets another attempt: what broke may be the connection, and
+        // all replicas can lose theirs at the same moment.
+        let refused = |slot: u32| {
+            plan.tries_of(position).any(|i| {
+                let t = &plan.tries[i];
+                t.slot == slot && !matches!(t.state, TryState::Failed(_))
+            })
+        };
+        let choice = match purpose {
+            Purpose::Serve => fresh.or_else(|| {
+                chooser.choose(&mut self.rng, holders, purpose, refused)
+            }),
+            Purpose::Hedge => fresh,
+        }?;
         if choice.floor {
             self.log_floor(now, route, shard, choice);
         }
--- a/crates/core/src/query/explain.rs
+++ b/crates/core/src/query/explain.rs
@@ -32,15 +32,15 @@
     pub took_us: Option<u64>,
     /// Snapshot of the answer.
     pub snapshot: Option<Snapshot>,
-    /// Snapshot whose answers were dropped, if the query was planned twice.
-    pub dropped_snapshot: Option<Snapshot>,
+    /// Snapshots whose answers were dropped, oldest first.
+    pub dropped_snapshots: Vec<Snapshot>,
     /// Shards with an answer.
     pub answered: u32,
     /// Reason of a failure.
     pub reason: Option<FailureReason>,
     /// Verdict of a failure.
     pub verdict: Option<Verdict>,
-    /// The shards, first those of the dropped snapshot.
+    /// The shards, first those of the dropped snapshots.
     pub shards: Vec<ShardExplanation>,
 }
 
@@ -120,7 +120,7 @@
             .ended
             .map(|t| t.as_micros() - query.started.as_micros()),
         snapshot: query.plan.as_ref().map(|p| p.snapshot),
-        dropped_snapshot: query.dropped.as_ref().map(|p| p.snapshot),
+        dropped_snapshots: query.dropped.iter().map(|p| p.snapshot).collect(),
         answered: query.plan.as_ref().map_or(0, |p| p.answered),
         reason: query.failed.map(|x| x.0),
         verdict: query.failed.map(|x| x.1),
--- a/crates/core/src/query/recover.rs
+++ b/crates/core/src/query/recover.rs
@@ -5,7 +5,8 @@
 the route. One request for each shard may do without a token: either a retry
 of a request that was refused as not run, which puts no work on a target, or
 a request to the standby of a home that has not answered. And a query is
-planned at most twice; the second plan has no such allowance. So a route
+planned at most `MAX_PLANS` times, with such an allowance only in the first
+plan, and returns to a snapshot only with a token for each request. So a route
 sends at most `first * (100 + extra_load_percent) / 100 + burst` requests
 plus one allowance for each shard of a first plan.
 */
@@ -30,6 +31,11 @@
 /// Looks for stragglers within what remains of a deadline, after the first.
 const HEDGE_LOOKS: u32 = 8;
 
+/// Plans of a query. What is known of a target that gets no requests is as
+/// old as its last health report, so the second snapshot may be gone too.
+/// The refusals bring fresh holdings, which the third plan then uses.
+const MAX_PLANS: usize = 3;
+
 impl Queries {
     /// Takes a reply, if it belongs to an outstanding request.
     pub(super) fn reply(
@@ -213,7 +219,7 @@
         if self.table.routes[r].extra.take() {
             return true;
         }
-        let is_first_plan = query.dropped.is_none();
+        let is_first_plan = query.dropped.is_empty();
         let Some(plan) = &mut query.plan else { return false };
         let shard = &mut plan.shards[position];
         let granted = allowance && is_first_plan && !shard.allowance_used;
@@ -221,10 +227,10 @@
         granted
     }
 
-    /// Plans once more at another snapshot, if that covers more than what
+    /// Plans again at another snapshot, if that covers more than what
     /// the present one can still give, and drops the answers so far.
     fn replan(&mut self, now: Time, query: &mut Active) {
-        if query.dropped.is_some() || now >= query.deadline {
+        if query.dropped.len() + 1 >= MAX_PLANS || now >= query.deadline {
             return;
         }
         let Some(route) = self.table.route_position(query.route) else {
@@ -232,7 +238,7 @@
         };
         let Some(plan) = &query.plan else { return };
         let not = Some((plan.snapshot, plan.shard_count));
-        let Some((_, (total, usable))) = self.best_snapshot(query, route, not)
+        let Some((i, (total, usable))) = self.best_snapshot(query, route, not)
         else {
             return;
         };
@@ -242,13 +248,18 @@
             return;
         }
         let old = plan.snapshot;
+        let new = self.table.routes[route].index.snapshots[i].snapshot;
+        let again = query.dropped.iter().any(|p| p.snapshot == new);
+        if again && !self.table.routes[route].extra.take_many(usable) {
+            return;
+        }
         self.cancel_open(now, query);
         query.results.clear();
-        query.dropped = query.plan.take();
+        query.dropped.extend(query.plan.take());
         query.hedge_at = NEVER;
         query.ack_at = NEVER;
         if !self.plan(now, query, not) {
-            query.plan = query.dropped.take();
+            query.plan = query.dropped.pop();
             self.close_all(query);
             return;
         }
@@ -342,7 +353,7 @@
     ) -> bool {
         let found = self.choose_again(now, query, position, Purpose::Hedge);
         let Some(order) = found else { return true };
-        if !self.table.routes[route].extra.take() {
+        if !self.table.routes[route].extra.take_for_hedge() {
             return false;
         }
         let Some(plan) = &mut query.plan else { return false };
--- a/crates/core/src/query/root.rs
+++ b/crates/core/src/query/root.rs
@@ -235,7 +235,7 @@
             deadline: now + budget,
             phase: Phase::Running,
             plan: None,
-            dropped: None,
+            dropped: Vec::new(),
             dispatches: Vec::new(),
             results: Vec::new(),
             hedge_at: NEVER,
--- a/crates/core/src/query/standby.rs
+++ b/crates/core/src/query/standby.rs
@@ -124,9 +124,9 @@
             format!("query={id} home={} shards={count}", d.home)
         });
         self.send(now, query, orders, TryKind::Standby);
-        let was_dropped = query.dropped.is_some();
+        let plans = query.dropped.len();
         for position in lost {
-            let planned_again = query.dropped.is_some() != was_dropped;
+            let planned_again = query.dropped.len() != plans;
             if planned_again {
                 // The positions belong to the former plan.
                 break;
--- a/crates/core/src/target/health.rs
+++ b/crates/core/src/target/health.rs
@@ -30,7 +30,12 @@
         cx: &mut Cx<'_, O>,
         report: Option<HealthReport>,
     ) {
-        let span = if self.state == TargetState::Ready {
+        let answered = self
+            .holds_at
+            .is_some_and(|at| cx.now.since(at) <= cx.options.answer_trust);
+        // What a target without requests holds is known from its health
+        // reports alone, and a new index version may be on its way.
+        let span = if self.state == TargetState::Ready && answered {
             cx.options.probe_ready
         } else {
             cx.options.probe_other
--- a/crates/core/src/target/options.rs
+++ b/crates/core/src/target/options.rs
@@ -46,7 +46,7 @@
     pub backoff_min: Duration,
     /// Longest pause after a failed connection.
     pub backoff_max: Duration,
-    /// Time between health probes of a target that is ready.
+    /// Time between health probes of a target that is ready and answers.
     pub probe_ready: Duration,
     /// Time between health probes of any other target.
     pub probe_other: Duration,
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -387,10 +387,14 @@
             (voters.count() == control).then_some(())
         })
         .await?;
-        let reply = self
-            .change(first, "first-configuration", 0, configuration)
-            .await?;
-        expect(&reply, 200)?;
+        // The leader refuses changes until it has heard from a majority of
+        // the fleet; a resend has the same outcome as the first.
+        wait_for("the first configuration is accepted", || async {
+            let id = "first-configuration";
+            let reply = self.change(first, id, 0, configuration).await.ok()?;
+            (reply.status == 200).then_some(())
+        })
+        .await?;
         self.wait_version(1).await
     }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod client;
 pub mod fleet;
 mod http;
+pub mod load;
 pub mod platform;
 pub mod proxy;
 pub mod searcher;
--- /dev/null
+++ b/crates/standin/src/load.rs
@@ -0,0 +1,234 @@
+/*!
+Callers that send queries until they are stopped and keep every reply.
+*/
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use http::Method;
+use serde_json::{Value, json};
+use tokio::{
+    sync::{Semaphore, SemaphorePermit},
+    task::JoinSet,
+};
+
+use crate::client::{self, Client, Reply};
+
+/// Tests with a fleet of their own that run at the same time.
+static TURNS: Semaphore = Semaphore::const_new(2);
+
+/// Waits until fewer than two other tests of this process run.
+pub async fn turn() -> SemaphorePermit<'static> {
+    TURNS.acquire().await.expect("never closed")
+}
+
+/// What the callers send.
+#[derive(Clone, Debug)]
+pub struct LoadOptions {
+    /// Route that they ask.
+    pub route: String,
+    /// Callers, each with one query at a time.
+    pub callers: u32,
+    /// Deadline of each query, in milliseconds.
+    pub deadline_ms: u64,
+    /// Pause of a caller between two queries.
+    pub pause: Duration,
+    /// Whether instances whose `GET /ready` fails are left out, as a load
+    /// balancer does.
+    pub follow_ready: bool,
+    /// Whether each request carries an id of its own.
+    pub with_id: bool,
+}
+
+impl Default for LoadOptions {
+    fn default() -> LoadOptions {
+        LoadOptions {
+            route: "search".into(),
+            callers: 4,
+            deadline_ms: 2_000,
+            pause: Duration::from_millis(5),
+            follow_ready: false,
+            with_id: false,
+        }
+    }
+}
+
+/// One query and what became of it.
+#[derive(Debug)]
+pub struct Sent {
+    /// Position of the instance among the addresses.
+    pub instance: usize,
+    /// Body of the request.
+    pub body: String,
+    /// When it was sent.
+    pub started: Instant,
+    /// When the reply was complete.
+    pub ended: Instant,
+    /// The reply; an error if the connection broke.
+    pub reply: io::Result<Reply>,
+}
+
+impl Sent {
+    /// The body of a successful answer.
+    pub fn answer(&self) -> Option<&Value> {
+        let reply = self.reply.as_ref().ok()?;
+        (reply.status == 200).then_some(&reply.body)
+    }
+
+    /// Whether it was answered with full coverage.
+    pub fn is_whole(&self) -> bool {
+        self.answer().is_some_and(|a| {
+            let coverage = &a["coverage"];
+            coverage["asked"].as_u64() > Some(0)
+                && coverage["asked"] == coverage["answered"]
+                && coverage["missing"] == json!([])
+        })
+    }
+}
+
+/// Running callers.
+#[derive(Debug)]
+pub struct Load {
+    stop: Arc<AtomicBool>,
+    done: Arc<AtomicU64>,
+    callers: JoinSet<Vec<Sent>>,
+    balancer: JoinSet<()>,
+}
+
+struct Caller {
+    number: u32,
+    addresses: Vec<SocketAddr>,
+    ready: Arc<Vec<AtomicBool>>,
+    stop: Arc<AtomicBool>,
+    done: Arc<AtomicU64>,
+    options: LoadOptions,
+}
+
+impl Load {
+    /// Starts the callers; they spread their queries over the addresses.
+    pub fn start(addresses: &[SocketAddr], options: LoadOptions) -> Load {
+        let ready = addresses.iter().map(|_| AtomicBool::new(true));
+        let ready: Arc<Vec<AtomicBool>> = Arc::new(ready.collect());
+        let mut load = Load {
+            stop: Arc::default(),
+            done: Arc::default(),
+            callers: JoinSet::new(),
+            balancer: JoinSet::new(),
+        };
+        if options.follow_ready {
+            for (i, &address) in addresses.iter().enumerate() {
+                load.balancer.spawn(watch_ready(address, ready.clone(), i));
+            }
+        }
+        for number in 0..options.callers {
+            let caller = Caller {
+                number,
+                addresses: addresses.to_vec(),
+                ready: Arc::clone(&ready),
+                stop: Arc::clone(&load.stop),
+                done: Arc::clone(&load.done),
+                options: options.clone(),
+            };
+            load.callers.spawn(caller.run());
+        }
+        load
+    }
+
+    /// Replies so far.
+    pub fn done(&self) -> u64 {
+        self.done.load(Ordering::Relaxed)
+    }
+
+    /// Waits until `more` further replies have come.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it takes too long.
+    pub async fn wait_more(&self, more: u64) -> io::Result<()> {
+        let goal = self.done() + more;
+        crate::fleet::wait_for("more replies", || async {
+            (self.done() >= goal).then_some(())
+        })
+        .await
+    }
+
+    /// Lets the callers finish their last query; returns all of them.
+    pub async fn stop(mut self) -> Vec<Sent> {
+        self.stop.store(true, Ordering::Relaxed);
+        let mut all = Vec::new();
+        while let Some(sent) = self.callers.join_next().await {
+            all.extend(sent.expect("a caller does not panic"));
+        }
+        all.sort_by_key(|s| s.started);
+        all
+    }
+}
+
+async fn watch_ready(
+    address: SocketAddr,
+    ready: Arc<Vec<AtomicBool>>,
+    i: usize,
+) {
+    loop {
+        let reply = client::get(address, "/ready").await;
+        let ok = reply.is_ok_and(|r| r.status == 200);
+        ready[i].store(ok, Ordering::Relaxed);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+impl Caller {
+    async fn run(self) -> Vec<Sent> {
+        let mut connections: Vec<Option<Client>> =
+            self.addresses.iter().map(|_| None).collect();
+        let path = format!("/v1/routes/{}/query", self.options.route);
+        let deadline = self.options.deadline_ms.to_string();
+        let mut sent = Vec::new();
+        let mut next = self.number as usize;
+        for n in 0u64.. {
+            if self.stop.load(Ordering::Relaxed) {
+                break;
+            }
+            let count = self.addresses.len();
+            let usable = (next..next + count)
+                .map(|i| i % count)
+                .find(|&i| self.ready[i].load(Ordering::Relaxed));
+            let Some(i) = usable else {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                continue;
+            };
+            next = i + 1;
+            let body = json!({"caller": self.number, "query": n}).to_string();
+            let id = format!("load-{}-{n}", self.number);
+            let mut headers = vec![("x-deadline-ms", deadline.as_str())];
+            if self.options.with_id {
+                headers.push(("x-request-id", id.as_str()));
+            }
+            let started = Instant::now();
+            let reply = async {
+                if connections[i].is_none() {
+                    let client = Client::connect(self.addresses[i]).await?;
+                    connections[i] = Some(client);
+                }
+                let client = connections[i].as_mut().expect("just opened");
+                client.send(Method::POST, &path, &headers, body.clone()).await
+            }
+            .await;
+            if reply.is_err() {
+                connections[i] = None;
+            }
+            let ended = Instant::now();
+            sent.push(Sent { instance: i, body, started, ended, reply });
+            self.done.fetch_add(1, Ordering::Relaxed);
+            tokio::time::sleep(self.options.pause).await;
+        }
+        sent
+    }
+}
