--- /dev/null
+++ b/tests/shutdown.rs
@@ -0,0 +1,88 @@
+/*!
+A graceful shutdown under load, through real processes.
+*/
+
+use std::{io, net::SocketAddr, path::Path};
+
+use primrosemast_standin::{
+    fleet::{Fleet, FleetOptions, wait_for},
+    load::{Load, LoadOptions, turn},
+    searcher::Behaviour,
+    site::{Group, Site},
+};
+use serde_json::json;
+
+const ZONES: [&str; 2] = ["az-a", "az-b"];
+
+async fn start() -> io::Result<(Site, Fleet)> {
+    let group = |route: &str, latency_us| Group {
+        route: route.into(),
+        behaviour: Behaviour { latency_us, ..Behaviour::default() },
+        ..Group::default()
+    };
+    let groups = [group("search", 5_000), group("report", 4_000_000)];
+    let site = Site::start(&ZONES, &groups).await?;
+    let program = Path::new(env!("CARGO_BIN_EXE_primrosemastd"));
+    let fleet =
+        Fleet::start(&[program], FleetOptions::spread(4, 3, &ZONES)).await?;
+    fleet.bootstrap(&site.configuration()).await?;
+    Ok((site, fleet))
+}
+
+fn callers(fleet: &Fleet) -> Vec<SocketAddr> {
+    fleet.instances().iter().map(|i| i.addresses().caller).collect()
+}
+
+/// Guards against requests that a graceful shutdown interrupts, with and
+/// without a control replica on the instance, and against targets that keep
+/// an instance as their home after it has announced that it leaves.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_graceful_shutdown_interrupts_no_request() {
+    let _turn = turn().await;
+    let (site, mut fleet) = start().await.unwrap();
+    let options = LoadOptions {
+        callers: 8,
+        follow_ready: true,
+        ..LoadOptions::default()
+    };
+    let load = Load::start(&callers(&fleet), options);
+    load.wait_more(50).await.unwrap();
+    for leaving in [3, 0] {
+        let name = fleet.instances()[leaving].name().to_owned();
+        // Runs for longer than the grace time of the shutdown.
+        let headers = [("x-deadline-ms", "20000")];
+        let body = json!({"leaving": leaving});
+        let long = fleet.query(leaving, "report", &headers, &body);
+        let announced = async {
+            wait_for("the long query runs", || async {
+                let runs = site.runs("report", &body.to_string());
+                (runs > 0).then_some(())
+            })
+            .await
+            .unwrap();
+            fleet.terminate(leaving);
+            wait_for("the targets have another home", || async {
+                let status = fleet.status(1).await.ok()?;
+                let targets = status["targets"].as_array()?.clone();
+                let left = |t: &serde_json::Value| t["home"] != name.as_str();
+                targets.iter().all(left).then_some(())
+            })
+            .await
+            .unwrap();
+        };
+        let (long, ()) = tokio::join!(long, announced);
+        let long = long.unwrap();
+        assert_eq!(long.status, 200, "{long:?}");
+        assert_eq!(long.body["coverage"]["answered"], 4, "{long:?}");
+        let code = fleet.wait_exit(leaving).await.unwrap();
+        assert_eq!(code, Some(0), "{}", fleet.instances()[leaving].log());
+        load.wait_more(50).await.unwrap();
+    }
+    let sent = load.stop().await;
+    for s in &sent {
+        assert!(s.answer().is_some(), "{}: {:?}", s.instance, s.reply);
+    }
+    let whole = sent.iter().filter(|s| s.is_whole()).count();
+    println!("{whole} of {} answers are whole", sent.len());
+    assert!(whole * 100 >= sent.len() * 98, "{whole} of {}", sent.len());
+}
