Give each test fleet loopback addresses of its own

Cause: queries_go_on_without_control_replicas failed once on a busy machine: the port of a killed instance was taken before its restart, because all fleets shared 127.0.1.x. Change: the network part depends on the process and a counter. A refusal about replicas shows its reason in the tool.

--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -1,7 +1,7 @@
 /*!
 A fleet of daemons as real processes on loopback.
 
-Each instance has an IP address of its own (127.0.1.1, 127.0.1.2, ...), so
+Each instance has an IP address of its own in 127.0.0.0/8, so
 that a proxy can tell the instances apart by the source of a connection. The
 peer address of every instance is behind a [`Proxy`]. Ports are chosen by the
 system at the first start and kept for restarts.
@@ -12,6 +12,7 @@
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
 };
 
@@ -162,9 +163,10 @@
             options: options.clone(),
             instances: Vec::new(),
         };
+        let network = Network::next();
         for (i, instance) in options.instances.into_iter().enumerate() {
             let proxy = Proxy::start(([127, 0, 0, 1], 0).into(), None).await?;
-            let ip = Ipv4Addr::new(127, 0, 1, i as u8 + 1).into();
+            let ip = network.with(i as u8 + 1);
             let any = SocketAddr::new(ip, 0);
             let peer = proxy.address();
             let addresses = Addresses { caller: any, operator: any, peer };
@@ -473,6 +475,27 @@
     }
 }
 
+/// Addresses that no other fleet uses. With shared ones, the port of an
+/// instance that does not run could be taken by another fleet.
+#[derive(Clone, Copy)]
+struct Network([u8; 3]);
+
+impl Network {
+    fn next() -> Network {
+        static COUNT: AtomicU32 = AtomicU32::new(0);
+        let count = COUNT.fetch_add(1, Ordering::Relaxed);
+        let pid = std::process::id();
+        let second = 1 + pid % 254;
+        let third = (pid / 254 + count) % 256;
+        Network([127, second as u8, third as u8])
+    }
+
+    fn with(self, last: u8) -> IpAddr {
+        let Network([a, b, c]) = self;
+        Ipv4Addr::new(a, b, c, last).into()
+    }
+}
+
 /// Waits until `condition` gives a value.
 ///
 /// # Errors
--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -60,9 +60,13 @@
 
     /// The error in the body, as text.
     pub(crate) fn error_text(&self) -> String {
-        match self.parse::<ErrorResponse>() {
-            Some(e) => format!("{} ({})", e.message, e.reason),
-            None => format!("HTTP status {}", self.status),
+        if let Some(e) = self.parse::<ErrorResponse>() {
+            return format!("{} ({})", e.message, e.reason);
+        }
+        // A refusal about replicas has a body of its own.
+        match self.parse::<ReplicaResponse>() {
+            Some(refused) if !refused.message.is_empty() => refused.message,
+            _ => format!("HTTP status {}", self.status),
         }
     }
 }
--- a/src/http/operator.rs
+++ b/src/http/operator.rs
@@ -1,5 +1,6 @@
 //! The operators' API.
 
+use bytes::Bytes;
 use futures::{FutureExt, future::BoxFuture};
 use http::StatusCode;
 use http_body_util::{BodyExt, Limited};
@@ -32,6 +33,9 @@
 /// Largest body of an operator's request, in bytes.
 const MAX_BODY_BYTES: usize = 64 << 20;
 
+/// Message of a request whose outcome could not be learned.
+const OUTCOME_UNKNOWN: &str = "the outcome is not known; look at the status";
+
 /// Routes of the operators' listener.
 pub(crate) fn router(handle: &Handle) -> Router {
     let status = view(handle, || Query::Status);
@@ -43,7 +47,7 @@
             async move { show(handle.view(Query::Explain(id)).await) }
         }
     };
-    let change_outcome = {
+    let outcome = {
         let handle = handle.clone();
         move |PathParams(id): PathParams<String>| {
             let handle = handle.clone();
@@ -75,7 +79,7 @@
         .route("/v1/status", get(status))
         .route("/v1/configuration", get(configuration))
         .route("/v1/changes", post(change))
-        .route("/v1/changes/{id}", get(change_outcome))
+        .route("/v1/changes/{id}", get(outcome))
         .route("/v1/explain/{id}", get(explain))
         .route("/v1/replicas", post(replicas))
         .route("/metrics", get(metrics))
@@ -131,31 +135,11 @@
             "change_id must have 1 to 200 characters".into(),
         );
     }
-    let response = propose(handle, req).await;
-    let status = match response.outcome {
-        Outcome::Accepted => StatusCode::OK,
-        Outcome::Conflict => StatusCode::CONFLICT,
-        Outcome::NoQuorum => StatusCode::SERVICE_UNAVAILABLE,
-        Outcome::Unknown => StatusCode::GATEWAY_TIMEOUT,
-        Outcome::Refused => StatusCode::UNPROCESSABLE_ENTITY,
-    };
-    json(status, &response)
-}
-
-/// Checks a change and has it committed.
-async fn propose(handle: &Handle, req: ChangeRequest) -> ChangeResponse {
-    let mut problems = check_configuration(&req.configuration);
-    problems.retain(Problem::is_error);
-    if !problems.is_empty() {
-        let lines: Vec<String> =
-            problems.iter().map(ToString::to_string).collect();
-        return outcome(Outcome::Refused, None, lines.join("\n"));
-    }
-    let mut configuration = req.configuration;
-    configuration.sort();
-    let document = match rmp_serde::to_vec_named(&configuration) {
-        Ok(document) => document.into(),
-        Err(e) => return outcome(Outcome::Refused, None, e.to_string()),
+    let document = match encode(req.configuration) {
+        Ok(document) => document,
+        Err(message) => {
+            return change_response(Outcome::Refused, None, message);
+        }
     };
     let change = Change {
         change_id: req.change_id,
@@ -163,41 +147,66 @@
         document,
     };
     match handle.operate(OperatorRequest::Change(change)).await {
-        Some(OperatorReply::Control(reply)) => control_outcome(reply),
+        Some(OperatorReply::Control(reply)) => control_response(reply),
         Some(OperatorReply::Refused(message)) => {
-            outcome(Outcome::NoQuorum, None, message)
-        }
-        Some(OperatorReply::Bootstrapped) | None => {
-            outcome(Outcome::Unknown, None, "the instance stopped".into())
+            change_response(Outcome::NoQuorum, None, message)
         }
+        Some(OperatorReply::Bootstrapped) | None => change_response(
+            Outcome::Unknown,
+            None,
+            "the instance stopped".into(),
+        ),
+    }
+}
+
+/// Checks a configuration and encodes it for the log.
+///
+/// # Errors
+///
+/// Fails with one line for each problem.
+fn encode(mut configuration: Configuration) -> Result<Bytes, String> {
+    let mut problems = check_configuration(&configuration);
+    problems.retain(Problem::is_error);
+    if !problems.is_empty() {
+        let lines: Vec<String> =
+            problems.iter().map(ToString::to_string).collect();
+        return Err(lines.join("\n"));
     }
+    configuration.sort();
+    rmp_serde::to_vec_named(&configuration)
+        .map(Bytes::from)
+        .map_err(|e| e.to_string())
 }
 
-fn control_outcome(reply: ControlReply) -> ChangeResponse {
+fn control_response(reply: ControlReply) -> Response {
     match reply {
-        ControlReply::Change(ChangeOutcome::Accepted(version)) => outcome(
-            Outcome::Accepted,
-            Some(version),
-            format!("accepted as version {version}"),
-        ),
-        ControlReply::Change(ChangeOutcome::Conflict(version)) => outcome(
-            Outcome::Conflict,
-            Some(version),
-            format!("conflict: the current version is {version}"),
-        ),
-        ControlReply::NotLeader(_) => outcome(
+        ControlReply::Change(ChangeOutcome::Accepted(version)) => {
+            change_response(
+                Outcome::Accepted,
+                Some(version),
+                format!("accepted as version {version}"),
+            )
+        }
+        ControlReply::Change(ChangeOutcome::Conflict(version)) => {
+            change_response(
+                Outcome::Conflict,
+                Some(version),
+                format!("conflict: the current version is {version}"),
+            )
+        }
+        ControlReply::NotLeader(_) => change_response(
             Outcome::NoQuorum,
             None,
             "no quorum: no control leader could be reached; nothing was \
              proposed"
                 .into(),
         ),
-        ControlReply::Refused(message) => {
-            outcome(Outcome::NoQuorum, None, message)
+        ControlReply::Refused(message) | ControlReply::NotReady(message) => {
+            change_response(Outcome::NoQuorum, None, message)
         }
         ControlReply::Unknown
         | ControlReply::Claim(_)
-        | ControlReply::Done => outcome(
+        | ControlReply::Done => change_response(
             Outcome::Unknown,
             None,
             "no answer from the control leader; resend the same change id"
@@ -206,12 +215,19 @@
     }
 }
 
-fn outcome(
+fn change_response(
     outcome: Outcome,
     version: Option<ConfigVersion>,
     message: String,
-) -> ChangeResponse {
-    ChangeResponse { outcome, version, message }
+) -> Response {
+    let status = match outcome {
+        Outcome::Accepted => StatusCode::OK,
+        Outcome::Conflict => StatusCode::CONFLICT,
+        Outcome::NoQuorum => StatusCode::SERVICE_UNAVAILABLE,
+        Outcome::Unknown => StatusCode::GATEWAY_TIMEOUT,
+        Outcome::Refused => StatusCode::UNPROCESSABLE_ENTITY,
+    };
+    json(status, &ChangeResponse { outcome, version, message })
 }
 
 async fn replicas(handle: &Handle, req: Request) -> Response {
@@ -221,7 +237,7 @@
     };
     let request = match (req.action, req.replica) {
         (ReplicaAction::Bootstrap, _) => {
-            OperatorRequest::Bootstrap { group: rand::random::<u64>().max(1) }
+            return bootstrap(handle, req.configuration).await;
         }
         (ReplicaAction::Remove, Some(replica)) => {
             OperatorRequest::Remove(replica)
@@ -234,52 +250,71 @@
             );
         }
     };
-    let message = match handle.operate(request).await {
-        Some(OperatorReply::Bootstrapped) => {
-            return first_configuration(handle, req.configuration).await;
-        }
+    let (done, message) = match handle.operate(request).await {
         Some(OperatorReply::Control(ControlReply::Done)) => {
-            return replica_response("done".into());
+            (true, "done".into())
         }
         Some(OperatorReply::Control(ControlReply::Refused(message)))
-        | Some(OperatorReply::Refused(message)) => message,
+        | Some(OperatorReply::Refused(message)) => (false, message),
         Some(OperatorReply::Control(ControlReply::NotLeader(_))) => {
-            "no control leader could be reached".into()
-        }
-        Some(OperatorReply::Control(_)) | None => {
-            "the outcome is not known; look at the status".into()
+            (false, "no control leader could be reached".into())
         }
+        Some(OperatorReply::Control(_) | OperatorReply::Bootstrapped)
+        | None => (false, OUTCOME_UNKNOWN.into()),
     };
-    error(StatusCode::SERVICE_UNAVAILABLE, "refused", message)
+    replica_response(done, message)
 }
 
-/// Applies the first configuration of a new control group, if one was given.
-async fn first_configuration(
+/// Founds a control group and applies its first configuration, if there is
+/// one.
+async fn bootstrap(
     handle: &Handle,
     configuration: Option<Configuration>,
 ) -> Response {
+    // Checked first, so that a configuration that is not valid leaves no
+    // group behind.
+    let document = match configuration.map(encode).transpose() {
+        Ok(document) => document,
+        Err(message) => return replica_response(false, message),
+    };
+    let group = rand::random::<u64>().max(1);
+    match handle.operate(OperatorRequest::Bootstrap { group }).await {
+        Some(OperatorReply::Bootstrapped) => {}
+        Some(OperatorReply::Refused(message)) => {
+            return replica_response(false, message);
+        }
+        Some(OperatorReply::Control(_)) | None => {
+            return replica_response(false, OUTCOME_UNKNOWN.into());
+        }
+    }
     let founded = "the control group was founded";
-    let Some(configuration) = configuration else {
-        return replica_response(founded.into());
+    let Some(document) = document else {
+        return replica_response(true, founded.into());
     };
-    let change = ChangeRequest {
-        change_id: format!("bootstrap-{:016x}", rand::random::<u64>()),
+    let change = Change {
+        change_id: format!("bootstrap-{group:016x}"),
         expected_version: ConfigVersion(0),
-        configuration,
+        document,
     };
-    let ChangeResponse { outcome, message, .. } =
-        propose(handle, change).await;
-    if outcome == Outcome::Accepted {
-        return replica_response(format!("{founded}; {message}"));
+    match handle.operate(OperatorRequest::Change(change)).await {
+        Some(OperatorReply::Control(ControlReply::Change(
+            ChangeOutcome::Accepted(version),
+        ))) => replica_response(
+            true,
+            format!("{founded}; the configuration is version {version}"),
+        ),
+        _ => replica_response(
+            false,
+            format!(
+                "{founded}, but its first configuration is not known to be \
+                 accepted; apply it again"
+            ),
+        ),
     }
-    error(
-        StatusCode::SERVICE_UNAVAILABLE,
-        "configuration_not_accepted",
-        format!("{founded}, but not its configuration: {message}"),
-    )
 }
 
-fn replica_response(message: String) -> Response {
-    let response = ReplicaResponse { done: true, message, control: None };
-    json(StatusCode::OK, &response)
+fn replica_response(done: bool, message: String) -> Response {
+    let status =
+        if done { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    json(status, &ReplicaResponse { done, message, control: None })
 }
