Ask a control leader again while it is not ready for changes

A leader refuses changes unless it heard from a majority of the fleet within the lease, and right after the start it has heard from nobody yet. The refusal ended the request at once although nothing was proposed and the condition passes within one comparison interval (250 ms). Ruled out: a conflict and a lost leadership, by the reply itself.

The leader now replies NotReady, which the client repeats every 50 ms within the budget of the request; at its end the refusal states the reason. The tool also dropped the message of a refused replica command ("HTTP status 503") and now prints it.

--- a/crates/core/src/control/client.rs
+++ b/crates/core/src/control/client.rs
@@ -91,6 +91,8 @@
     /// those without an answer that rules it out. Each attempt has its own,
     /// so that a repeated answer to one says nothing about another.
     open: Vec<u64>,
+    /// Why the leader was not ready when it was last asked.
+    not_ready: Option<String>,
 }
 
 /// Sends requests to the control leader.
@@ -186,6 +188,7 @@
             hops: 0,
             retry_at: now,
             open: Vec::new(),
+            not_ready: None,
         });
         let at = self.waiting.len() - 1;
         self.ask(now, at, out);
@@ -262,6 +265,17 @@
                     }
                 }
             }
+            // A leader that has just started has not heard from the fleet
+            // yet.
+            ControlReply::NotReady(text) => {
+                self.close(at, sequence);
+                let w = &mut self.waiting[at];
+                w.not_ready = Some(text);
+                if current {
+                    w.asked = None;
+                    w.retry_at = now + ELECTION_PAUSE;
+                }
+            }
             ControlReply::Refused(text) => {
                 self.close(at, sequence);
                 if !current {
@@ -304,9 +318,10 @@
         while at < self.waiting.len() {
             let w = &self.waiting[at];
             if now >= w.deadline {
-                let w = self.remove(at);
-                let reply = ControlReply::Refused("no leader answered".into());
-                self.end(now, w, reply, out);
+                let mut w = self.remove(at);
+                let text = w.not_ready.take();
+                let text = text.unwrap_or("no leader answered".into());
+                self.end(now, w, ControlReply::Refused(text), out);
                 continue;
             }
             if now >= w.retry_at {
--- a/crates/core/src/control/types.rs
+++ b/crates/core/src/control/types.rs
@@ -115,4 +115,7 @@
     Unknown,
     /// Refused; nothing was proposed.
     Refused(String),
+    /// The leader cannot propose it at present, and says why. Nothing was
+    /// proposed; the request may be sent again.
+    NotReady(String),
 }
--- a/crates/core/src/node/replica.rs
+++ b/crates/core/src/node/replica.rs
@@ -232,7 +232,7 @@
         match message {
             Message::Request { sequence, request } => {
                 if self.must_refuse(now, &request) {
-                    let reply = ControlReply::Refused(
+                    let reply = ControlReply::NotReady(
                         "the control leader does not reach a majority of \
                          the fleet"
                             .into(),
--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -2,7 +2,7 @@
 
 mod cluster;
 
-use std::time::Duration;
+use std::{cell::Cell, time::Duration};
 
 use bytes::Bytes;
 use cluster::*;
@@ -332,6 +332,24 @@
     assert_eq!(reply, outcome);
 }
 
+/// Guards against a change that fails because the leader has only just
+/// started, and against a refusal that does not say why.
+#[test]
+fn a_client_asks_again_while_the_leader_is_not_ready() {
+    let a_change = || ControlRequest::Change(change("a", 0));
+    let not_ready = || ControlReply::NotReady("not heard".into());
+    let outcome =
+        ControlReply::Change(ChangeOutcome::Accepted(ConfigVersion(1)));
+    let asked = Cell::new(0);
+    let (reply, _) = submit(a_change(), |_| {
+        asked.set(asked.get() + 1);
+        Some(if asked.get() > 3 { outcome.clone() } else { not_ready() })
+    });
+    assert_eq!(reply, outcome);
+    let (reply, _) = submit(a_change(), |_| Some(not_ready()));
+    assert_eq!(reply, ControlReply::Refused("not heard".into()));
+}
+
 /// Guards against replies that go to the wrong request, and against a claim
 /// that is granted before it is committed.
 #[test]
--- a/src/cli/replica.rs
+++ b/src/cli/replica.rs
@@ -6,7 +6,7 @@
 
 use super::{
     CALL_LIMIT, Code, Report, Step, ask, body,
-    client::{self, Call},
+    client::{self, Call, Reply},
     operators,
     output::{row, table},
     site, to_body,
@@ -108,7 +108,7 @@
     };
     let call = Call::post("/v1/replicas", to_body(&request));
     match client::call(address, &call, CALL_LIMIT).await {
-        Ok(reply) => finish(body(&reply)?),
+        Ok(reply) => finish(&reply),
         Err(e) => {
             let message = format!("no response: {e}\ncheck with replica list");
             Err(Report::failure(Code::NoResponse, message))
@@ -132,10 +132,15 @@
     // Removing a replica twice has the effect of removing it once, so the
     // next instance may be asked after a lost answer.
     let call = Call::post("/v1/replicas", to_body(&request));
-    finish(body(&ask(&operators, &call).await?)?)
+    finish(&ask(&operators, &call).await?)
 }
 
-fn finish(response: ReplicaResponse) -> Step<Report> {
+fn finish(reply: &Reply) -> Step<Report> {
+    // A refusal has the same form as a success, and its message says why.
+    let response: ReplicaResponse = match reply.parse() {
+        Some(response) => response,
+        None => body(reply)?,
+    };
     let text = match (&response.message, &response.control) {
         (message, _) if !message.is_empty() => message.clone(),
         (_, Some(control)) => format!("done, role {}", word(control.role)),
--- a/src/http/operator.rs
+++ b/src/http/operator.rs
@@ -201,7 +201,7 @@
              proposed"
                 .into(),
         ),
-        ControlReply::Refused(message) => {
+        ControlReply::Refused(message) | ControlReply::NotReady(message) => {
             change_response(Outcome::NoQuorum, None, message)
         }
         ControlReply::Unknown
