--- /dev/null
+++ b/benches/support/mod.rs
@@ -0,0 +1,230 @@
+//! Load generator and process figures shared by the benchmarks.
+
+use std::{
+    io,
+    net::SocketAddr,
+    path::Path,
+    process::ExitCode,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use http::Method;
+use primrosemast_standin::{
+    client::{self, Client},
+    fleet::Fleet,
+};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep_until, timeout},
+};
+
+/// A query without a response after this time counts as lost. Longer than
+/// the deadline of every route.
+const RESPONSE_LIMIT: Duration = Duration::from_secs(10);
+
+/// Clock ticks per second of `/proc/<pid>/stat`, which Linux fixes for
+/// programs.
+const TICKS: f64 = 100.0;
+
+/// Runs a daemon if the program was started with `--settings FILE`.
+pub fn daemon_if_asked() -> Option<ExitCode> {
+    let mut args = std::env::args().skip(1);
+    if args.next().as_deref() != Some("--settings") {
+        return None;
+    }
+    let path = args.next().unwrap_or_default();
+    let settings =
+        match primrosemast::settings::load_instance(Path::new(&path)) {
+            Ok(settings) => settings,
+            Err(e) => {
+                eprintln!("{e}");
+                return Some(ExitCode::from(2));
+            }
+        };
+    env_logger::Builder::new().parse_filters(&settings.log).init();
+    Some(match primrosemast::daemon::run(&settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("{e:#}");
+            ExitCode::FAILURE
+        }
+    })
+}
+
+/// Queries to one route at a fixed rate.
+#[derive(Clone, Debug)]
+pub struct Load {
+    pub route: &'static str,
+    pub per_second: f64,
+}
+
+/// One query and what came back.
+#[derive(Clone, Debug)]
+pub struct Sample {
+    pub id: String,
+    /// Entry instance that was asked.
+    pub instance: usize,
+    /// Intended start, from the start of the load.
+    pub at: Duration,
+    /// From the intended start to the response.
+    pub took: Duration,
+    pub asked: u64,
+    pub answered: u64,
+    /// Verdict and reason of a failure.
+    pub failure: Option<(String, String)>,
+}
+
+impl Sample {
+    /// Whether every shard is in the answer.
+    pub fn is_whole(&self) -> bool {
+        self.failure.is_none() && self.answered == self.asked
+    }
+}
+
+type Pool = Arc<Mutex<Vec<Client>>>;
+
+/// Callers of a fleet; their connections are kept between loads.
+pub struct Callers {
+    instances: Vec<(SocketAddr, Pool)>,
+}
+
+impl Callers {
+    pub fn new(fleet: &Fleet) -> Callers {
+        let instances = fleet
+            .instances()
+            .iter()
+            .map(|i| (i.addresses().caller, Pool::default()))
+            .collect();
+        Callers { instances }
+    }
+
+    /// Sends queries at their intended times, whether or not earlier ones
+    /// were answered, in turn to each instance.
+    pub async fn run(
+        &self,
+        label: &str,
+        loads: &[Load],
+        span: Duration,
+    ) -> Vec<Vec<Sample>> {
+        let start = Instant::now() + Duration::from_millis(20);
+        let mut generators = JoinSet::new();
+        for (position, load) in loads.iter().cloned().enumerate() {
+            let instances = self.instances.clone();
+            let label = label.to_owned();
+            generators.spawn(async move {
+                let samples = generate(instances, label, load, start, span);
+                (position, samples.await)
+            });
+        }
+        let mut all = generators.join_all().await;
+        all.sort_by_key(|x| x.0);
+        all.into_iter().map(|x| x.1).collect()
+    }
+}
+
+async fn generate(
+    instances: Vec<(SocketAddr, Pool)>,
+    label: String,
+    load: Load,
+    start: Instant,
+    span: Duration,
+) -> Vec<Sample> {
+    let count = (load.per_second * span.as_secs_f64()) as usize;
+    let mut queries = JoinSet::new();
+    for n in 0..count {
+        let at = Duration::from_secs_f64(n as f64 / load.per_second);
+        sleep_until(start + at).await;
+        let instance = n % instances.len();
+        let (address, pool) = instances[instance].clone();
+        let id = format!("{label}-{}-{n}", load.route);
+        let path = format!("/v1/routes/{}/query", load.route);
+        queries.spawn(async move {
+            let sent = query(address, &pool, &path, &id);
+            let result = timeout(RESPONSE_LIMIT, sent).await;
+            let took = (start + at).elapsed();
+            let lost = |why: &str| Some(("lost".into(), why.to_owned()));
+            let mut sample = Sample {
+                id,
+                instance,
+                at,
+                took,
+                asked: 0,
+                answered: 0,
+                failure: None,
+            };
+            match result {
+                Err(_) => sample.failure = lost("no response"),
+                Ok(Err(e)) => sample.failure = lost(&e.to_string()),
+                Ok(Ok(reply)) if reply.status == 200 => {
+                    let coverage = &reply.body["coverage"];
+                    let number = |key: &str| coverage[key].as_u64();
+                    sample.asked = number("asked").unwrap_or(0);
+                    sample.answered = number("answered").unwrap_or(0);
+                }
+                Ok(Ok(reply)) => {
+                    let text = |key: &str| {
+                        reply.body[key].as_str().unwrap_or("?").to_owned()
+                    };
+                    sample.failure = Some((text("verdict"), text("reason")));
+                }
+            }
+            sample
+        });
+    }
+    let mut samples = queries.join_all().await;
+    samples.sort_by_key(|s| s.at);
+    samples
+}
+
+async fn query(
+    address: SocketAddr,
+    pool: &Pool,
+    path: &str,
+    id: &str,
+) -> io::Result<client::Reply> {
+    let pooled = pool.lock().expect("not poisoned").pop();
+    let mut client = match pooled {
+        Some(client) => client,
+        None => Client::connect(address).await?,
+    };
+    let body = "{\"trail\":\"north ridge\"}";
+    let headers = [("x-request-id", id)];
+    let reply = client.send(Method::POST, path, &headers, body).await?;
+    pool.lock().expect("not poisoned").push(client);
+    Ok(reply)
+}
+
+/// Processor seconds used so far by the daemons of a fleet.
+#[allow(dead_code)]
+pub fn processor_seconds(fleet: &Fleet) -> f64 {
+    let pids = fleet.instances().iter().filter_map(|i| i.pid());
+    pids.map(|pid| {
+        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"))
+            .unwrap_or_default();
+        // The second field may hold blanks and ends with a parenthesis.
+        let rest = stat.rsplit(')').next().unwrap_or("");
+        let field = |n: usize| {
+            rest.split_whitespace()
+                .nth(n)
+                .and_then(|s| s.parse::<f64>().ok())
+                .unwrap_or(0.0)
+        };
+        (field(11) + field(12)) / TICKS
+    })
+    .sum()
+}
+
+/// Resident memory of each daemon of a fleet, in MB.
+#[allow(dead_code)]
+pub fn resident_mb(fleet: &Fleet) -> Vec<f64> {
+    let pids = fleet.instances().iter().filter_map(|i| i.pid());
+    pids.map(|pid| {
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status"))
+            .unwrap_or_default();
+        let line = status.lines().find(|l| l.starts_with("VmRSS:"));
+        let kb = line.and_then(|l| l.split_whitespace().nth(1));
+        kb.and_then(|s| s.parse::<f64>().ok()).unwrap_or(0.0) / 1024.0
+    })
+    .collect()
+}
