--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -9,7 +9,7 @@
 use serde::de::DeserializeOwned;
 use tokio::{net::TcpStream, time::timeout};
 
-use crate::api::{ErrorResponse, StatusResponse};
+use crate::api::{ErrorResponse, ReplicaResponse, StatusResponse};
 
 /// Largest response that the tool reads. A configuration of the design size
 /// takes about 15 MB.
