Give each writer of the random-fault test an instance of its own

A frozen or isolated instance held up both writers, so some seeds made fewer than ten changes. A missing leader now fails with the status and log of every instance.

--- a/tests/control_group.rs
+++ b/tests/control_group.rs
@@ -392,7 +392,7 @@
         if stop.load(Ordering::Relaxed) {
             break;
         }
-        let turn = (writer + n) as usize;
+        let turn = writer as usize;
         let read = client::get(
             operators[turn % operators.len()],
             "/v1/configuration",
@@ -471,7 +471,8 @@
     let mut bench = Bench::start(4, 3).await;
     let watch = bench.watch();
     let stop = Arc::new(AtomicBool::new(false));
-    let writers: Vec<_> = (1..=2)
+    // One for each instance: those of a frozen or isolated one wait.
+    let writers: Vec<_> = (1..=4)
         .map(|writer| {
             tokio::spawn(write(
                 bench.operators(),
--- a/tests/recovery_support/mod.rs
+++ b/tests/recovery_support/mod.rs
@@ -98,7 +98,18 @@
             }
             leaders.into_iter().max().map(|(_, i)| i)
         });
-        found.await.expect("a leader")
+        match found.await {
+            Ok(leader) => leader,
+            Err(e) => {
+                for (i, instance) in self.fleet.instances().iter().enumerate()
+                {
+                    let status = self.fleet.status(i).await;
+                    let status = status.map(|s| s["control"].clone());
+                    eprintln!("{status:?}\n{}", instance.log());
+                }
+                panic!("{e}")
+            }
+        }
     }
 
     /// Waits until the status of an instance satisfies a condition.
