Retry a shed request at the last replica

Cause: with one zone out, each shard had one replica left. A request that its searcher shed ended as missing after 10 ms of a deadline of 2 s, because no other replica was left (GET /v1/explain: one attempt, outcome shed).

Change: a retry may return to a replica that shed, under the same budget.

--- a/crates/core/src/query/dispatch.rs
+++ b/crates/core/src/query/dispatch.rs
@@ -229,13 +229,15 @@
         let shard = plan.shards[position].shard;
         let holders = index.holders(shard);
         let fresh = chooser.choose(&mut self.rng, holders, purpose, tried);
-        // When every replica was tried, one whose connection or answer
-        // failed gets another attempt: what broke may be the connection, and
-        // all replicas can lose theirs at the same moment.
+        // When every replica was tried, one that failed or shed gets another
+        // attempt: what broke may be the connection, and all replicas can
+        // lose theirs at the same moment. A target that shed has a lower
+        // limit from then on, so that the attempt waits in its queue.
         let refused = |slot: u32| {
             plan.tries_of(position).any(|i| {
                 let t = &plan.tries[i];
-                t.slot == slot && !matches!(t.state, TryState::Failed(_))
+                t.slot == slot
+                    && !matches!(t.state, TryState::Failed(_) | TryState::Shed)
             })
         };
         let choice = match purpose {
