--- a/crates/core/src/query/standby.rs
+++ b/crates/core/src/query/standby.rs
@@ -2,6 +2,8 @@
 What a root does when a home does not answer or has left.
 */
 
+use std::time::Duration;
+
 use crate::{
     event::query as events,
     query::{
@@ -13,6 +15,11 @@
     time::Time,
 };
 
+/// A timer this late shows that this instance itself did not run, so that
+/// acknowledgements may wait to be read. Asking the standbys then would put
+/// a second request on targets whose homes are well.
+const LATE_TIMER: Duration = Duration::from_millis(5);
+
 impl Queries {
     /// Turns to the standby where a home has not acknowledged in time.
     pub(super) fn check_acks(&mut self, now: Time, query: &mut Active) {
@@ -22,8 +29,13 @@
             if d.acked || d.open == 0 {
                 continue;
             }
-            if d.due > now {
-                query.ack_at = query.ack_at.min(d.due);
+            if now.since(d.due) >= LATE_TIMER {
+                query.dispatches[attempt].due =
+                    now + self.options.home_timeout;
+            }
+            let due = query.dispatches[attempt].due;
+            if due > now {
+                query.ack_at = query.ack_at.min(due);
             } else {
                 self.use_standby(now, query, attempt as u32);
             }
