Free a slot when the target confirms a cancellation

Cause: a_zone_leaves_and_returns_under_load saw two requests at a cold target: 31 of 51 requests were cancelled, and on a busy machine the target had not stopped when the fixed 25 ms were over. Change: a request that was given up counts until the target has answered the cancellation, at most 1 s; the stand-in really stops what is cancelled.

--- a/crates/core/src/target/entry.rs
+++ b/crates/core/src/target/entry.rs
@@ -8,8 +8,8 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::{
-    HomeRole, Job, JobOutcome, TargetEffect, TargetOptions, TargetReport,
-    TargetSpec, TargetState,
+    HomeRole, Job, JobOutcome, RequestId, TargetEffect, TargetOptions,
+    TargetReport, TargetSpec, TargetState,
     conn::{Conn, ConnState, Sent, conn_id},
     latency::Latency,
     queue::JobQueue,
@@ -92,8 +92,8 @@
     pub(crate) holds_at: Option<Time>,
     pub(crate) queue: JobQueue,
     pub(crate) conns: Vec<Conn>,
-    /// When requests that were given up stop counting against the slots.
-    pub(crate) lingering: Vec<Time>,
+    /// Requests that were given up and may still run at the target.
+    pub(crate) lingering: Vec<Lingering>,
     /// Doublings of the time until a connection is suspected.
     pub(crate) silent_doublings: u32,
     pub(crate) failures: u32,
@@ -113,6 +113,15 @@
     pub(crate) scheduled: Option<Time>,
 }
 
+/// A request that was given up and counts until the target has confirmed its
+/// cancellation.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Lingering {
+    pub(crate) request: RequestId,
+    /// When it stops counting without a confirmation.
+    pub(crate) until: Time,
+}
+
 impl Target {
     pub(crate) fn new(slot: u32, spec: TargetSpec, now: Time) -> Target {
         Target {
--- a/crates/core/src/target/exchange.rs
+++ b/crates/core/src/target/exchange.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use super::{
-    CloseReason, JobOutcome, TargetAnswer, TargetEffect, TargetOptions,
-    TargetState,
+    CloseReason, JobOutcome, RequestId, TargetAnswer, TargetEffect,
+    TargetOptions, TargetState,
     answer::{Meaning, check},
     conn::{Conn, ConnState, Sent},
+    entry::Lingering,
     entry::{Cx, Target},
 };
 use crate::{
@@ -137,12 +138,19 @@
         sent: &Sent,
     ) {
         cx.emit(TargetEffect::CancelRemote {
+            target: self.spec.id,
             address: self.spec.address,
             query: sent.query,
             attempt: sent.attempt,
             shard: sent.shard,
         });
-        self.lingering.push(cx.now + cx.options.cancel_grace);
+        let request = RequestId {
+            query: sent.query,
+            attempt: sent.attempt,
+            shard: sent.shard,
+        };
+        let until = cx.now + cx.options.cancel_grace;
+        self.lingering.push(Lingering { request, until });
         let verdict = Verdict::MayHaveRun;
         cx.done(sent.job, JobOutcome::Failed { verdict });
         self.note_unanswered(cx, sent.at);
@@ -182,6 +190,11 @@
         }
     }
 
+    /// The target has confirmed that it no longer runs a request.
+    pub(crate) fn cancelled(&mut self, request: RequestId) {
+        self.lingering.retain(|l| l.request != request);
+    }
+
     pub(crate) fn received(&mut self, now: Time, id: ConnId) {
         let conn = self.conn(id).and_then(|i| self.conns[i].sent_mut());
         if let Some(sent) = conn {
--- a/crates/core/src/target/mod.rs
+++ b/crates/core/src/target/mod.rs
@@ -9,7 +9,8 @@
 has arrived, or until the daemon reports that no byte of it was written. A
 request that was given up (timeout, cancellation, broken or silent
 connection) may still run at the target. It is cancelled there and goes on
-counting for `TargetOptions::cancel_grace` after the `CancelRemote`.
+counting until the target has confirmed the cancellation, at most for
+`TargetOptions::cancel_grace`.
 
 A request on a silent connection is never sent again from here: it ends as
 `Failed` with `MayHaveRun`, and the root of the query decides on a retry,
--- a/crates/core/src/target/options.rs
+++ b/crates/core/src/target/options.rs
@@ -56,9 +56,9 @@
     pub probe_misses: u32,
     /// How long a good answer outweighs health reports.
     pub answer_trust: Duration,
-    /// How long a request counts against the slots after its cancellation
-    /// was sent. Covers a new connection for the cancellation (5 ms), the
-    /// way to the target and the time that it needs to stop.
+    /// How long a request that was given up counts against the slots if the
+    /// target does not confirm its cancellation. As long as the daemon waits
+    /// for the confirmation.
     pub cancel_grace: Duration,
     /// Time after a 429 answer until one more connection is tried.
     pub cap_recovery: Duration,
@@ -93,7 +93,7 @@
             probe_timeout: Duration::from_secs(1),
             probe_misses: 2,
             answer_trust: Duration::from_secs(1),
-            cancel_grace: Duration::from_millis(25),
+            cancel_grace: Duration::from_secs(1),
             cap_recovery: Duration::from_secs(10),
             queue_max: 128,
             report_interval: Duration::from_millis(500),
--- a/crates/core/src/target/reducer.rs
+++ b/crates/core/src/target/reducer.rs
@@ -86,6 +86,11 @@
                     t.connect_failed(cx, conn);
                 });
             }
+            TargetEvent::Cancelled(target, request) => {
+                if let Some(i) = self.find(target) {
+                    self.touch(now, i, out, |t, _| t.cancelled(request));
+                }
+            }
             TargetEvent::Received(conn) => {
                 self.touch(now, slot_of(conn) as u32, out, |t, cx| {
                     t.received(cx.now, conn);
@@ -275,7 +280,7 @@
 impl Target {
     /// Drops what has run out, before an event is handled.
     fn refresh<O>(&mut self, cx: &Cx<'_, O>) {
-        self.lingering.retain(|until| cx.now < *until);
+        self.lingering.retain(|l| cx.now < l.until);
         self.hold_until = self.hold_until.filter(|until| cx.now < *until);
         if self.state != TargetState::Down {
             self.retry_at = self.retry_at.filter(|at| cx.now < *at);
@@ -326,7 +331,7 @@
             && !self.conns.iter().any(|c| c.is_connecting());
         let due = [
             self.queue.next_deadline(),
-            self.lingering.iter().copied().min(),
+            self.lingering.iter().map(|l| l.until).min(),
             self.hold_until,
             self.report_due,
             self.retry_at.filter(|_| waits),
--- a/crates/core/src/target/types.rs
+++ b/crates/core/src/target/types.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use super::RequestId;
 use crate::{
     config::Priority,
     event::LogEvent,
@@ -214,6 +215,8 @@
     Health(TargetId, Option<HealthReport>),
     /// The platform's list names the target as leaving, or no longer.
     PlatformLeaving(TargetId, bool),
+    /// The target has confirmed that it no longer runs a request.
+    Cancelled(TargetId, RequestId),
     /// Time has passed.
     Tick,
 }
@@ -252,6 +255,8 @@
     Close(ConnId),
     /// Ask the target to stop working on a request.
     CancelRemote {
+        /// The target.
+        target: TargetId,
         /// Where to.
         address: SocketAddr,
         /// The request.
--- a/crates/core/tests/target.rs
+++ b/crates/core/tests/target.rs
@@ -324,6 +324,23 @@
     assert_eq!(connects(&rig.pass(ms(1))).len(), 1);
 }
 
+/// Guards the slots against a grace that is too short for a busy target, and
+/// the throughput against one that is too long for the others.
+#[test]
+fn a_confirmed_cancellation_frees_its_slot_at_once() {
+    let mut rig = Rig::with_target(1);
+    let (_, job) = rig.send();
+    rig.step(TargetEvent::Cancel(job.id));
+    rig.submit();
+    let Job { query, attempt, shard, .. } = job;
+    let other = RequestId { query, attempt: attempt + 1, shard };
+    rig.step(TargetEvent::Cancelled(TargetId(1), other));
+    assert_eq!(connects(&rig.effects), []);
+    let request = RequestId { query, attempt, shard };
+    rig.step(TargetEvent::Cancelled(TargetId(1), request));
+    assert_eq!(connects(&rig.effects).len(), 1);
+}
+
 /// Guards F9: requests must not wait on connections that went silent.
 #[test]
 fn a_silent_connection_is_closed_when_the_target_answers_a_probe() {
--- a/crates/core/tests/target_support/mod.rs
+++ b/crates/core/tests/target_support/mod.rs
@@ -98,6 +98,7 @@
         let options = TargetOptions {
             fleet_is_new: true,
             silent_percent: 0,
+            cancel_grace: ms(25),
             ..TargetOptions::default()
         };
         let mut rig = Rig::new(options);
--- a/crates/standin/src/searcher.rs
+++ b/crates/standin/src/searcher.rs
@@ -19,7 +19,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
-use tokio::{net::TcpListener, task::JoinHandle};
+use tokio::{net::TcpListener, sync::Notify, task::JoinHandle};
 
 use crate::http::{Refusal, Reply, json, read_json, serve, status};
 
@@ -136,6 +136,8 @@
     running: u32,
     connections: u32,
     last_request: Option<Instant>,
+    /// Running requests by their id.
+    cancels: BTreeMap<String, Arc<Notify>>,
 }
 
 /// A running searcher; stops when dropped.
@@ -251,21 +253,35 @@
 }
 
 /// Holds a slot while a request runs.
-struct RunGuard(Shared);
+struct RunGuard(Shared, String);
 
 impl Drop for RunGuard {
     fn drop(&mut self) {
-        self.0.lock().running -= 1;
+        let mut state = self.0.lock();
+        state.running -= 1;
+        state.cancels.remove(&self.1);
     }
 }
 
+/// Stops a request; confirms once it no longer runs.
+async fn cancel(shared: Shared, headers: &HeaderMap) -> Reply {
+    let id = headers.get("x-request-id").and_then(|v| v.to_str().ok());
+    let id = id.unwrap_or("").to_owned();
+    let runs = || shared.lock().cancels.get(&id).cloned();
+    while let Some(running) = runs() {
+        running.notify_one();
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    status(StatusCode::OK)
+}
+
 async fn handle(
     shared: Shared,
     req: Request<Incoming>,
 ) -> Result<Reply, Refusal> {
     match (req.method(), req.uri().path()) {
         (&Method::POST, "/search") => search(shared, req).await,
-        (&Method::POST, "/cancel") => Ok(status(StatusCode::OK)),
+        (&Method::POST, "/cancel") => Ok(cancel(shared, req.headers()).await),
         (&Method::GET, "/health") => health(&shared),
         (&Method::GET, "/load") => {
             let running = shared.lock().running;
@@ -350,6 +366,7 @@
         return Err(Refusal::Disconnect);
     };
     let body = String::from_utf8_lossy(&body.to_bytes()).into_owned();
+    let cancelled = Arc::new(Notify::new());
     let (search, behaviour, cold, _guard) = {
         let mut state = shared.lock();
         state.record.requests += 1;
@@ -388,11 +405,16 @@
         let max = &mut state.record.max_running;
         *max = running.max(*max);
         *state.record.runs.entry(body.clone()).or_default() += 1;
-        (search, behaviour, cold, RunGuard(shared.clone()))
+        let id = search.id.clone();
+        state.cancels.insert(id.clone(), Arc::clone(&cancelled));
+        (search, behaviour, cold, RunGuard(shared.clone(), id))
     };
     let factor = if cold { u64::from(behaviour.cold_factor) } else { 1 };
     let work = Duration::from_micros(behaviour.latency_us * factor);
-    tokio::time::sleep(work.min(search.deadline)).await;
+    tokio::select! {
+        () = tokio::time::sleep(work.min(search.deadline)) => {}
+        () = cancelled.notified() => return Err(Refusal::Disconnect),
+    }
     if work > search.deadline {
         return Ok(answer(
             StatusCode::GATEWAY_TIMEOUT,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -27,7 +27,7 @@
     message::PeerMessage,
     node::{Effect, Event, Node, NodeOptions, OperatorReply},
     query::{CallerResponse, DispatchMode, QueryOptions},
-    target::{TargetEffect, TargetEvent, TargetOptions},
+    target::{RequestId, TargetEffect, TargetEvent, TargetOptions},
     time::Time,
 };
 use tokio::{
@@ -417,8 +417,16 @@
                 self.connections.send(conn, Outgoing { job, budget });
             }
             TargetEffect::Close(conn) => self.connections.close(conn),
-            TargetEffect::CancelRemote { address, query, attempt, shard } => {
-                target_client::cancel(address, query, attempt, shard);
+            TargetEffect::CancelRemote {
+                target,
+                address,
+                query,
+                attempt,
+                shard,
+            } => {
+                let id = RequestId { query, attempt, shard };
+                let events = self.handle.clone();
+                target_client::cancel(target, address, id, events);
             }
             TargetEffect::ProbeHealth { target, address } => {
                 let events = self.handle.clone();
--- a/src/target_client.rs
+++ b/src/target_client.rs
@@ -18,10 +18,10 @@
 };
 use hyper_util::rt::TokioIo;
 use primrosemast_core::{
-    id::{ConnId, QueryId, TargetId},
+    id::{ConnId, TargetId},
     snapshot::{Holding, Snapshot},
     target::{
-        CloseReason, HealthReport, HealthStatus, Job, TargetAnswer,
+        CloseReason, HealthReport, HealthStatus, Job, RequestId, TargetAnswer,
         TargetEvent,
     },
     verdict::Verdict,
@@ -212,7 +212,8 @@
     job: Job,
     budget: Duration,
 ) -> Request<Full<Bytes>> {
-    let id = format!("{}-{}-{}", job.query, job.attempt, job.shard);
+    let id =
+        RequestId { query: job.query, attempt: job.attempt, shard: job.shard };
     let repeatable = if job.repeatable { "yes" } else { "no" };
     // Rounds up, so that a request with a fraction of a millisecond left is
     // not refused by the target as already late.
@@ -220,7 +221,7 @@
     Request::post("/search")
         .header(header::HOST, address.to_string())
         .header(header::CONTENT_TYPE, "application/json")
-        .header("x-request-id", id)
+        .header("x-request-id", id.to_string())
         .header("x-index-version", job.snapshot.index_version)
         .header("x-partition-map", job.snapshot.partition_map)
         .header("x-shard", job.shard)
@@ -327,21 +328,25 @@
     })
 }
 
-/// Tells a target that an answer is no longer wanted.
+/// Tells a target that an answer is no longer wanted; reports
+/// once it has confirmed that it no longer runs the request.
 pub(crate) fn cancel(
+    target: TargetId,
     address: SocketAddr,
-    query: QueryId,
-    attempt: u32,
-    shard: u32,
+    id: RequestId,
+    events: impl Events,
 ) {
     spawn_local(timeout(CANCEL_TIMEOUT, async move {
         let req = Request::post("/cancel")
             .header(header::HOST, address.to_string())
             .header(header::CONNECTION, "close")
-            .header("x-request-id", format!("{query}-{attempt}-{shard}"))
+            .header("x-request-id", id.to_string())
             .body(Full::new(Bytes::new()))
             .expect("valid request");
-        one_shot(address, req).await;
+        let response = one_shot(address, req).await;
+        if response.is_some_and(|r| r.status().is_success()) {
+            events.report(TargetEvent::Cancelled(target, id));
+        }
     }));
 }
 
