Bound the wait for a daemon that should exit

In a trial without the lock of the data folder the test waited for the second daemon for ever. It now ends that daemon after 30 s and fails.

--- a/tests/control_group.rs
+++ b/tests/control_group.rs
@@ -5,12 +5,12 @@
 
 use std::{
     net::SocketAddr,
-    process::Command,
+    process::{Command, Stdio},
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use http::Method;
@@ -366,12 +366,26 @@
 fn run_daemon(bench: &Bench, i: usize) -> (Option<i32>, String) {
     let name = bench.fleet.instances()[i].name();
     let settings = bench.fleet.folder().join(format!("{name}.jsonc"));
-    let out = Command::new(env!("CARGO_BIN_EXE_primrosemastd"))
+    let log = bench.fleet.folder().join("second.log");
+    let mut child = Command::new(env!("CARGO_BIN_EXE_primrosemastd"))
         .arg("--settings")
         .arg(settings)
-        .output()
+        .stdout(Stdio::null())
+        .stderr(std::fs::File::create(&log).expect("a log file"))
+        .spawn()
         .expect("the daemon starts");
-    (out.status.code(), String::from_utf8_lossy(&out.stderr).into_owned())
+    let start = Instant::now();
+    let status = loop {
+        let status = child.try_wait().expect("the status");
+        if status.is_some() || start.elapsed() > Duration::from_secs(30) {
+            break status;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    };
+    let _ = child.kill();
+    let _ = child.wait();
+    let status = status.expect("the daemon ends by itself");
+    (status.code(), std::fs::read_to_string(log).expect("the log"))
 }
 
 /// Seed of the random faults; others can be tried with the environment
