--- a/crates/core/src/query/recover.rs
+++ b/crates/core/src/query/recover.rs
@@ -29,7 +29,9 @@
 };
 
 /// Looks for stragglers within what remains of a deadline, after the first.
-const HEDGE_LOOKS: u32 = 8;
+/// A replica without room often has room one service time later, so the looks
+/// are not far apart.
+const HEDGE_LOOKS: u32 = 32;
 
 /// Plans of a query. What is known of a target that gets no requests is as
 /// old as its last health report, so the second snapshot may be gone too.
