Wait 50 ms for the acknowledgement of a home

Cause: acknowledgements later than 20 ms moved requests to the standby, which sent a second one to a cold target and, under load, shed at half the limit. A crashed home is known sooner by its refused connection, and a straggling one is covered by hedges.

--- a/crates/core/src/query/options.rs
+++ b/crates/core/src/query/options.rs
@@ -58,7 +58,7 @@
         QueryOptions {
             mode: DispatchMode::Home,
             hedging: true,
-            home_timeout: Duration::from_millis(20),
+            home_timeout: Duration::from_millis(50),
             initial_hedge_delay: Duration::from_millis(50),
             min_hedge_delay: Duration::from_millis(1),
             extra_load_burst: 10,
