Refuse queries early under overload, for both policies

Change: the estimate counts every known request at a target, applies to both policies, and leaves a quarter of the time as reserve, half for reports.

--- a/crates/core/src/query/dispatch.rs
+++ b/crates/core/src/query/dispatch.rs
@@ -58,8 +58,8 @@
         }
     }
 
-    /// Whether for some shard the estimated wait exceeds `budget` even at the
-    /// best replica.
+    /// Whether too few shards would be answered within `budget` even by the
+    /// best replica of each.
     pub(super) fn is_hopeless(
         &self,
         query: &Active,
@@ -68,16 +68,32 @@
         budget: Duration,
     ) -> bool {
         let index = &self.table.routes[route].index.snapshots[index];
-        let hopeless = |shard| {
+        let hopeless = |&shard: &u32| {
             let holders = &index.holders(shard).targets;
-            let in_time =
-                |slot: u32| self.table.targets[slot as usize].wait() <= budget;
+            let in_time = |slot: u32| {
+                let target = &self.table.targets[slot as usize];
+                target.time_to_answer() <= budget
+            };
             !holders.is_empty() && !holders.slots().any(in_time)
         };
-        match query.asked() {
-            Asked::All => (0..index.shard_count).any(hopeless),
-            Asked::List(asked) => asked.iter().copied().any(hopeless),
-            Asked::One(hash) => hopeless(one_shard(hash, index.shard_count)),
+        let (late, asked) = match query.asked() {
+            Asked::All => {
+                let all = 0..index.shard_count;
+                (all.filter(hopeless).count(), index.shard_count as usize)
+            }
+            Asked::List(asked) => {
+                (asked.iter().copied().filter(hopeless).count(), asked.len())
+            }
+            Asked::One(hash) => {
+                let shard = one_shard(hash, index.shard_count);
+                (usize::from(hopeless(&shard)), 1)
+            }
+        };
+        match query.policy {
+            AnswerPolicy::Coverage => late > 0,
+            AnswerPolicy::Latency { enough_percent } => {
+                (asked - late) * 100 < asked * enough_percent as usize
+            }
         }
     }
 
--- a/crates/core/src/query/root.rs
+++ b/crates/core/src/query/root.rs
@@ -12,7 +12,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    config::{AnswerPolicy, Priority},
+    config::Priority,
     event::{EventKind, Level, LogEvent, query as events},
     id::{InstanceId, QueryId, TargetId, Token, ZoneId},
     query::{
@@ -38,6 +38,17 @@
 /// is forgotten stays claimed, which refuses a resend but never repeats it.
 const MAX_LATE_CLAIMS: usize = 10_000;
 
+/// Part of a query's time, in percent, that waiting for the slowest shard may
+/// take by the estimate at admission. Without a reserve, queues grow until
+/// answers come just too late and the work on all of them is lost; reports
+/// leave the room that urgent queries need.
+fn usable_percent(priority: Priority) -> u32 {
+    match priority {
+        Priority::Urgent | Priority::Normal => 75,
+        Priority::Report => 50,
+    }
+}
+
 /// The queries whose root is this instance.
 #[derive(Debug)]
 pub struct Queries {
@@ -253,10 +264,8 @@
         else {
             return Err((Reason::NoReplica, "no target holds the index"));
         };
-        if is_home
-            && query.policy == AnswerPolicy::Coverage
-            && self.is_hopeless(&query, position, index, budget)
-        {
+        let usable = budget * usable_percent(query.priority) / 100;
+        if is_home && self.is_hopeless(&query, position, index, usable) {
             return Err((
                 Reason::Overloaded,
                 "the estimated wait exceeds the deadline",
--- a/crates/core/src/query/table.rs
+++ b/crates/core/src/query/table.rs
@@ -74,9 +74,10 @@
         self.leaving_since
     }
 
-    /// Estimated wait in the queue.
-    pub(crate) fn wait(&self) -> Duration {
-        let work = u64::from(self.queued) * u64::from(self.latency_us);
+    /// Estimated time until one more request is answered.
+    pub(crate) fn time_to_answer(&self) -> Duration {
+        let requests = u64::from(self.load()) + 1;
+        let work = requests * u64::from(self.latency_us);
         Duration::from_micros(work / u64::from(self.limit.max(1)))
     }
 }
--- a/crates/core/tests/query.rs
+++ b/crates/core/tests/query.rs
@@ -29,9 +29,11 @@
 }
 
 fn root_of(cfg: Configuration) -> Root {
-    // The times in these tests are those of a hedge delay of 10 ms.
+    // The times in these tests are those of a hedge delay of 10 ms and an
+    // acknowledgement within 20 ms.
     let options = QueryOptions {
         initial_hedge_delay: Duration::from_millis(10),
+        home_timeout: Duration::from_millis(20),
         ..QueryOptions::default()
     };
     let mut root = Root::new(cfg, options, 7);
