Open a silent connection between instances again before giving up on it

Ruled out: lost replies (they are sent again). Change: an instance counts as unreachable only if a new connection fails; repeatable shard requests are sent again on it, and a home drops the copy of a request that is in progress.

--- a/crates/core/src/node/home.rs
+++ b/crates/core/src/node/home.rs
@@ -31,13 +31,21 @@
 }
 
 impl Homes {
-    /// Turns a shard request into jobs.
+    /// Turns a shard request into jobs. A second copy of one whose jobs are
+    /// still in progress gives none: the transport sends a request again when
+    /// its connection has failed.
     pub(crate) fn accept(
         &mut self,
         now: Time,
         root: InstanceId,
         req: ShardRequest,
     ) -> Vec<Job> {
+        let is_copy = self.origins.iter().any(|o| {
+            o.root == root && o.query == req.query && o.attempt == req.attempt
+        });
+        if is_copy {
+            return Vec::new();
+        }
         let deadline = now + Duration::from_micros(req.budget_us);
         let mut jobs = Vec::with_capacity(req.shards.len());
         for &(shard, target) in &req.shards {
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -62,9 +62,7 @@
     to: InstanceId,
     class: Class,
     body: Vec<u8>,
-    /// Whether it is sent once more if its connection fails. Holds for the
-    /// replies to roots: the work is done, nothing above sends them again,
-    /// and a root drops the second of two.
+    /// Whether it is sent once more if its connection fails.
     resend: bool,
 }
 
@@ -121,8 +119,7 @@
             PeerMessage::Query(_) => Class::Query,
             PeerMessage::Control(_) => Class::Control,
         };
-        let resend =
-            matches!(message, PeerMessage::Query(query::Message::Reply(_)));
+        let resend = may_be_repeated(message);
         let body = rmp_serde::to_vec(message).ok()?;
         let size = body.len();
         let link = self.link(address);
@@ -159,6 +156,18 @@
     }
 }
 
+/// Whether a message that may have arrived can be sent again. Nothing above
+/// sends replies and shard requests again before a timeout; a root drops the
+/// second of two replies, and a home the second of two requests while the
+/// first one runs. A request that must not be repeated is never among them.
+fn may_be_repeated(message: &PeerMessage) -> bool {
+    match message {
+        PeerMessage::Query(query::Message::Reply(_)) => true,
+        PeerMessage::Query(query::Message::Request(req)) => req.repeatable,
+        _ => false,
+    }
+}
+
 /// Keeps a connection to one peer while there are messages for it.
 async fn run(
     me: InstanceId,
@@ -168,16 +177,26 @@
     events: impl Events,
 ) {
     let mut first: VecDeque<Outgoing> = VecDeque::new();
+    let mut to = InstanceId(0);
+    let mut was_open = false;
     loop {
-        if first.is_empty() {
+        // A connection that has ended is opened again at once. Only if that
+        // fails is the instance unreachable: something between the two may
+        // have lost track of the connection while new ones work.
+        if first.is_empty() && !was_open {
             let Some(message) = queue.recv().await else { return };
             first.push_back(message);
         }
-        let to = first[0].to;
+        to = first.front().map_or(to, |message| message.to);
         match timeout(CONNECT_TIMEOUT, connect(source, address)).await {
             Ok(Ok(stream)) => {
-                first = converse(me, stream, first, &mut queue).await;
-                events.unreachable(to);
+                let Some(unacknowledged) =
+                    converse(me, stream, first, &mut queue).await
+                else {
+                    return;
+                };
+                first = unacknowledged;
+                was_open = true;
             }
             Ok(Err(_)) | Err(_) => {
                 events.unreachable(to);
@@ -185,6 +204,7 @@
                 // that could not be sent.
                 first.clear();
                 while queue.try_recv().is_ok() {}
+                was_open = false;
                 tokio::time::sleep(RECONNECT_PAUSE).await;
             }
         }
@@ -208,13 +228,13 @@
 }
 
 /// Delivers messages on one connection until it fails or falls silent.
-/// Returns those that are to be sent again.
+/// Returns those that are to be sent again, or `None` if no more will come.
 async fn converse(
     me: InstanceId,
     stream: TcpStream,
     mut first: VecDeque<Outgoing>,
     queue: &mut mpsc::Receiver<Outgoing>,
-) -> VecDeque<Outgoing> {
+) -> Option<VecDeque<Outgoing>> {
     let mut system = RpcSystem::new(network(stream, Side::Client), None);
     let client: peer::Client = system.bootstrap(Side::Server);
     let driver = AbortOnDrop(spawn_local(system).abort_handle());
@@ -246,13 +266,13 @@
             {
                 match message {
                     Some(message) => first.push_back(message),
-                    None => break,
+                    None => return None,
                 }
             }
         }
     }
     drop(driver);
-    kept.into_iter().map(|(_, outgoing)| outgoing).collect()
+    Some(kept.into_iter().map(|(_, outgoing)| outgoing).collect())
 }
 
 struct AbortOnDrop(AbortHandle);
