--- a/crates/core/tests/target.rs
+++ b/crates/core/tests/target.rs
@@ -541,3 +541,17 @@
     rig.serve(ms(5));
     assert_eq!(rig.report().limit, 2);
 }
+
+/// Guards F10: half of the connections that a target accepts are left to
+/// another home.
+#[test]
+fn at_most_half_of_the_connections_are_opened() {
+    let mut rig = Rig::ready(4);
+    let spec = TargetSpec { connections: 4, ..spec(1, 4) };
+    rig.step(TargetEvent::Configure(vec![spec]));
+    for _ in 0..4 {
+        rig.submit();
+        rig.open_all();
+    }
+    assert_eq!((rig.report().running, rig.report().queued), (2, 2));
+}
