Split the large reducers and the daemon by job

Change: probes, records, exchange and joining are files of their own; so are the node's reports, claims and views, and the daemon's options. Code moved only.

--- /dev/null
+++ b/crates/core/src/membership/detect.rs
@@ -0,0 +1,182 @@
+//! Probes, suspicion and death.
+
+use super::reducer::{Membership, Suspicion};
+use crate::{
+    event::membership as log,
+    id::InstanceId,
+    membership::{
+        MemberState, Message,
+        probe::{Probe, Relay},
+    },
+    time::Time,
+};
+
+/// Greatest number of probes that run on behalf of others.
+const MAX_RELAYS: usize = 64;
+
+impl Membership {
+    pub(super) fn on_ack(&mut self, from: InstanceId, sequence: u64) {
+        if let Some(probe) = &self.probe
+            && probe.sequence == sequence
+            && (probe.target == from || probe.helpers.contains(&from))
+        {
+            let target = probe.target;
+            self.probe = None;
+            // A leaving member has no state `Suspect` to refute.
+            let state = self.table.get(target).map(|x| x.state);
+            if state == Some(MemberState::Leaving) {
+                self.suspicions.retain(|x| x.id != target);
+            }
+        }
+        let relay = self
+            .relays
+            .iter()
+            .position(|x| x.sequence == sequence && x.target == from);
+        if let Some(relay) = relay.and_then(|at| self.relays.remove(at)) {
+            let sequence = relay.requester_sequence;
+            let updates = self.updates_for(Some(relay.requester));
+            self.send(relay.requester, Message::Ack { sequence, updates });
+        }
+    }
+
+    pub(super) fn on_ping_request(
+        &mut self,
+        now: Time,
+        from: InstanceId,
+        requester_sequence: u64,
+        target: InstanceId,
+    ) {
+        if target == self.me {
+            let updates = self.updates_for(Some(from));
+            let sequence = requester_sequence;
+            self.send(from, Message::Ack { sequence, updates });
+            return;
+        }
+        if self.table.get(target).is_none() {
+            return;
+        }
+        let sequence = self.next_sequence();
+        if self.relays.len() >= MAX_RELAYS {
+            self.relays.pop_front();
+        }
+        self.relays.push_back(Relay {
+            requester: from,
+            requester_sequence,
+            target,
+            sequence,
+            expires: now + self.options.probe_interval,
+        });
+        self.ping(target, sequence);
+    }
+
+    pub(super) fn check_suspicions(&mut self, now: Time) {
+        let due: Vec<Suspicion> = self
+            .suspicions
+            .iter()
+            .filter(|x| x.deadline <= now || x.nudge.is_some_and(|x| x <= now))
+            .copied()
+            .collect();
+        for suspicion in due {
+            let id = suspicion.id;
+            if suspicion.deadline <= now {
+                self.suspicions.retain(|x| x.id != id);
+                self.judge(now, id, MemberState::Dead);
+                continue;
+            }
+            // Gives a live suspect every chance to refute.
+            let sequence = self.next_sequence();
+            self.ping(id, sequence);
+            let next = now + self.options.probe_interval;
+            for x in self.suspicions.iter_mut().filter(|x| x.id == id) {
+                x.nudge = Some(next).filter(|next| *next < x.deadline);
+            }
+        }
+    }
+
+    pub(super) fn start_probe(&mut self, now: Time) {
+        let members = self.table.members();
+        let target = self.order.next(self.me, members, &mut self.rng);
+        let Some(target) = target else { return };
+        let sequence = self.next_sequence();
+        self.probe = Some(Probe {
+            target,
+            sequence,
+            deadline: now + self.options.direct_timeout,
+            helpers: Vec::new(),
+            indirect: false,
+        });
+        self.ping(target, sequence);
+    }
+
+    pub(super) fn check_probe(&mut self, now: Time) {
+        let due = self.probe.take_if(|x| x.deadline <= now);
+        let Some(mut probe) = due else { return };
+        if !probe.indirect {
+            let count = self.options.indirect_probes;
+            probe.helpers = self.some_others(count, Some(probe.target));
+            for &id in &probe.helpers.clone() {
+                let updates = self.updates_for(Some(id));
+                let Probe { sequence, target, .. } = probe;
+                self.send(
+                    id,
+                    Message::PingRequest { sequence, target, updates },
+                );
+            }
+            probe.indirect = true;
+            probe.deadline = now + self.options.indirect_timeout;
+            self.probe = Some(probe);
+            return;
+        }
+        let id = probe.target;
+        match self.table.get(id).map(|x| x.state) {
+            Some(MemberState::Alive) => {
+                self.judge(now, id, MemberState::Suspect);
+                let next = now + self.options.direct_timeout;
+                for x in self.suspicions.iter_mut().filter(|x| x.id == id) {
+                    x.nudge = Some(next);
+                }
+            }
+            // The state of a leaving member does not change before it is
+            // dead, so only the timer runs.
+            Some(MemberState::Leaving)
+                if self.suspicions.iter().all(|x| x.id != id) =>
+            {
+                let deadline = now + self.options.suspicion_timeout;
+                let nudge = None;
+                self.suspicions.push(Suspicion { id, deadline, nudge });
+            }
+            _ => {}
+        }
+    }
+
+    /// Discards what was measured across a time in which this instance did
+    /// not run: the answers of that time were never read.
+    pub(super) fn notice_gap(&mut self, now: Time) {
+        let Some(last) = self.last_step.replace(now) else {
+            self.start(now);
+            return;
+        };
+        let gap = now.since(last);
+        let usual = self.options.probe_interval + self.options.direct_timeout;
+        if gap <= usual {
+            return;
+        }
+        self.probe = None;
+        for suspicion in &mut self.suspicions {
+            suspicion.deadline += gap;
+        }
+        if gap > self.options.suspicion_timeout {
+            let mut me = self.own();
+            me.incarnation += 1;
+            self.log(
+                &log::RESUMED_AFTER_GAP,
+                format!(
+                    "gap_ms={} incarnation={}",
+                    gap.as_millis(),
+                    me.incarnation
+                ),
+            );
+            self.put_own(now, me);
+        }
+    }
+}
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -5,11 +5,15 @@
 the size of the fleet. See section 8 of the design page.
 */
 
+mod detect;
 mod exchange;
 mod gossip;
+mod join;
 mod options;
 mod probe;
+mod records;
 mod reducer;
+mod repair;
 mod table;
 
 use std::net::SocketAddr;
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -7,13 +7,16 @@
 internal events, so the order is the same on every run.
 */
 
+mod claims;
 mod home;
 mod lifecycle;
 mod replica;
+mod reports;
 mod roles;
 mod types;
+mod view;
 
-use std::{collections::VecDeque, sync::Arc, time::Duration};
+use std::{collections::VecDeque, sync::Arc};
 
 pub use self::types::{
     Effect, Event, NodeOptions, OperatorReply, OperatorRequest, PlatformList,
@@ -24,24 +27,15 @@
     config::Configuration,
     config_sync::{ConfigRecord, ConfigSync, SyncEffect, SyncEvent},
     control::client::{Client, ClientEffect, ClientEvent},
-    control::{ControlReply, ControlRequest, Settle},
     event::{LogEvent, config::CONFIG_REJECTED},
-    id::{ConfigVersion, InstanceId, TargetId, Token},
+    id::{ConfigVersion, InstanceId, Token},
     membership::{Member, Membership, MembershipEffect, MembershipEvent},
     message::PeerMessage,
-    query::{self, ClaimResult, Queries, QueryEffect, QueryEvent},
+    query::{self, Queries, QueryEffect, QueryEvent},
     target::{TargetEffect, TargetEvent, TargetReport, Targets},
     time::Time,
-    verdict::Verdict,
 };
 
-/// Reports wait this long to be sent together.
-const REPORT_DELAY: Duration = Duration::from_millis(20);
-
-/// All reports are sent again at this interval, because a report that was
-/// lost on the way is not sent a second time otherwise.
-const REPORT_REFRESH: Duration = Duration::from_secs(5);
-
 /// An event between the parts.
 #[derive(Debug)]
 enum Internal {
@@ -403,69 +397,6 @@
         }
     }
 
-    fn control_reply(
-        &mut self,
-        token: Token,
-        reply: ControlReply,
-        out: &mut impl Extend<Effect>,
-    ) {
-        if token.0 & INTERNAL_TOKEN == 0 {
-            let reply = OperatorReply::Control(reply);
-            out.extend([Effect::Reply(token, reply)]);
-            return;
-        }
-        let Ok(i) = self.claims.binary_search_by_key(&token, |c| c.token)
-        else {
-            return;
-        };
-        let claim = self.claims.remove(i);
-        let result = match reply {
-            ControlReply::Claim(result) => result,
-            _ => ClaimResult::Unavailable,
-        };
-        self.push(Internal::Query(QueryEvent::Claimed(claim.query, result)));
-    }
-
-    fn claim(
-        &mut self,
-        query: crate::id::QueryId,
-        request_id: String,
-        budget_us: u64,
-    ) {
-        let token = self.internal_token();
-        self.claims.push(PendingClaim { token, query });
-        let request = ControlRequest::Claim(crate::control::Claim {
-            request_id,
-            query,
-            at_ms: 0,
-        });
-        self.push(Internal::Client(ClientEvent::Submit {
-            token,
-            request,
-            budget_us,
-        }));
-    }
-
-    fn settle(
-        &mut self,
-        query: crate::id::QueryId,
-        request_id: String,
-        verdict: Verdict,
-    ) {
-        let token = self.internal_token();
-        let settle = Settle { request_id, query, verdict };
-        self.push(Internal::Client(ClientEvent::Submit {
-            token,
-            request: ControlRequest::Settle(settle),
-            budget_us: self.options.settle_budget.as_micros() as u64,
-        }));
-    }
-
-    fn internal_token(&mut self) -> Token {
-        self.next_claim += 1;
-        Token(INTERNAL_TOKEN | self.next_claim)
-    }
-
     fn peer_message(
         &mut self,
         now: Time,
@@ -546,80 +477,6 @@
         }
     }
 
-    fn report(&mut self, now: Time, report: TargetReport) {
-        match self.reports.binary_search_by_key(&report.target, |r| r.target) {
-            Ok(i) => self.reports[i] = report,
-            Err(i) => self.reports.insert(i, report),
-        }
-        self.flush_reports_at.get_or_insert(now + REPORT_DELAY);
-    }
-
-    fn flush_reports(&mut self, now: Time, out: &mut impl Extend<Effect>) {
-        if self.refresh_reports_at <= now {
-            self.refresh_reports_at = now + REPORT_REFRESH;
-            let all: Vec<TargetReport> = self.targets.reports().collect();
-            self.broadcast_reports(all, out);
-        }
-        if self.flush_reports_at.is_some_and(|at| at <= now) {
-            self.flush_reports_at = None;
-            let reports = std::mem::take(&mut self.reports);
-            self.broadcast_reports(reports, out);
-        }
-    }
-
-    fn broadcast_reports(
-        &mut self,
-        reports: Vec<TargetReport>,
-        out: &mut impl Extend<Effect>,
-    ) {
-        if reports.is_empty() {
-            return;
-        }
-        let message = query::Message::Reports(reports);
-        self.push(Internal::Home(self.me.id, message.clone()));
-        let fellows: Vec<InstanceId> = self.entry_fellows().collect();
-        for id in fellows {
-            self.send(id, PeerMessage::Query(message.clone()), out);
-        }
-    }
-
-    /// Members, sorted by identifier.
-    pub fn members(&self) -> &[Member] {
-        self.membership.members()
-    }
-
-    /// The configuration in force and its version.
-    pub fn configuration(
-        &self,
-    ) -> Option<(ConfigVersion, &Arc<Configuration>)> {
-        self.configuration.as_ref().map(|(v, c)| (*v, c))
-    }
-
-    /// Hash of the document in force; 0 if there is none.
-    pub fn configuration_hash(&self) -> u64 {
-        self.sync.current().map_or(0, |record| record.hash)
-    }
-
-    /// Whether the lease allows this instance to serve.
-    pub fn serving(&self) -> bool {
-        self.serving
-    }
-
-    /// Whether new requests should be sent here.
-    pub fn ready(&self) -> bool {
-        self.serving && self.configuration.is_some() && !self.draining()
-    }
-
-    /// Explains the decisions on a recent request, if it was served here.
-    pub fn explain(&self, request_id: &str) -> Option<query::Explanation> {
-        self.queries.explain(request_id)
-    }
-
-    /// The last report of a target that this instance knows.
-    pub fn target_report(&self, target: TargetId) -> Option<TargetReport> {
-        self.queries.report(target)
-    }
-
     fn member(&self, id: InstanceId) -> Option<&Member> {
         let members = self.membership.members();
         let i = members.binary_search_by_key(&id, |m| m.id).ok()?;
--- /dev/null
+++ b/crates/core/src/node/reports.rs
@@ -0,0 +1,59 @@
+//! Reports of targets to the fleet.
+
+use std::time::Duration;
+
+use super::{Effect, Internal, Node};
+use crate::{
+    id::InstanceId, message::PeerMessage, query, target::TargetReport,
+    time::Time,
+};
+
+/// Reports wait this long to be sent together.
+const REPORT_DELAY: Duration = Duration::from_millis(20);
+
+/// All reports are sent again at this interval, because a report that was
+/// lost on the way is not sent a second time otherwise.
+const REPORT_REFRESH: Duration = Duration::from_secs(5);
+
+impl Node {
+    pub(super) fn report(&mut self, now: Time, report: TargetReport) {
+        match self.reports.binary_search_by_key(&report.target, |r| r.target) {
+            Ok(i) => self.reports[i] = report,
+            Err(i) => self.reports.insert(i, report),
+        }
+        self.flush_reports_at.get_or_insert(now + REPORT_DELAY);
+    }
+
+    pub(super) fn flush_reports(
+        &mut self,
+        now: Time,
+        out: &mut impl Extend<Effect>,
+    ) {
+        if self.refresh_reports_at <= now {
+            self.refresh_reports_at = now + REPORT_REFRESH;
+            let all: Vec<TargetReport> = self.targets.reports().collect();
+            self.broadcast_reports(all, out);
+        }
+        if self.flush_reports_at.is_some_and(|at| at <= now) {
+            self.flush_reports_at = None;
+            let reports = std::mem::take(&mut self.reports);
+            self.broadcast_reports(reports, out);
+        }
+    }
+
+    pub(super) fn broadcast_reports(
+        &mut self,
+        reports: Vec<TargetReport>,
+        out: &mut impl Extend<Effect>,
+    ) {
+        if reports.is_empty() {
+            return;
+        }
+        let message = query::Message::Reports(reports);
+        self.push(Internal::Home(self.me.id, message.clone()));
+        let fellows: Vec<InstanceId> = self.entry_fellows().collect();
+        for id in fellows {
+            self.send(id, PeerMessage::Query(message.clone()), out);
+        }
+    }
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -9,6 +9,7 @@
 mod clock;
 mod handle;
 mod metrics;
+mod options;
 mod platform;
 mod views;
 
@@ -19,15 +20,13 @@
 
 use anyhow::Context;
 use primrosemast_core::{
-    config_sync::SyncOptions,
-    consensus::ConsensusOptions,
     event::{Level, LogEvent},
     id::{InstanceId, Token, ZoneId},
-    membership::{Member, MemberState, MembershipOptions},
+    membership::{Member, MemberState},
     message::PeerMessage,
-    node::{Effect, Event, Node, NodeOptions, OperatorReply},
-    query::{CallerResponse, DispatchMode, QueryOptions},
-    target::{RequestId, TargetEffect, TargetEvent, TargetOptions},
+    node::{Effect, Event, Node, OperatorReply},
+    query::CallerResponse,
+    target::{RequestId, TargetEffect, TargetEvent},
     time::Time,
 };
 use tokio::{
@@ -39,11 +38,14 @@
 use volo_http::server::Server;
 
 pub(crate) use self::handle::{Handle, Query, View};
-use self::{clock::Clock, handle::Input, metrics::Metrics, views::Names};
+use self::{
+    clock::Clock, handle::Input, metrics::Metrics, options::options,
+    views::Names,
+};
 use crate::{
     http::{caller_router, operator_router},
     peer::{self, Peers, Received},
-    settings::{Dispatch, InstanceSettings, Role},
+    settings::{InstanceSettings, Role},
     storage::{Storage, StorageThread},
     target_client::{self, Connections, Outgoing},
 };
@@ -489,58 +491,6 @@
     Ok((Some(thread), Some((replica, recovered))))
 }
 
-fn options(settings: &InstanceSettings) -> NodeOptions {
-    let timing = &settings.timing;
-    let ms = Duration::from_millis;
-    let mode = match settings.dispatch {
-        Dispatch::Home => DispatchMode::Home,
-        Dispatch::Direct => DispatchMode::Direct,
-    };
-    NodeOptions {
-        membership: MembershipOptions {
-            probe_interval: ms(timing.probe_interval_ms),
-            direct_timeout: ms(timing.probe_timeout_ms),
-            suspicion_timeout: ms(timing.suspicion_ms),
-            digest_interval: ms(timing.exchange_interval_ms),
-            ..MembershipOptions::default()
-        },
-        sync: SyncOptions {
-            lease: ms(timing.lease_ms),
-            renew_interval: ms(timing.confirm_interval_ms),
-            compare_interval: ms(timing.compare_interval_ms),
-            ..SyncOptions::default()
-        },
-        query: QueryOptions {
-            mode,
-            hedging: mode == DispatchMode::Home,
-            log_debug: log::log_enabled!(
-                target: EVENT_TARGET,
-                log::Level::Debug
-            ),
-            ..QueryOptions::default()
-        },
-        target: TargetOptions {
-            takeover_hold: ms(timing.takeover_hold_ms),
-            idle_max: ms(timing.idle_max_ms),
-            ..TargetOptions::default()
-        },
-        consensus: ConsensusOptions {
-            heartbeat: ms(timing.heartbeat_interval_ms),
-            election_min: ms(timing.election_timeout_ms),
-            election_max: ms(2 * timing.election_timeout_ms),
-            ..ConsensusOptions::default()
-        },
-        seeds: settings.peers.clone(),
-        control_group_size: settings.control_group_size,
-        wall_epoch_ms: SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .map_or(0, |d| d.as_millis() as u64),
-        drain_grace: ms(timing.drain_grace_ms),
-        drain_limit: ms(timing.drain_limit_ms),
-        ..NodeOptions::default()
-    }
-}
-
 fn class_name(message: &PeerMessage) -> &'static str {
     match message {
         PeerMessage::Membership(_) => "membership",
