--- a/crates/core/src/query/root.rs
+++ b/crates/core/src/query/root.rs
@@ -60,8 +60,6 @@
     serving: bool,
     /// Sorted by query.
     active: Vec<(QueryId, Option<Box<Active>>)>,
-    /// When each candidate last sent a message, sorted by instance.
-    pub(super) heard: Vec<(InstanceId, Time)>,
     /// Sorted by token.
     tokens: Vec<(Token, QueryId)>,
     timers: BTreeSet<(Time, QueryId)>,
@@ -87,7 +85,6 @@
             ack_time: AckTime::default(),
             serving: false,
             active: Vec::new(),
-            heard: Vec::new(),
             tokens: Vec::new(),
             timers: BTreeSet::new(),
             late_claims: VecDeque::new(),
@@ -113,15 +110,12 @@
             }
             QueryEvent::Candidates(candidates) => {
                 self.table.set_candidates(candidates, &self.options);
-                let table = &self.table;
-                self.heard.retain(|h| table.is_candidate(h.0));
                 self.leave_lost_homes(now);
             }
             QueryEvent::Serving(serving) => self.serving = serving,
             QueryEvent::Submit(token, req) => self.submit(now, token, req),
             QueryEvent::CallerGone(token) => self.caller_gone(now, token),
             QueryEvent::Message(from, message) => {
-                self.note_heard(now, from);
                 self.message(now, from, message);
             }
             QueryEvent::Claimed(query, result) => {
--- a/crates/core/src/query/standby.rs
+++ b/crates/core/src/query/standby.rs
@@ -6,7 +6,6 @@
 
 use crate::{
     event::query as events,
-    id::InstanceId,
     query::{
         active::{Active, MAX_TRIES, NEVER, NONE, TryKind, TryState},
         api::{Message, QueryEffect},
@@ -34,14 +33,6 @@
                 query.dispatches[attempt].due =
                     now + self.options.home_timeout;
             }
-            // A home that other messages come from lives and is only busy.
-            // The request is in its queue, and the standby would run it a
-            // second time.
-            let patience = self.options.home_timeout;
-            let recently = d.sent.max(now - patience);
-            if d.due <= now && self.heard_after(d.home, recently) {
-                query.dispatches[attempt].due = now + patience;
-            }
             let due = query.dispatches[attempt].due;
             if due > now {
                 query.ack_at = query.ack_at.min(due);
@@ -51,20 +42,6 @@
         }
     }
 
-    /// Notes that an instance has sent a message.
-    pub(super) fn note_heard(&mut self, now: Time, from: InstanceId) {
-        match self.heard.binary_search_by_key(&from, |h| h.0) {
-            Ok(i) => self.heard[i].1 = now,
-            Err(i) => self.heard.insert(i, (from, now)),
-        }
-    }
-
-    fn heard_after(&self, id: InstanceId, after: Time) -> bool {
-        self.heard
-            .binary_search_by_key(&id, |h| h.0)
-            .is_ok_and(|i| self.heard[i].1 > after)
-    }
-
     /// Turns to the new home or the standby where a home has left.
     pub(super) fn leave_lost_homes(&mut self, now: Time) {
         for id in self.active_ids() {
--- a/crates/core/tests/query.rs
+++ b/crates/core/tests/query.rs
@@ -359,26 +359,6 @@
     assert_eq!(answered(root.response()).coverage.answered, 2);
 }
 
-/// Guards the targets against a second request through the standby while
-/// the home is only busy.
-#[test]
-fn a_busy_home_keeps_its_requests() {
-    let mut root = root_of(two_by_two());
-    root.submit(None);
-    let sent = root.requests();
-    let homes: Vec<_> = sent.iter().map(|x| x.0).collect();
-    root.pass(10 * MS);
-    for &home in &homes {
-        let alive = Message::Reports(Vec::new());
-        root.step(QueryEvent::Message(home, alive));
-    }
-    root.pass(10 * MS);
-    assert!(!root.requests().iter().any(|x| x.1.as_standby));
-    // Nothing more is heard from them.
-    root.pass(20 * MS);
-    assert!(root.requests().iter().any(|x| x.1.as_standby));
-}
-
 /// Guards against waiting for a home that membership knows to be gone.
 #[test]
 fn lost_home() {
