Split the configuration sync, the control replica and the daemon by job

Change: rounds of confirmation and the spread of documents, the founding and joining of the control group, and the daemon's effects are files of their own. Code moved only.

--- a/crates/core/src/config_sync/mod.rs
+++ b/crates/core/src/config_sync/mod.rs
@@ -9,6 +9,8 @@
 mod lease;
 mod options;
 mod reducer;
+mod rounds;
+mod spread;
 mod tree;
 
 use std::sync::Arc;
--- /dev/null
+++ b/crates/core/src/node/group.rs
@@ -0,0 +1,93 @@
+//! Founding, joining and changing the control group.
+
+use std::time::Duration;
+
+use super::{
+    Effect, INTERNAL_TOKEN, Internal, Node, OperatorReply, OperatorRequest,
+};
+use crate::{
+    consensus::{ConsensusEvent, Replica},
+    control::{ControlRequest, client::ClientEvent},
+    id::Token,
+    time::Time,
+};
+
+/// Time for one attempt to join.
+const JOIN_BUDGET: Duration = Duration::from_secs(1);
+
+impl Node {
+    /// Asks the leader of an existing group to add this replica.
+    pub(super) fn join_group(&mut self) {
+        let others = self.members().iter().any(|m| {
+            m.id != self.me.id && m.replica.is_some() && m.control_group != 0
+        });
+        let Some(replica) = self.this_replica().filter(|_| others) else {
+            return;
+        };
+        let token = self.internal_token();
+        self.push(Internal::Client(ClientEvent::Submit {
+            token,
+            request: ControlRequest::Join(replica),
+            budget_us: JOIN_BUDGET.as_micros() as u64,
+        }));
+    }
+
+    /// This instance's replica as a member of a group.
+    pub(super) fn this_replica(&self) -> Option<Replica> {
+        Some(Replica {
+            id: self.replica.as_ref()?.id,
+            instance: self.me.id,
+            name: self.me.name.clone(),
+            address: self.me.address,
+            voter: false,
+        })
+    }
+
+    pub(super) fn operator(
+        &mut self,
+        now: Time,
+        token: Token,
+        req: OperatorRequest,
+        out: &mut impl Extend<Effect>,
+    ) {
+        let request = match req {
+            OperatorRequest::Bootstrap { group } => {
+                let reply = self.bootstrap(now, group, out);
+                out.extend([Effect::Reply(token, reply)]);
+                return;
+            }
+            OperatorRequest::Change(change) => ControlRequest::Change(change),
+            OperatorRequest::Remove(id) => ControlRequest::Remove(id),
+        };
+        debug_assert_eq!(token.0 & INTERNAL_TOKEN, 0);
+        self.push(Internal::Client(ClientEvent::Submit {
+            token,
+            request,
+            budget_us: self.options.change_budget.as_micros() as u64,
+        }));
+    }
+
+    pub(super) fn bootstrap(
+        &mut self,
+        now: Time,
+        group: u64,
+        out: &mut impl Extend<Effect>,
+    ) -> OperatorReply {
+        let existing = self.members().iter().find(|m| m.control_group != 0);
+        if let Some(member) = existing {
+            return OperatorReply::Refused(format!(
+                "{} is in control group {:016x} already",
+                member.name, member.control_group
+            ));
+        }
+        let Some(replica) = self.this_replica() else {
+            return OperatorReply::Refused(
+                "this instance has no control replica".into(),
+            );
+        };
+        let replica = Replica { voter: true, ..replica };
+        let event = ConsensusEvent::Bootstrap { group, replica };
+        self.step_consensus(now, event, out);
+        OperatorReply::Bootstrapped
+    }
+}
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -8,6 +8,7 @@
 */
 
 mod claims;
+mod group;
 mod home;
 mod lifecycle;
 mod replica;
--- a/crates/core/src/node/replica.rs
+++ b/crates/core/src/node/replica.rs
@@ -2,14 +2,12 @@
 
 use std::time::Duration;
 
-use super::{
-    Effect, INTERNAL_TOKEN, Internal, Node, OperatorReply, OperatorRequest,
-};
+use super::{Effect, Internal, Node, OperatorReply};
 use crate::{
     config_sync::SyncEvent,
     consensus::{
-        Consensus, ConsensusEffect, ConsensusEvent, Envelope, Recovered,
-        Replica, Role, Status,
+        Consensus, ConsensusEffect, ConsensusEvent, Envelope, Recovered, Role,
+        Status,
     },
     control::{
         Applied, ChangeOutcome, ControlReply, ControlRequest, ControlState,
@@ -27,24 +25,21 @@
 /// How often a replica without a group asks to join one.
 const JOIN_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time for one attempt to join.
-const JOIN_BUDGET: Duration = Duration::from_secs(1);
-
 /// Tokens of the repair policy start here, those of the service at 1, so
 /// that an outcome finds its owner.
 const FIRST_REPAIR_TOKEN: u64 = 1 << 62;
 
 /// The replica and the reducers around it.
 pub(super) struct ReplicaNode {
-    id: ReplicaId,
-    consensus: Consensus,
-    state: ControlState,
-    service: Service,
-    repair: Repair,
-    status: Status,
-    join_at: Time,
+    pub(super) id: ReplicaId,
+    pub(super) consensus: Consensus,
+    pub(super) state: ControlState,
+    pub(super) service: Service,
+    pub(super) repair: Repair,
+    pub(super) status: Status,
+    pub(super) join_at: Time,
     /// What was last told to the configuration sync.
-    told: Option<(bool, u32, ConfigVersion, u64)>,
+    pub(super) told: Option<(bool, u32, ConfigVersion, u64)>,
 }
 
 impl ReplicaNode {
@@ -123,33 +118,6 @@
         }
     }
 
-    /// Asks the leader of an existing group to add this replica.
-    fn join_group(&mut self) {
-        let others = self.members().iter().any(|m| {
-            m.id != self.me.id && m.replica.is_some() && m.control_group != 0
-        });
-        let Some(replica) = self.this_replica().filter(|_| others) else {
-            return;
-        };
-        let token = self.internal_token();
-        self.push(Internal::Client(ClientEvent::Submit {
-            token,
-            request: ControlRequest::Join(replica),
-            budget_us: JOIN_BUDGET.as_micros() as u64,
-        }));
-    }
-
-    /// This instance's replica as a member of a group.
-    fn this_replica(&self) -> Option<Replica> {
-        Some(Replica {
-            id: self.replica.as_ref()?.id,
-            instance: self.me.id,
-            name: self.me.name.clone(),
-            address: self.me.address,
-            voter: false,
-        })
-    }
-
     pub(super) fn replica_persisted(
         &mut self,
         now: Time,
@@ -173,54 +141,6 @@
         }
     }
 
-    pub(super) fn operator(
-        &mut self,
-        now: Time,
-        token: Token,
-        req: OperatorRequest,
-        out: &mut impl Extend<Effect>,
-    ) {
-        let request = match req {
-            OperatorRequest::Bootstrap { group } => {
-                let reply = self.bootstrap(now, group, out);
-                out.extend([Effect::Reply(token, reply)]);
-                return;
-            }
-            OperatorRequest::Change(change) => ControlRequest::Change(change),
-            OperatorRequest::Remove(id) => ControlRequest::Remove(id),
-        };
-        debug_assert_eq!(token.0 & INTERNAL_TOKEN, 0);
-        self.push(Internal::Client(ClientEvent::Submit {
-            token,
-            request,
-            budget_us: self.options.change_budget.as_micros() as u64,
-        }));
-    }
-
-    fn bootstrap(
-        &mut self,
-        now: Time,
-        group: u64,
-        out: &mut impl Extend<Effect>,
-    ) -> OperatorReply {
-        let existing = self.members().iter().find(|m| m.control_group != 0);
-        if let Some(member) = existing {
-            return OperatorReply::Refused(format!(
-                "{} is in control group {:016x} already",
-                member.name, member.control_group
-            ));
-        }
-        let Some(replica) = self.this_replica() else {
-            return OperatorReply::Refused(
-                "this instance has no control replica".into(),
-            );
-        };
-        let replica = Replica { voter: true, ..replica };
-        let event = ConsensusEvent::Bootstrap { group, replica };
-        self.step_consensus(now, event, out);
-        OperatorReply::Bootstrapped
-    }
-
     /// A message to or from the control leader.
     pub(super) fn control_message(
         &mut self,
@@ -298,7 +218,7 @@
         self.push(Internal::Client(ClientEvent::Replicas(replicas)));
     }
 
-    fn step_consensus(
+    pub(super) fn step_consensus(
         &mut self,
         now: Time,
         event: ConsensusEvent,
@@ -310,7 +230,7 @@
         self.consensus_effects(now, effects, out);
     }
 
-    fn step_service(
+    pub(super) fn step_service(
         &mut self,
         now: Time,
         event: ServiceEvent,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -7,6 +7,7 @@
 */
 
 mod clock;
+mod effects;
 mod handle;
 mod metrics;
 mod options;
@@ -23,10 +24,9 @@
     event::{Level, LogEvent},
     id::{InstanceId, Token, ZoneId},
     membership::{Member, MemberState},
-    message::PeerMessage,
     node::{Effect, Event, Node, OperatorReply},
     query::CallerResponse,
-    target::{RequestId, TargetEffect, TargetEvent},
+    target::TargetEvent,
     time::Time,
 };
 use tokio::{
@@ -47,7 +47,7 @@
     peer::{self, Peers, Received},
     settings::{InstanceSettings, Role},
     storage::{Storage, StorageThread},
-    target_client::{self, Connections, Outgoing},
+    target_client::{self, Connections},
 };
 
 /// Target of the numbered events in the log filter.
@@ -374,74 +374,6 @@
         Ok(())
     }
 
-    fn carry_out(&mut self, effect: Effect) {
-        match effect {
-            Effect::Send { to, address, message } => {
-                let class = class_name(&message);
-                if let Some(size) = self.peers.send(to, address, &message) {
-                    self.metrics.peer_message(class, size);
-                }
-            }
-            Effect::Target(effect) => self.target_effect(effect),
-            Effect::Persist { ticket, write } => {
-                if let Some(storage) = &self.storage {
-                    storage.write(ticket, write);
-                }
-            }
-            Effect::Respond(token, response) => {
-                if let Some(caller) = take(&mut self.callers, token) {
-                    self.metrics.responded(&response, caller.since.elapsed());
-                    let _ = caller.response.send(response);
-                }
-            }
-            Effect::Reply(token, reply) => {
-                if let Some(operator) = take(&mut self.operators, token) {
-                    let _ = operator.response.send(reply);
-                }
-            }
-            Effect::Log(event) => {
-                self.metrics.log_event(&event);
-                log_event(&event);
-            }
-            Effect::Drained => self.drained = true,
-        }
-    }
-
-    fn target_effect(&mut self, effect: TargetEffect) {
-        match effect {
-            TargetEffect::Connect { address, conn, .. } => {
-                self.metrics.target_connection();
-                self.connections.open(conn, address, self.handle.clone());
-            }
-            TargetEffect::Send { conn, job } => {
-                self.metrics.target_request();
-                let budget = job.deadline.since(self.now());
-                self.connections.send(conn, Outgoing { job, budget });
-            }
-            TargetEffect::Close(conn) => self.connections.close(conn),
-            TargetEffect::CancelRemote {
-                target,
-                address,
-                query,
-                attempt,
-                shard,
-            } => {
-                let id = RequestId { query, attempt, shard };
-                let events = self.handle.clone();
-                target_client::cancel(target, address, id, events);
-            }
-            TargetEffect::ProbeHealth { target, address } => {
-                let events = self.handle.clone();
-                target_client::probe_health(target, address, events);
-            }
-            TargetEffect::Done(..)
-            | TargetEffect::Report(_)
-            | TargetEffect::Log(_) => {
-                unreachable!("the node handles these itself")
-            }
-        }
-    }
-
     /// Shows the state to the HTTP handlers and in the metrics.
     fn publish(&mut self) {
         self.handle.set_ready(self.node.ready());
@@ -491,16 +423,6 @@
     Ok((Some(thread), Some((replica, recovered))))
 }
 
-fn class_name(message: &PeerMessage) -> &'static str {
-    match message {
-        PeerMessage::Membership(_) => "membership",
-        PeerMessage::Consensus(_) => "consensus",
-        PeerMessage::Sync(_) => "sync",
-        PeerMessage::Query(_) => "query",
-        PeerMessage::Control(_) => "control",
-    }
-}
-
 fn add<T>(waiting: &mut Vec<Waiting<T>>, entry: Waiting<T>) {
     // Tokens are taken before they are queued, so two handlers may arrive
     // here in the other order.
