--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -7,17 +7,18 @@
 system at the first start and kept for restarts.
 */
 
+mod faults;
+mod network;
+
 use std::{
     io::{self, BufRead, BufReader},
-    net::{IpAddr, Ipv4Addr, SocketAddr},
+    net::{IpAddr, SocketAddr},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
 };
 
 use http::Method;
-use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
@@ -163,7 +164,7 @@
             options: options.clone(),
             instances: Vec::new(),
         };
-        let network = Network::next();
+        let network = network::Network::next();
         for (i, instance) in options.instances.into_iter().enumerate() {
             let proxy = Proxy::start(([127, 0, 0, 1], 0).into(), None).await?;
             let ip = network.with(i as u8 + 1);
@@ -287,83 +288,6 @@
         Ok(path)
     }
 
-    /// Ends an instance with SIGKILL.
-    pub fn kill(&mut self, i: usize) {
-        if let Some(mut child) = self.instances[i].child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-
-    /// Sends SIGTERM.
-    pub fn terminate(&self, i: usize) {
-        self.signal(i, Signal::TERM);
-    }
-
-    /// Stops an instance from running with SIGSTOP.
-    pub fn freeze(&self, i: usize) {
-        self.signal(i, Signal::STOP);
-    }
-
-    /// Lets a frozen instance go on.
-    pub fn thaw(&self, i: usize) {
-        self.signal(i, Signal::CONT);
-    }
-
-    fn signal(&self, i: usize, signal: Signal) {
-        let pid = self.instances[i].pid().expect("the instance runs");
-        let pid = Pid::from_raw(pid as i32).expect("not zero");
-        kill_process(pid, signal).expect("our own process");
-    }
-
-    /// Waits for an instance to end; returns its exit code.
-    ///
-    /// # Errors
-    ///
-    /// Fails if it does not end in time.
-    pub async fn wait_exit(&mut self, i: usize) -> io::Result<Option<i32>> {
-        let start = Instant::now();
-        loop {
-            let child = self.instances[i].child.as_mut();
-            let Some(child) = child else { return Ok(None) };
-            if let Some(status) = child.try_wait()? {
-                self.instances[i].child = None;
-                return Ok(status.code());
-            }
-            if start.elapsed() > WAIT_LIMIT {
-                return Err(io::Error::other("the instance does not end"));
-            }
-            tokio::time::sleep(WAIT_STEP).await;
-        }
-    }
-
-    /// Cuts or restores all traffic between two instances.
-    pub fn cut(&self, a: usize, b: usize, cut: bool) {
-        for (x, y) in [(a, b), (b, a)] {
-            self.cut_one_way(x, y, cut);
-        }
-    }
-
-    /// Cuts or restores the connections that `from` opens to `to`, in both
-    /// directions of their bytes. Instances use connections of their own for
-    /// what they send, so this stops the messages of `from` only.
-    pub fn cut_one_way(&self, from: usize, to: usize, cut: bool) {
-        let source = self.instances[from].ip;
-        self.instances[to].proxy.change(|f| {
-            f.cut_sources.retain(|&s| s != source);
-            if cut {
-                f.cut_sources.push(source);
-            }
-        });
-    }
-
-    /// Cuts or restores all traffic between one instance and the others.
-    pub fn isolate(&self, i: usize, cut: bool) {
-        for other in (0..self.instances.len()).filter(|&o| o != i) {
-            self.cut(i, other, cut);
-        }
-    }
-
     /// Founds the control group on the first control instance, waits until
     /// all control instances vote, and applies the first configuration.
     ///
@@ -475,27 +399,6 @@
     }
 }
 
-/// Addresses that no other fleet uses. With shared ones, the port of an
-/// instance that does not run could be taken by another fleet.
-#[derive(Clone, Copy)]
-struct Network([u8; 3]);
-
-impl Network {
-    fn next() -> Network {
-        static COUNT: AtomicU32 = AtomicU32::new(0);
-        let count = COUNT.fetch_add(1, Ordering::Relaxed);
-        let pid = std::process::id();
-        let second = 1 + pid % 254;
-        let third = (pid / 254 + count) % 256;
-        Network([127, second as u8, third as u8])
-    }
-
-    fn with(self, last: u8) -> IpAddr {
-        let Network([a, b, c]) = self;
-        Ipv4Addr::new(a, b, c, last).into()
-    }
-}
-
 /// Waits until `condition` gives a value.
 ///
 /// # Errors
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -5,17 +5,14 @@
 with schema errors is still checked in all its other parts.
 */
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
-};
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use primrosemast_core::config::{AnswerPolicy, Configuration, ZoneState};
 use serde_json::Value;
 
 use super::{
+    findings::{check_shards, malformed_address, unique_names, unknown_zone},
     problem::{Finding, Problem, Segment, path_text, segments},
-    schema::show,
 };
 
 /// Checks what the type of a configuration does not ensure.
@@ -467,64 +464,3 @@
 fn searcher_path(i: usize, j: usize, key: &str) -> Vec<Segment> {
     segments!["services", i, "searchers", j, key]
 }
-
-fn check_shards(i: usize, shards: &[Option<u64>], out: &mut Vec<Finding>) {
-    if shards.is_empty() {
-        out.push(Finding::error(
-            segments!["routes", i, "shards"],
-            "no shards",
-            "at least one shard, or no key \"shards\" to ask all",
-        ));
-    }
-    for (j, shard) in shards.iter().enumerate() {
-        let Some(shard) = shard else { continue };
-        if shards[..j].contains(&Some(*shard)) {
-            let path = segments!["routes", i, "shards", j];
-            let found = format!("shard {shard} again");
-            out.push(Finding::error(path, found, "each shard once"));
-        }
-    }
-}
-
-/// Checks the form of names and that each occurs once.
-fn unique_names<'a>(
-    kind: &str,
-    names: impl Iterator<Item = (Option<&'a str>, Vec<Segment>)>,
-    out: &mut Vec<Finding>,
-) {
-    let mut seen = BTreeSet::new();
-    for (name, path) in names {
-        let Some(name) = name else { continue };
-        if seen.insert(name) {
-            out.extend(check_name(path, name));
-        } else {
-            let found = format!("{kind} \"{name}\" again");
-            out.push(Finding::error(path, found, "a unique name"));
-        }
-    }
-}
-
-/// Names are part of URLs, log lines and arguments, so they are limited to
-/// characters that need no quoting there.
-pub(crate) fn check_name(path: Vec<Segment>, name: &str) -> Option<Finding> {
-    let plain = |c: char| c.is_ascii_alphanumeric() || "._-".contains(c);
-    if !name.is_empty() && name.chars().all(plain) {
-        return None;
-    }
-    let found = show(&Value::from(name));
-    Some(Finding::error(
-        path,
-        found,
-        "letters, digits, \".\", \"_\" and \"-\"",
-    ))
-}
-
-pub(crate) fn malformed_address(path: Vec<Segment>, text: &str) -> Finding {
-    let found = show(&Value::from(text));
-    Finding::error(path, found, "an IP address and port like 127.0.0.1:9000")
-}
-
-fn unknown_zone(path: Vec<Segment>, zone: &str) -> Finding {
-    let found = format!("unknown availability zone \"{zone}\"");
-    Finding::error(path, found, "the name of an availability zone")
-}
--- a/src/settings/instance.rs
+++ b/src/settings/instance.rs
@@ -10,7 +10,7 @@
 use serde_json::Value;
 
 use super::{
-    check::{check_name, malformed_address},
+    findings::{check_name, malformed_address},
     problem::{Finding, segments},
 };
 
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -7,6 +7,7 @@
 */
 
 mod check;
+mod findings;
 mod instance;
 mod merge;
 mod problem;
