Compute the bundles of searchers and their homes in one place

Cause: read-through. The assignment of searchers to bundles stood three times, in the query root and twice in the node, although roots and homes must agree on it; the node ranked every bundle anew at each change of the fleet, while the incremental placement was only used by its tests. Change: placement::bundled gives the assignment; the node keeps its homes in placement::Placement and takes its candidates from placement::candidates.

--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -32,6 +32,7 @@
     id::{ConfigVersion, InstanceId, Token},
     membership::{Member, Membership, MembershipEffect, MembershipEvent},
     message::PeerMessage,
+    placement::Placement,
     query::{self, Queries, QueryEffect, QueryEvent},
     target::{TargetEffect, TargetEvent, TargetReport, Targets},
     time::Time,
@@ -61,8 +62,8 @@
     client: Client,
     replica: Option<ReplicaNode>,
     configuration: Option<(ConfigVersion, Arc<Configuration>)>,
-    /// Bundles of the configuration with their homes.
-    bundles: Vec<roles::Bundle>,
+    /// Homes of the configuration's bundles.
+    placement: Placement,
     candidates: Vec<crate::placement::Candidate>,
     /// Instances that could not be reached, and until when they are passed
     /// over; sorted.
@@ -106,7 +107,7 @@
             client: Client::new(seed ^ 5),
             replica: None,
             configuration: None,
-            bundles: Vec::new(),
+            placement: Placement::default(),
             candidates: Vec::new(),
             unreachable: Vec::new(),
             lifecycle: Lifecycle::default(),
@@ -447,6 +448,7 @@
         let configuration = Arc::new(configuration);
         self.configuration =
             Some((record.version, Arc::clone(&configuration)));
+        self.set_bundles(&configuration, out);
         self.push(Internal::Query(QueryEvent::Configure(configuration)));
         self.place(now, out);
     }
--- a/crates/core/src/node/roles.rs
+++ b/crates/core/src/node/roles.rs
@@ -4,11 +4,12 @@
 
 use super::{Effect, Internal, Node, PlatformList, TargetHome};
 use crate::{
+    config::Configuration,
     config_sync::SyncEvent,
     event::{LogEvent, membership::HOME_MOVED},
-    id::{InstanceId, TargetId, ZoneId},
+    id::{InstanceId, TargetId},
     membership::{Member, MemberState, MembershipEvent},
-    placement::{self, BundleKey, Candidate},
+    placement::{self, BundleKey, Bundled, Placed},
     query::{DispatchMode, QueryEvent},
     target::{HomeRole, TargetEvent, TargetSpec},
     time::Time,
@@ -19,15 +20,6 @@
 /// be a process that restarts.
 const UNREACHABLE_FOR: Duration = Duration::from_secs(1);
 
-/// A bundle of targets with its place.
-#[derive(Debug)]
-pub(super) struct Bundle {
-    key: BundleKey,
-    zone: ZoneId,
-    home: Option<InstanceId>,
-    standby: Option<InstanceId>,
-}
-
 impl Node {
     pub(super) fn mark_unreachable(&mut self, now: Time, id: InstanceId) {
         if id.0 == 0 || id == self.me.id {
@@ -78,14 +70,7 @@
             .filter(|m| m.state != MemberState::Dead)
             .cloned()
             .collect();
-        let candidates: Vec<Candidate> = members
-            .iter()
-            .filter(|m| m.entry)
-            .filter(|m| {
-                matches!(m.state, MemberState::Alive | MemberState::Suspect)
-            })
-            .map(|m| Candidate { instance: m.id, zone: m.zone })
-            .collect();
+        let candidates = placement::candidates(members);
         self.control_members_changed(&present);
         self.push(Internal::Sync(SyncEvent::Members(present)));
         if candidates != self.candidates {
@@ -117,89 +102,73 @@
         let Some((_, configuration)) = self.configuration.clone() else {
             return;
         };
-        let bundle_size = configuration.limits.bundle_size;
-        let mut bundles: Vec<Bundle> = Vec::new();
+        let candidates = self.candidates.clone();
+        for placed in self.placement.set_candidates(candidates) {
+            self.log_home(&placed, out);
+        }
         let mut specs = Vec::new();
-        for service in &configuration.services {
-            let mut positions: Vec<(ZoneId, usize)> = Vec::new();
-            for searcher in &service.searchers {
-                let zone = searcher.zone();
-                let position = next_position(&mut positions, zone);
-                let key =
-                    BundleKey::new(&service.name, zone, position, bundle_size);
-                let i = self.bundle(&mut bundles, key, zone, out);
-                let role = self.role(&bundles[i]);
-                if role == HomeRole::None {
-                    continue;
-                }
-                specs.push(TargetSpec {
-                    id: searcher.id(),
-                    name: searcher.name.clone(),
-                    address: searcher.address,
-                    zone,
-                    zone_out: configuration
-                        .zone_is_out(&searcher.availability_zone),
-                    slots: searcher.slots,
-                    connections: searcher.connections,
-                    role,
-                });
+        for Bundled { searcher, zone, bundle, .. } in
+            placement::bundled(&configuration)
+        {
+            let role = self.role(bundle);
+            if role == HomeRole::None {
+                continue;
             }
+            specs.push(TargetSpec {
+                id: searcher.id(),
+                name: searcher.name.clone(),
+                address: searcher.address,
+                zone,
+                zone_out: configuration
+                    .zone_is_out(&searcher.availability_zone),
+                slots: searcher.slots,
+                connections: searcher.connections,
+                role,
+            });
         }
-        self.bundles = bundles;
         specs.sort_by_key(|s| s.id);
         self.push(Internal::Target(TargetEvent::Configure(specs)));
     }
 
-    /// Finds or places a bundle; returns its position.
-    fn bundle(
-        &self,
-        bundles: &mut Vec<Bundle>,
-        key: BundleKey,
-        zone: ZoneId,
+    /// Takes over the bundles of a new configuration.
+    pub(super) fn set_bundles(
+        &mut self,
+        configuration: &Configuration,
         out: &mut impl Extend<Effect>,
-    ) -> usize {
-        match bundles.binary_search_by_key(&key, |b| b.key) {
-            Ok(i) => i,
-            Err(i) => {
-                let (home, standby) =
-                    placement::rank(key, zone, &self.candidates);
-                if self.former_home(key) != home {
-                    out.extend([Effect::Log(LogEvent::new(
-                        &HOME_MOVED,
-                        format!(
-                            "bundle={:016x} zone={zone} home={}",
-                            key.0,
-                            home.map_or_else(
-                                || "none".to_owned(),
-                                |h| self.instance_name(h)
-                            ),
-                        ),
-                    ))]);
-                }
-                bundles.insert(i, Bundle { key, zone, home, standby });
-                i
-            }
+    ) {
+        let bundles =
+            placement::bundled(configuration).map(|b| (b.bundle, b.zone));
+        for placed in self.placement.set_bundles(bundles) {
+            self.log_home(&placed, out);
         }
     }
 
-    fn former_home(&self, key: BundleKey) -> Option<InstanceId> {
-        let i = self.bundles.binary_search_by_key(&key, |b| b.key).ok()?;
-        self.bundles[i].home
+    fn log_home(&self, placed: &Placed, out: &mut impl Extend<Effect>) {
+        let home = placed.home.map(|h| self.instance_name(h));
+        out.extend([Effect::Log(LogEvent::new(
+            &HOME_MOVED,
+            format!(
+                "bundle={:016x} zone={} home={}",
+                placed.bundle.0,
+                placed.zone,
+                home.as_deref().unwrap_or("none")
+            ),
+        ))]);
     }
 
     /// This instance's part in serving a bundle.
-    fn role(&self, bundle: &Bundle) -> HomeRole {
-        let me = Some(self.me.id);
+    fn role(&self, bundle: BundleKey) -> HomeRole {
         if !self.entry_active() {
-            HomeRole::None
-        } else if self.options.query.mode == DispatchMode::Direct
-            || bundle.home == me
-        {
-            HomeRole::Home
-        } else if bundle.standby == me {
-            HomeRole::Standby
-        } else {
-            HomeRole::None
+            return HomeRole::None;
+        }
+        if self.options.query.mode == DispatchMode::Direct {
+            return HomeRole::Home;
+        }
+        let me = Some(self.me.id);
+        match self.placement.get(bundle) {
+            Some(placed) if placed.home == me => HomeRole::Home,
+            Some(placed) if placed.standby == me => HomeRole::Standby,
+            _ => HomeRole::None,
         }
     }
 
@@ -214,27 +183,19 @@
         let Some((_, configuration)) = &self.configuration else {
             return Vec::new();
         };
-        let mut homes = Vec::new();
-        for service in &configuration.services {
-            let mut positions = Vec::new();
-            for searcher in &service.searchers {
-                let zone = searcher.zone();
-                let position = next_position(&mut positions, zone);
-                let key = BundleKey::new(
-                    &service.name,
-                    zone,
-                    position,
-                    configuration.limits.bundle_size,
-                );
-                let found = self.bundles.binary_search_by_key(&key, |b| b.key);
-                let home = found.map_or(TargetHome::default(), |i| {
-                    let bundle = &self.bundles[i];
-                    debug_assert_eq!(bundle.zone, zone);
-                    TargetHome { home: bundle.home, standby: bundle.standby }
-                });
-                homes.push((searcher.id(), home));
-            }
-        }
+        let home_of = |bundle| {
+            self.placement.get(bundle).map_or_else(
+                TargetHome::default,
+                |placed| TargetHome {
+                    home: placed.home,
+                    standby: placed.standby,
+                },
+            )
+        };
+        let mut homes: Vec<(TargetId, TargetHome)> =
+            placement::bundled(configuration)
+                .map(|b| (b.searcher.id(), home_of(b.bundle)))
+                .collect();
         homes.sort_by_key(|h| h.0);
         homes
     }
@@ -276,17 +237,3 @@
         self.member(id).map_or_else(|| id.to_string(), |m| m.name.clone())
     }
 }
-
-/// Counts searchers of a service by zone.
-fn next_position(positions: &mut Vec<(ZoneId, usize)>, zone: ZoneId) -> usize {
-    match positions.binary_search_by_key(&zone, |p| p.0) {
-        Ok(i) => {
-            positions[i].1 += 1;
-            positions[i].1
-        }
-        Err(i) => {
-            positions.insert(i, (zone, 0));
-            0
-        }
-    }
-}
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -10,6 +10,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
+    config::{Configuration, Searcher},
     id::{InstanceId, ZoneId},
     membership::{Member, MemberState},
 };
@@ -42,6 +43,56 @@
     }
 }
 
+/// A searcher of the configuration with the bundle that it is in.
+#[derive(Clone, Copy, Debug)]
+pub struct Bundled<'a> {
+    /// The searcher.
+    pub searcher: &'a Searcher,
+    /// Position of its service in the configuration.
+    pub service: usize,
+    /// Its position in the service.
+    pub position: usize,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Its bundle.
+    pub bundle: BundleKey,
+}
+
+/// Assigns every searcher of a configuration to its bundle.
+///
+/// Roots and homes have to agree on the homes of targets, so both use this
+/// and nothing else.
+pub fn bundled(
+    configuration: &Configuration,
+) -> impl Iterator<Item = Bundled<'_>> {
+    let bundle_size = configuration.limits.bundle_size;
+    configuration.services.iter().enumerate().flat_map(move |(i, service)| {
+        let mut counts: Vec<(ZoneId, usize)> = Vec::new();
+        let searchers = service.searchers.iter().enumerate();
+        searchers.map(move |(position, searcher)| {
+            let zone = searcher.zone();
+            let earlier = count_one(&mut counts, zone);
+            let bundle =
+                BundleKey::new(&service.name, zone, earlier, bundle_size);
+            Bundled { searcher, service: i, position, zone, bundle }
+        })
+    })
+}
+
+/// Counts a searcher of `zone`; returns how many were counted before.
+fn count_one(counts: &mut Vec<(ZoneId, usize)>, zone: ZoneId) -> usize {
+    match counts.binary_search_by_key(&zone, |c| c.0) {
+        Ok(i) => {
+            counts[i].1 += 1;
+            counts[i].1 - 1
+        }
+        Err(i) => {
+            counts.insert(i, (zone, 1));
+            0
+        }
+    }
+}
+
 /// Returns the home and the standby of a bundle.
 ///
 /// Candidates in the bundle's own zone rank before all others, which saves
--- a/crates/core/src/query/table.rs
+++ b/crates/core/src/query/table.rs
@@ -210,37 +210,26 @@
         let ranked = std::mem::take(&mut self.bundles);
         let mut targets = Vec::with_capacity(old.len());
         let mut keys: Vec<(BundleKey, u32)> = Vec::new();
-        for (s, service) in cfg.services.iter().enumerate() {
-            let mut positions = vec![0; cfg.availability_zones.len()];
-            for (i, searcher) in service.searchers.iter().enumerate() {
-                let Some(zone) = zone_of(&searcher.availability_zone) else {
-                    continue;
-                };
-                let position = positions[zone];
-                positions[zone] += 1;
-                let key = BundleKey::new(
-                    &service.name,
-                    searcher.zone(),
-                    position,
-                    cfg.limits.bundle_size,
-                );
-                keys.push((key, targets.len() as u32));
-                targets.push(Target {
-                    id: searcher.id(),
-                    zone: zone as u16,
-                    service: s as u32,
-                    searcher: i as u32,
-                    bundle: 0,
-                    state: None,
-                    limit: 0,
-                    latency_us: 0,
-                    queued: 0,
-                    running: 0,
-                    pending: 0,
-                    reported_pending: 0,
-                    leaving_since: None,
-                });
-            }
+        for b in placement::bundled(&cfg) {
+            let Some(zone) = zone_of(&b.searcher.availability_zone) else {
+                continue;
+            };
+            keys.push((b.bundle, targets.len() as u32));
+            targets.push(Target {
+                id: b.searcher.id(),
+                zone: zone as u16,
+                service: b.service as u32,
+                searcher: b.position as u32,
+                bundle: 0,
+                state: None,
+                limit: 0,
+                latency_us: 0,
+                queued: 0,
+                running: 0,
+                pending: 0,
+                reported_pending: 0,
+                leaving_since: None,
+            });
         }
         keys.sort_unstable();
         for (key, i) in keys {
