--- a/benches/config_cost.rs
+++ b/benches/config_cost.rs
@@ -128,6 +128,7 @@
         services,
         routes: vec![route],
         limits: Default::default(),
+        ..Configuration::default()
     };
     configuration.sort();
     configuration
--- a/crates/core/benches/query_cost.rs
+++ b/crates/core/benches/query_cost.rs
@@ -96,6 +96,7 @@
             repeatable: true,
         }],
         limits: Limits { bundle_size: 16, ..Limits::default() },
+        ..Configuration::default()
     };
     cfg.sort();
     cfg
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -12,7 +12,10 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-use crate::id::{RouteId, TargetId, ZoneId};
+use crate::{
+    forward::table::Forwarding,
+    id::{RouteId, TargetId, ZoneId},
+};
 
 /// The whole configuration of a site.
 #[derive(
@@ -29,6 +32,9 @@
     /// Limits that hold for every route.
     #[serde(default)]
     pub limits: Limits,
+    /// Routes to targets that the platform lists.
+    #[serde(default)]
+    pub forwarding: Forwarding,
 }
 
 /// An availability zone and whether it takes new work.
--- a/crates/core/src/control/service.rs
+++ b/crates/core/src/control/service.rs
@@ -72,6 +72,7 @@
 enum Kind {
     Change,
     Claim,
+    Version,
     Other,
 }
 
@@ -172,6 +173,15 @@
             ControlRequest::Settle(settle) => {
                 (Kind::Other, propose(token, &Command::Settle(settle)))
             }
+            ControlRequest::Revise(revision) => {
+                (Kind::Version, propose(token, &Command::Revise(revision)))
+            }
+            ControlRequest::SetZone(order) => {
+                (Kind::Version, propose(token, &Command::SetZone(order)))
+            }
+            ControlRequest::Barrier => {
+                (Kind::Version, propose(token, &Command::Barrier))
+            }
             ControlRequest::Join(replica) => {
                 let change = MemberChange::AddLearner(replica);
                 (Kind::Other, ServiceEffect::ChangeMembers(token, change))
@@ -203,6 +213,10 @@
                 },
                 format!("change_id={change_id:?} outcome={outcome:?}"),
             ),
+            Applied::Version { version, changed: true } => {
+                (&kinds::CHANGE_ACCEPTED, format!("version={version}"))
+            }
+            Applied::Version { changed: false, .. } => return,
             Applied::Claim(result) => {
                 (&kinds::CLAIM_DECIDED, format!("result={result:?}"))
             }
@@ -223,13 +237,18 @@
         let Waiting { origin, kind, .. } = self.waiting.remove(at);
         let answer = match (result, kind) {
             (Ok(_), Kind::Other) => ControlReply::Done,
-            (Ok(index), Kind::Change | Kind::Claim) => {
+            (Ok(index), Kind::Change | Kind::Claim | Kind::Version) => {
                 match self.last.take() {
                     Some((i, Applied::Change { outcome, .. }))
                         if i == index =>
                     {
                         ControlReply::Change(outcome)
                     }
+                    Some((i, Applied::Version { version, .. }))
+                        if i == index =>
+                    {
+                        ControlReply::Version(version)
+                    }
                     Some((i, Applied::Claim(result))) if i == index => {
                         ControlReply::Claim(result)
                     }
--- a/crates/core/src/control/state.rs
+++ b/crates/core/src/control/state.rs
@@ -6,8 +6,11 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Change, ChangeOutcome, Claim, Command, Settle};
+use super::{
+    Change, ChangeOutcome, Claim, Command, Revision, Settle, ZoneOrder,
+};
 use crate::{
+    config::{AvailabilityZone, Configuration, ZoneState},
     config_sync::ConfigRecord,
     id::{ConfigVersion, QueryId},
     query::ClaimResult,
@@ -35,6 +38,13 @@
         /// Whether it is the outcome of an earlier command with this id.
         repeated: bool,
     },
+    /// A table or a zone's state is in force with this version.
+    Version {
+        /// Version of the configuration that holds it.
+        version: ConfigVersion,
+        /// Whether the command has changed anything.
+        changed: bool,
+    },
     /// A claim was decided.
     Claim(ClaimResult),
     /// A claim was settled, or was not this query's.
@@ -92,6 +102,11 @@
         self.index = index;
         match Command::decode(command) {
             Some(Command::Change(change)) => self.change(change),
+            Some(Command::Revise(revision)) => self.revise(&revision),
+            Some(Command::SetZone(order)) => self.set_zone(&order),
+            Some(Command::Barrier) => {
+                Applied::Version { version: self.version(), changed: false }
+            }
             Some(Command::Claim(claim)) => Applied::Claim(self.claim(claim)),
             Some(Command::Settle(settle)) => {
                 self.settle(&settle);
@@ -141,7 +156,16 @@
         unapplied: impl Iterator<Item = &'a Bytes>,
     ) -> ConfigVersion {
         let changes = unapplied
-            .filter(|c| matches!(Command::decode(c), Some(Command::Change(_))))
+            .filter(|c| {
+                matches!(
+                    Command::decode(c),
+                    Some(
+                        Command::Change(_)
+                            | Command::Revise(_)
+                            | Command::SetZone(_)
+                    )
+                )
+            })
             .count();
         ConfigVersion(self.record.version.0 + changes as u64)
     }
@@ -186,6 +210,69 @@
         Applied::Change { change_id, outcome, repeated: false }
     }
 
+    /// Brings a table into force unless its revision is in force or
+    /// overtaken.
+    fn revise(&mut self, revision: &Revision) -> Applied {
+        self.edit(|configuration| {
+            if revision.revision <= configuration.forwarding.revision {
+                return None;
+            }
+            // The leader has checked the table, so only a newer release can
+            // have written what this one cannot read.
+            configuration.forwarding =
+                rmp_serde::from_slice(&revision.table).ok()?;
+            Some(())
+        })
+    }
+
+    fn set_zone(&mut self, order: &ZoneOrder) -> Applied {
+        self.edit(|configuration| {
+            let zones = &mut configuration.availability_zones;
+            let name = order.zone.as_str();
+            let found = zones.binary_search_by(|z| z.name.as_str().cmp(name));
+            match found {
+                Ok(i) if zones[i].state == order.state => return None,
+                Ok(i) => zones[i].state = order.state,
+                Err(_) if order.state == ZoneState::In => return None,
+                Err(i) => {
+                    let zone = AvailabilityZone {
+                        name: order.zone.clone(),
+                        state: order.state,
+                    };
+                    zones.insert(i, zone);
+                }
+            }
+            Some(())
+        })
+    }
+
+    /// Changes the configuration in force, if `change` returns something.
+    fn edit(
+        &mut self,
+        change: impl FnOnce(&mut Configuration) -> Option<()>,
+    ) -> Applied {
+        let document = &self.record.document;
+        let mut configuration = if document.is_empty() {
+            Configuration::default()
+        } else {
+            match rmp_serde::from_slice(document) {
+                Ok(configuration) => configuration,
+                Err(_) => return Applied::Malformed,
+            }
+        };
+        configuration.sort();
+        let changed = change(&mut configuration).is_some();
+        if changed {
+            let document: Bytes = rmp_serde::to_vec_named(&configuration)
+                .unwrap_or_default()
+                .into();
+            let version = ConfigVersion(self.record.version.0 + 1);
+            let hash = xxh3_64(&document);
+            self.record = ConfigRecord { version, hash, document };
+        }
+        Applied::Version { version: self.version(), changed }
+    }
+
     fn claim(&mut self, claim: Claim) -> ClaimResult {
         self.clock_ms = self.clock_ms.max(claim.at_ms);
         self.expire();
--- a/crates/core/src/control/types.rs
+++ b/crates/core/src/control/types.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    config::ZoneState,
     consensus::Replica,
     id::{ConfigVersion, InstanceId, QueryId},
     query::ClaimResult,
@@ -19,6 +20,13 @@
     Claim(Claim),
     /// Record how a claimed request ended.
     Settle(Settle),
+    /// Bring a forwarding table into force if its revision is the highest.
+    Revise(Revision),
+    /// Take a zone out or in.
+    SetZone(ZoneOrder),
+    /// Changes nothing; its reply tells the version in force at its place in
+    /// the log.
+    Barrier,
 }
 
 /// A change of the configuration.
@@ -32,6 +40,24 @@
     pub document: Bytes,
 }
 
+/// A forwarding table under a number that the operators chose.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Revision {
+    /// The highest number is in force.
+    pub revision: u64,
+    /// The `Forwarding`, in MessagePack, already checked.
+    pub table: Bytes,
+}
+
+/// An order to take a zone out or in.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneOrder {
+    /// Name of the availability zone.
+    pub zone: String,
+    /// Whether it takes work.
+    pub state: ZoneState,
+}
+
 /// A claim of a caller's request id.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
@@ -93,6 +119,12 @@
     Claim(Claim),
     /// Settle a claim.
     Settle(Settle),
+    /// Bring a forwarding table into force.
+    Revise(Revision),
+    /// Take a zone out or in.
+    SetZone(ZoneOrder),
+    /// Learn the newest version.
+    Barrier,
     /// Add this replica to the group, as a learner first.
     Join(Replica),
     /// Remove a replica from the group.
@@ -106,6 +138,8 @@
     Change(ChangeOutcome),
     /// The claim has a result.
     Claim(ClaimResult),
+    /// Everything accepted before has at most this version.
+    Version(ConfigVersion),
     /// Done.
     Done,
     /// The receiver does not lead; ask this instance, if known. Nothing was
--- a/crates/core/src/event/mod.rs
+++ b/crates/core/src/event/mod.rs
@@ -10,6 +10,7 @@
 pub mod config;
 pub mod control;
 pub mod daemon;
+pub mod forward;
 pub mod membership;
 pub mod query;
 pub mod target;
@@ -85,6 +86,7 @@
         control::CATALOGUE,
         config::CATALOGUE,
         daemon::CATALOGUE,
+        forward::CATALOGUE,
     ]
     .into_iter()
     .flatten()
--- /dev/null
+++ b/crates/core/src/forward/directory.rs
@@ -0,0 +1,240 @@
+/*!
+The platform's list of targets, read by one instance for all.
+
+Every call to the platform has a price and the platform limits their rate, so
+the entry instance with the smallest identifier reads the list and sends it
+to the others. An instance that has not had a list for a while reads it
+itself, whatever the reason.
+*/
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{id::InstanceId, time::Time};
+
+/// A target as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListedTarget {
+    /// Name of this incarnation; a restart mostly brings another.
+    pub name: String,
+    /// Service that it belongs to.
+    pub service: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub availability_zone: String,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// Whether it is about to stop and takes no new requests.
+    pub leaving: bool,
+    /// Time until it is warm, in milliseconds.
+    pub cold_ms: u32,
+}
+
+/// One reading of the platform's list.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Directory {
+    /// Every target that the list names.
+    pub targets: Vec<ListedTarget>,
+}
+
+/// Messages between instances about the list.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// A reading of the list.
+    Reading {
+        /// Time since the call that read it began, in microseconds.
+        age_us: u64,
+        /// The reading.
+        directory: Arc<Directory>,
+    },
+    /// A later call has read the same list again.
+    Unchanged {
+        /// Time since that call began, in microseconds.
+        age_us: u64,
+        /// Hash of the list.
+        hash: u64,
+    },
+}
+
+/// When the list is read.
+#[derive(Clone, Debug)]
+pub struct DirectoryOptions {
+    /// Between two readings of the instance that reads for all.
+    pub interval: Duration,
+    /// Age of the last reading after which every instance reads the list
+    /// itself.
+    pub fallback: Duration,
+    /// Time by which the list may lag behind the platform's state.
+    pub lag: Duration,
+}
+
+impl Default for DirectoryOptions {
+    fn default() -> DirectoryOptions {
+        DirectoryOptions {
+            // A leaving target is known within the lag and one interval,
+            // which leaves a second of the 3 s in which it must be left alone.
+            interval: Duration::from_millis(700),
+            // Three readings have failed or were lost by then.
+            fallback: Duration::from_millis(2_200),
+            lag: Duration::from_secs(1),
+        }
+    }
+}
+
+/// What the reader asks of its owner.
+#[derive(Clone, Debug, PartialEq)]
+pub enum DirectoryEffect {
+    /// Read the list and answer with its result.
+    Read,
+    /// Send a message to the other entry instances.
+    Broadcast(Message),
+    /// Use this reading, which is at least as old as `read_at`.
+    Install {
+        /// When the call that read it began.
+        read_at: Time,
+        /// The reading; `None` if only its time has changed.
+        directory: Option<Arc<Directory>>,
+    },
+}
+
+/// Decides who reads the list, and keeps the newest reading.
+#[derive(Clone, Debug)]
+pub struct Reader {
+    me: InstanceId,
+    options: DirectoryOptions,
+    fellows: Vec<InstanceId>,
+    /// When the running call began.
+    running: Option<Time>,
+    next_at: Time,
+    read_at: Option<Time>,
+    hash: u64,
+    /// Instances joined that have no full reading yet.
+    full_due: bool,
+}
+
+impl Reader {
+    /// Builds a reader for the instance `me`.
+    pub fn new(me: InstanceId, options: DirectoryOptions) -> Reader {
+        Reader {
+            me,
+            options,
+            fellows: Vec::new(),
+            running: None,
+            next_at: Time::ZERO,
+            read_at: None,
+            hash: 0,
+            full_due: true,
+        }
+    }
+
+    /// Sets the other entry instances that are alive.
+    pub fn set_fellows(&mut self, fellows: Vec<InstanceId>) {
+        let joined = fellows.iter().any(|f| !self.fellows.contains(f));
+        self.full_due |= joined;
+        self.fellows = fellows;
+    }
+
+    /// When `tick` is due.
+    pub fn next_deadline(&self) -> Option<Time> {
+        self.running.is_none().then_some(self.next_at)
+    }
+
+    /// Age of the newest reading.
+    pub fn age(&self, now: Time) -> Option<Duration> {
+        self.read_at.map(|at| now.since(at))
+    }
+
+    /// Starts a call if this instance is to read the list now.
+    pub fn tick(&mut self, now: Time, out: &mut Vec<DirectoryEffect>) {
+        if self.running.is_some() || now < self.next_at {
+            return;
+        }
+        let outdated =
+            self.age(now).is_none_or(|age| age >= self.options.fallback);
+        if self.reads_for_all() || outdated {
+            self.running = Some(now);
+            out.push(DirectoryEffect::Read);
+        }
+        self.next_at = now + self.options.interval;
+    }
+
+    /// Takes the result of a call; `None` if it failed.
+    pub fn read(
+        &mut self,
+        now: Time,
+        directory: Option<Directory>,
+        out: &mut Vec<DirectoryEffect>,
+    ) {
+        let Some(read_at) = self.running.take() else { return };
+        let Some(directory) = directory else { return };
+        let directory = Arc::new(directory);
+        let hash = hash(&directory);
+        let unchanged = hash == self.hash;
+        let age_us = now.since(read_at).as_micros() as u64;
+        let message = if unchanged && !self.full_due {
+            Message::Unchanged { age_us, hash }
+        } else {
+            let directory = Arc::clone(&directory);
+            Message::Reading { age_us, directory }
+        };
+        if self.reads_for_all() {
+            self.full_due = false;
+            out.push(DirectoryEffect::Broadcast(message));
+        }
+        self.install(read_at, hash, Some(directory), out);
+    }
+
+    /// Takes a message of another instance.
+    pub fn message(
+        &mut self,
+        now: Time,
+        message: Message,
+        out: &mut Vec<DirectoryEffect>,
+    ) {
+        let (age_us, hash, directory) = match message {
+            Message::Reading { age_us, directory } => {
+                (age_us, hash(&directory), Some(directory))
+            }
+            Message::Unchanged { age_us, hash } if hash == self.hash => {
+                (age_us, hash, None)
+            }
+            // The reading that it refers to was lost. The fallback reads
+            // the list if no full one follows.
+            Message::Unchanged { .. } => return,
+        };
+        let read_at = now - Duration::from_micros(age_us);
+        self.install(read_at, hash, directory, out);
+    }
+
+    fn install(
+        &mut self,
+        read_at: Time,
+        hash: u64,
+        directory: Option<Arc<Directory>>,
+        out: &mut Vec<DirectoryEffect>,
+    ) {
+        if self.read_at.is_some_and(|at| read_at < at) {
+            return;
+        }
+        let directory = directory.filter(|_| {
+            // The remaining cold time is part of the hash, so an equal hash
+            // says that nothing is to be taken over.
+            self.read_at.is_none() || hash != self.hash
+        });
+        self.read_at = Some(read_at);
+        self.hash = hash;
+        out.push(DirectoryEffect::Install { read_at, directory });
+    }
+
+    fn reads_for_all(&self) -> bool {
+        self.fellows.iter().all(|f| self.me < *f)
+    }
+}
+
+fn hash(directory: &Directory) -> u64 {
+    // Writing plain data to a vector cannot fail.
+    xxh3_64(&rmp_serde::to_vec(directory).unwrap_or_default())
+}
--- /dev/null
+++ b/crates/core/src/forward/request.rs
@@ -0,0 +1,96 @@
+//! A caller's request in flight.
+
+use std::sync::Arc;
+
+use super::table::CompiledRoute;
+use crate::{
+    id::{AttemptId, ServiceId, TargetId, Token},
+    time::Time,
+};
+
+/// Where a shard of a request stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Progress {
+    /// Has no attempt and waits for a target or a connection.
+    Waiting,
+    /// Has at least one attempt.
+    Asked,
+    /// This attempt has brought the answer.
+    Answered(AttemptId),
+    /// Cannot be answered any more.
+    Failed,
+}
+
+/// One service that a request asks.
+#[derive(Clone, Debug)]
+pub(super) struct Shard {
+    pub(super) service: ServiceId,
+    pub(super) progress: Progress,
+    /// Targets that were asked and did not refuse.
+    pub(super) tried: Vec<TargetId>,
+    /// Attempts that have not ended.
+    pub(super) open: u32,
+    /// Attempts that were sent.
+    pub(super) sent: u32,
+    /// Attempts that targets turned away.
+    pub(super) refused: u32,
+    /// Whether a target may have run the request.
+    pub(super) may_have_run: bool,
+    /// The last answer that was a failure, for requests without shards.
+    pub(super) failure: Option<AttemptId>,
+    /// When the last attempt was sent.
+    pub(super) sent_at: Time,
+}
+
+impl Shard {
+    pub(super) fn new(service: ServiceId) -> Shard {
+        Shard {
+            service,
+            progress: Progress::Waiting,
+            tried: Vec::new(),
+            open: 0,
+            sent: 0,
+            refused: 0,
+            may_have_run: false,
+            failure: None,
+            sent_at: Time::ZERO,
+        }
+    }
+
+    /// Whether an answer may still come.
+    pub(super) fn is_open(&self) -> bool {
+        matches!(self.progress, Progress::Waiting | Progress::Asked)
+    }
+}
+
+/// A caller's request in flight.
+#[derive(Clone, Debug)]
+pub(super) struct Request {
+    pub(super) token: Token,
+    pub(super) id: Arc<str>,
+    pub(super) route: Arc<CompiledRoute>,
+    pub(super) started: Time,
+    /// From here on a response with enough shards is not held back.
+    pub(super) soft_at: Time,
+    /// The caller gets its final response at this time.
+    pub(super) hard_at: Time,
+    pub(super) shards: Vec<Shard>,
+    /// When the request is looked at next.
+    pub(super) check_at: Time,
+}
+
+impl Request {
+    pub(super) fn answered(&self) -> usize {
+        let answered =
+            |s: &&Shard| matches!(s.progress, Progress::Answered(_));
+        self.shards.iter().filter(answered).count()
+    }
+
+    pub(super) fn open(&self) -> usize {
+        self.shards.iter().filter(|s| s.is_open()).count()
+    }
+
+    pub(super) fn may_have_run(&self) -> bool {
+        self.shards.iter().any(|s| s.may_have_run)
+    }
+}
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -56,6 +56,14 @@
     /// A query route, by the hash of its name.
     RouteId
 );
+identifier!(
+    /// A service whose targets the platform lists, by the hash of its name.
+    ServiceId
+);
+identifier!(
+    /// One request to one listed target, unique within an instance.
+    AttemptId
+);
 identifier!(
     /// One caller request, chosen at random by the instance that serves it.
     QueryId
@@ -81,6 +89,7 @@
 from_name!(TargetId);
 from_name!(ZoneId);
 from_name!(RouteId);
+from_name!(ServiceId);
 
 /// Version of the site configuration; the first accepted one is 1.
 #[derive(
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod consensus;
 pub mod control;
 pub mod event;
+pub mod forward;
 pub mod id;
 pub mod membership;
 pub mod message;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{config_sync, consensus, control, membership, query};
+use crate::{config_sync, consensus, control, forward, membership, query};
 
 /// A message from one instance to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -23,4 +23,6 @@
     Query(query::Message),
     /// Requests to the control leader and their replies.
     Control(control::Message),
+    /// Readings of the platform's list of targets.
+    Directory(forward::directory::Message),
 }
--- a/crates/core/src/node/group.rs
+++ b/crates/core/src/node/group.rs
@@ -57,6 +57,11 @@
                 return;
             }
             OperatorRequest::Change(change) => ControlRequest::Change(change),
+            OperatorRequest::Revise(revision) => {
+                ControlRequest::Revise(revision)
+            }
+            OperatorRequest::SetZone(order) => ControlRequest::SetZone(order),
+            OperatorRequest::Barrier => ControlRequest::Barrier,
             OperatorRequest::Remove(id) => ControlRequest::Remove(id),
         };
         debug_assert_eq!(token.0 & INTERNAL_TOKEN, 0);
--- a/crates/core/src/node/lifecycle.rs
+++ b/crates/core/src/node/lifecycle.rs
@@ -3,6 +3,7 @@
 use super::{Effect, Internal, Node};
 use crate::{
     event::{LogEvent, daemon::DRAINING},
+    forward::ForwardEvent,
     membership::MembershipEvent,
     query::QueryEvent,
     time::Time,
@@ -61,7 +62,10 @@
         };
         out.extend([Effect::Log(LogEvent::new(
             &DRAINING,
-            format!("in_flight={}", self.queries.in_flight()),
+            format!(
+                "in_flight={}",
+                self.queries.in_flight() + self.forwarder.in_flight()
+            ),
         ))]);
         self.push(Internal::Membership(MembershipEvent::Leave));
         self.place(now, out);
@@ -78,10 +82,13 @@
         {
             self.lifecycle = Lifecycle::Finishing { limit_at };
             self.push(Internal::Query(QueryEvent::Serving(false)));
+            self.push(Internal::Forward(ForwardEvent::Serving(false)));
             self.run(now, out);
         }
         if let Lifecycle::Finishing { limit_at } = self.lifecycle {
-            let idle = self.queries.in_flight() == 0 && self.homes.len() == 0;
+            let idle = self.queries.in_flight() == 0
+                && self.forwarder.in_flight() == 0
+                && self.homes.len() == 0;
             if idle || limit_at <= now {
                 self.lifecycle = Lifecycle::Drained;
                 out.extend([Effect::Drained]);
@@ -101,6 +108,7 @@
                 Lifecycle::Running | Lifecycle::Leaving { .. }
             );
         self.push(Internal::Query(QueryEvent::Serving(accepts)));
+        self.push(Internal::Forward(ForwardEvent::Serving(accepts)));
         self.place(now, out);
     }
 }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -8,6 +8,8 @@
 */
 
 mod claims;
+mod forwarding;
+mod founding;
 mod group;
 mod home;
 mod lifecycle;
@@ -23,12 +25,16 @@
     Effect, Event, NodeOptions, OperatorReply, OperatorRequest, PlatformList,
     TargetHome,
 };
-use self::{home::Homes, lifecycle::Lifecycle, replica::ReplicaNode};
+use self::{
+    forwarding::ForwardFleet, founding::Founding, home::Homes,
+    lifecycle::Lifecycle, replica::ReplicaNode,
+};
 use crate::{
     config::Configuration,
     config_sync::{ConfigRecord, ConfigSync, SyncEffect, SyncEvent},
     control::client::{Client, ClientEffect, ClientEvent},
     event::{LogEvent, config::CONFIG_REJECTED},
+    forward::{ForwardEvent, Forwarder},
     id::{ConfigVersion, InstanceId, Token},
     membership::{Member, Membership, MembershipEffect, MembershipEvent},
     message::PeerMessage,
@@ -46,6 +52,7 @@
     Query(QueryEvent),
     Target(TargetEvent),
     Client(ClientEvent),
+    Forward(ForwardEvent),
     /// Messages of roots for the homes on this instance.
     Home(InstanceId, query::Message),
 }
@@ -58,6 +65,9 @@
     sync: ConfigSync,
     queries: Queries,
     targets: Targets,
+    forwarder: Forwarder,
+    forward_fleet: ForwardFleet,
+    founding: Founding,
     homes: Homes,
     client: Client,
     replica: Option<ReplicaNode>,
@@ -103,6 +113,14 @@
             sync: ConfigSync::new(me.id, options.sync.clone(), seed ^ 3),
             queries,
             targets: Targets::new(options.target.clone(), seed ^ 4),
+            forwarder: Forwarder::new(
+                me.id,
+                me.zone,
+                options.forward.clone(),
+                seed ^ 6,
+            ),
+            forward_fleet: ForwardFleet::default(),
+            founding: Founding::default(),
             homes: Homes::default(),
             client: Client::new(seed ^ 5),
             replica: None,
@@ -155,6 +173,11 @@
             }
             Event::Unreachable(id) => self.mark_unreachable(now, id),
             Event::Target(event) => self.push(Internal::Target(event)),
+            Event::Forward(event) => self.push(Internal::Forward(event)),
+            Event::Seeds(seeds) => {
+                self.options.seeds.clone_from(&seeds);
+                self.push(Internal::Membership(MembershipEvent::Hint(seeds)));
+            }
             Event::Persisted(ticket) => {
                 self.replica_persisted(now, ticket, out);
             }
@@ -173,6 +196,9 @@
             self.sync.next_deadline(),
             self.queries.next_deadline(),
             self.targets.next_deadline(),
+            self.forwarder.next_deadline(),
+            self.forward_fleet.next_deadline(),
+            self.founding_deadline(),
             self.client.next_deadline(),
             self.replica.as_ref().and_then(ReplicaNode::next_deadline),
             self.flush_reports_at,
@@ -207,6 +233,11 @@
         if due(self.targets.next_deadline()) {
             self.push(Internal::Target(TargetEvent::Tick));
         }
+        if due(self.forwarder.next_deadline()) {
+            self.push(Internal::Forward(ForwardEvent::Tick));
+        }
+        self.forward_fleet_tick(now);
+        self.found_group(now, out);
         self.replica_tick(now, out);
         self.forget_unreachable(now);
         self.flush_reports(now, out);
@@ -223,6 +254,9 @@
                 Internal::Query(event) => self.run_query(now, event, out),
                 Internal::Target(event) => self.run_target(now, event, out),
                 Internal::Client(event) => self.run_client(now, event, out),
+                Internal::Forward(event) => {
+                    self.run_forward(now, event, out);
+                }
                 Internal::Home(from, message) => {
                     self.run_home(now, from, message, out);
                 }
@@ -417,6 +451,9 @@
             PeerMessage::Query(message) => {
                 self.push(Internal::Home(from, message));
             }
+            PeerMessage::Directory(message) => {
+                self.push(Internal::Forward(ForwardEvent::Message(message)))
+            }
             PeerMessage::Consensus(envelope) => {
                 self.consensus_message(now, envelope, out);
             }
@@ -449,6 +486,7 @@
         self.configuration =
             Some((record.version, Arc::clone(&configuration)));
         self.set_bundles(&configuration, out);
+        self.configure_forwarding(record.version, &configuration, out);
         self.push(Internal::Query(QueryEvent::Configure(configuration)));
         self.place(now, out);
     }
--- a/crates/core/src/node/replica.rs
+++ b/crates/core/src/node/replica.rs
@@ -151,6 +151,14 @@
     ) {
         match message {
             Message::Request { sequence, request } => {
+                if self.too_few_voters(&request) {
+                    let reply = ControlReply::NotReady(
+                        "the control group has too few voters yet".into(),
+                    );
+                    let message = Message::Reply { sequence, reply };
+                    self.send_control(now, from, message, out);
+                    return;
+                }
                 if self.must_refuse(now, &request) {
                     let reply = ControlReply::NotReady(
                         "the control leader does not reach a majority of \
@@ -187,12 +195,34 @@
             .replica
             .as_ref()
             .is_some_and(|r| r.status.role == Role::Leader);
-        matches!(request, ControlRequest::Change(_))
+        let changes = matches!(
+            request,
+            ControlRequest::Change(_)
+                | ControlRequest::Revise(_)
+                | ControlRequest::SetZone(_)
+        );
+        changes
             && leads
             && self.members().len() <= self.options.sync.direct_limit
             && !self.sync.reaches_fleet(now)
     }
 
+    /// Whether a table or zone order must wait until the group has grown.
+    fn too_few_voters(&self, request: &ControlRequest) -> bool {
+        let waits = matches!(
+            request,
+            ControlRequest::Revise(_) | ControlRequest::SetZone(_)
+        );
+        let leader = self
+            .replica
+            .as_ref()
+            .map(|r| &r.status)
+            .filter(|s| s.role == Role::Leader);
+        let voters =
+            leader.map(|s| s.members.iter().filter(|m| m.voter).count());
+        waits && voters.is_some_and(|v| v < self.options.min_voters as usize)
+    }
+
     /// Sends a control message, which may be for this instance.
     pub(super) fn send_control(
         &mut self,
@@ -355,7 +385,7 @@
                 outcome: ChangeOutcome::Accepted(_),
                 repeated: false,
                 ..
-            }
+            } | Applied::Version { changed: true, .. }
         );
         if accepted {
             let record = replica.state.record();
--- a/crates/core/src/node/roles.rs
+++ b/crates/core/src/node/roles.rs
@@ -72,7 +72,7 @@
             .collect();
         let candidates = placement::candidates(members);
         self.control_members_changed(&present);
-        self.push(Internal::Sync(SyncEvent::Members(present)));
+        self.push(Internal::Sync(SyncEvent::Members(present.clone())));
         if candidates != self.candidates {
             self.candidates = candidates;
             self.update_query_candidates();
@@ -80,6 +80,7 @@
             // New members have no reports yet.
             self.refresh_reports_at = now;
         }
+        self.forward_members_changed(now, &present);
     }
 
     /// The query path passes over instances that cannot be reached right
--- a/crates/core/src/node/types.rs
+++ b/crates/core/src/node/types.rs
@@ -5,8 +5,9 @@
 use crate::{
     config_sync::SyncOptions,
     consensus::{ConsensusOptions, Recovered, Write},
-    control::{Change, ControlReply},
+    control::{Change, ControlReply, Revision, ZoneOrder},
     event::LogEvent,
+    forward::{ForwardEffect, ForwardEvent, ForwardOptions},
     id::{InstanceId, ReplicaId, Token},
     membership::{MembershipOptions, Recipient},
     message::PeerMessage,
@@ -25,12 +26,19 @@
     pub query: QueryOptions,
     /// Of the targets.
     pub target: TargetOptions,
+    /// Of the forwarding path.
+    pub forward: ForwardOptions,
     /// Of the replicated log.
     pub consensus: ConsensusOptions,
     /// Peer addresses at which members may be found.
     pub seeds: Vec<SocketAddr>,
     /// Voters that a control group aims for.
     pub control_group_size: u32,
+    /// Voters without which the leader accepts no tables and zone orders,
+    /// because fewer could not bear the losses that the site allows for.
+    pub min_voters: u32,
+    /// Whether this instance may found the control group by itself.
+    pub found_group: bool,
     /// Wall-clock time at `Time::ZERO`, in milliseconds since the Unix
     /// epoch; claims expire by it.
     pub wall_epoch_ms: u64,
@@ -52,9 +60,12 @@
             sync: SyncOptions::default(),
             query: QueryOptions::default(),
             target: TargetOptions::default(),
+            forward: ForwardOptions::default(),
             consensus: ConsensusOptions::default(),
             seeds: Vec::new(),
             control_group_size: 3,
+            min_voters: 1,
+            found_group: false,
             wall_epoch_ms: 0,
             drain_grace: Duration::from_secs(3),
             drain_limit: Duration::from_secs(25),
@@ -86,6 +97,10 @@
     Unreachable(InstanceId),
     /// Something happened at a target.
     Target(TargetEvent),
+    /// Something happened on the forwarding path.
+    Forward(ForwardEvent),
+    /// Addresses at which members may be found.
+    Seeds(Vec<SocketAddr>),
     /// Writes up to this ticket are synced.
     Persisted(u64),
     /// The platform's list was read.
@@ -110,6 +125,12 @@
 pub enum OperatorRequest {
     /// Change the configuration.
     Change(Change),
+    /// Bring a forwarding table into force.
+    Revise(Revision),
+    /// Take a zone out or in.
+    SetZone(ZoneOrder),
+    /// Learn the newest version of the configuration.
+    Barrier,
     /// Found a control group on this instance.
     Bootstrap {
         /// Random identifier of the group.
@@ -144,6 +165,8 @@
     },
     /// Do something at a target.
     Target(TargetEffect),
+    /// Do something on the forwarding path.
+    Forward(ForwardEffect),
     /// Write and sync, then answer with `Persisted`.
     Persist {
         /// Rises by one with each write.
--- a/crates/core/src/node/view.rs
+++ b/crates/core/src/node/view.rs
@@ -5,6 +5,7 @@
 use super::Node;
 use crate::{
     config::Configuration,
+    forward::Forwarder,
     id::{ConfigVersion, TargetId},
     membership::Member,
     query,
@@ -24,6 +25,11 @@
         self.configuration.as_ref().map(|(v, c)| (*v, c))
     }
 
+    /// The forwarding path.
+    pub fn forwarder(&self) -> &Forwarder {
+        &self.forwarder
+    }
+
     /// Hash of the document in force; 0 if there is none.
     pub fn configuration_hash(&self) -> u64 {
         self.sync.current().map_or(0, |record| record.hash)
--- a/crates/core/tests/query_support/mod.rs
+++ b/crates/core/tests/query_support/mod.rs
@@ -87,6 +87,7 @@
             repeatable: true,
         }],
         limits: Limits::default(),
+        ..Configuration::default()
     };
     cfg.sort();
     cfg
--- a/src/daemon/effects.rs
+++ b/src/daemon/effects.rs
@@ -7,9 +7,12 @@
 };
 
 use super::{Daemon, log_event, take};
-use crate::target_client::{self, Outgoing};
+use crate::{
+    forward::Protocol,
+    target_client::{self, Outgoing},
+};
 
-impl Daemon {
+impl<P: Protocol> Daemon<P> {
     pub(super) fn carry_out(&mut self, effect: Effect) {
         match effect {
             Effect::Send { to, address, message } => {
@@ -19,6 +22,7 @@
                 }
             }
             Effect::Target(effect) => self.target_effect(effect),
+            Effect::Forward(effect) => self.forwarding.carry_out(effect),
             Effect::Persist { ticket, write } => {
                 if let Some(storage) = &self.storage {
                     storage.write(ticket, write);
@@ -86,5 +90,6 @@
         PeerMessage::Sync(_) => "sync",
         PeerMessage::Query(_) => "query",
         PeerMessage::Control(_) => "control",
+        PeerMessage::Directory(_) => "directory",
     }
 }
--- a/src/daemon/handle.rs
+++ b/src/daemon/handle.rs
@@ -1,18 +1,29 @@
 //! How HTTP handlers reach the daemon's reducer.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, RwLock,
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
 };
 
 use primrosemast_core::{
-    id::Token,
+    config::Configuration,
+    control::{ControlReply, Revision, ZoneOrder},
+    forward::{
+        Outcome, Submission,
+        table::{CompiledTable, Forwarding},
+    },
+    id::{AttemptId, ConfigVersion, Token},
     node::{Event, OperatorReply, OperatorRequest},
-    query::{CallerRequest, CallerResponse},
+    query,
 };
 use tokio::sync::{mpsc, oneshot};
 
 use super::metrics::Metrics;
+use crate::forward::{self, CallerRequest, TargetAnswer};
 
 /// Input of the daemon's loop.
 #[derive(Debug)]
@@ -20,11 +31,33 @@
     /// An event for the reducer.
     Event(Event),
     /// A caller's request and where its response goes.
-    Caller(Token, CallerRequest, oneshot::Sender<CallerResponse>),
+    Caller(
+        Token,
+        query::CallerRequest,
+        oneshot::Sender<query::CallerResponse>,
+    ),
     /// An operator's request and where its reply goes.
     Operator(Token, OperatorRequest, oneshot::Sender<OperatorReply>),
+    /// The configuration in force.
+    Document(oneshot::Sender<Option<Arc<Configuration>>>),
     /// A question about the state.
     View(Query, oneshot::Sender<View>),
+    /// A caller's request on the forwarding path, and where its response
+    /// goes.
+    Forward {
+        /// Identifies the request.
+        token: Token,
+        /// What the reducer needs to know of it.
+        submission: Submission,
+        /// The request itself.
+        req: Arc<CallerRequest>,
+        /// Where the response goes.
+        response: oneshot::Sender<forward::CallerResponse>,
+    },
+    /// The caller of a forwarded request has left.
+    ForwardCallerGone(Token),
+    /// An attempt of the forwarding path has ended.
+    ForwardEnded(AttemptId, (Outcome, Option<TargetAnswer>)),
     /// The storage thread has failed; the replica must not go on.
     StorageFailed(String),
 }
@@ -51,16 +84,41 @@
     NotFound(String),
 }
 
-/// Shared by all HTTP handlers.
+/// How listeners reach the daemon's reducer.
 #[derive(Clone, Debug)]
-pub(crate) struct Handle {
+pub struct Handle {
     inputs: mpsc::UnboundedSender<Input>,
     next_token: Arc<AtomicU64>,
     ready: Arc<AtomicBool>,
     max_body_bytes: Arc<AtomicU32>,
+    published: Arc<RwLock<Published>>,
     metrics: Metrics,
 }
 
+/// State that listeners read without asking the reducer.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Published {
+    pub(crate) serving: bool,
+    pub(crate) draining: bool,
+    pub(crate) version: ConfigVersion,
+    pub(crate) table: Arc<CompiledTable>,
+}
+
+/// Time in which this instance learns of a version that was accepted.
+const CATCH_UP: Duration = Duration::from_millis(800);
+
+/// Pause before this instance looks for a version again.
+const CATCH_UP_PAUSE: Duration = Duration::from_millis(10);
+
+/// What an order of an operator has led to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ordered {
+    /// Accepted; it is in force from this version on.
+    Accepted(ConfigVersion),
+    /// Not known, or not accepted now, and why; it may be sent again.
+    NotNow(String),
+}
+
 impl Handle {
     pub(crate) fn new(
         inputs: mpsc::UnboundedSender<Input>,
@@ -71,6 +129,7 @@
             next_token: Arc::new(AtomicU64::new(1)),
             ready: Arc::new(AtomicBool::new(false)),
             max_body_bytes: Arc::new(AtomicU32::new(1 << 20)),
+            published: Arc::default(),
             metrics,
         }
     }
@@ -86,7 +145,7 @@
     }
 
     /// Whether new requests should be sent to this instance.
-    pub(crate) fn ready(&self) -> bool {
+    pub fn ready(&self) -> bool {
         self.ready.load(Ordering::Relaxed)
     }
 
@@ -94,6 +153,120 @@
         self.ready.store(ready, Ordering::Relaxed);
     }
 
+    /// Makes state visible to the listeners.
+    pub(crate) fn publish(&self, published: Published) {
+        if let Ok(mut current) = self.published.write() {
+            *current = published;
+        }
+    }
+
+    fn published<T>(&self, read: impl FnOnce(&Published) -> T) -> T {
+        match self.published.read() {
+            Ok(published) => read(&published),
+            // A writer that panicked has replaced the value as a whole.
+            Err(e) => read(&e.into_inner()),
+        }
+    }
+
+    /// The table of forwarding routes in force.
+    pub(crate) fn table(&self) -> Arc<CompiledTable> {
+        self.published(|p| Arc::clone(&p.table))
+    }
+
+    /// Whether this instance may serve requests.
+    pub(crate) fn serving(&self) -> bool {
+        self.published(|p| p.serving)
+    }
+
+    /// Whether this instance is shutting down.
+    pub(crate) fn draining(&self) -> bool {
+        self.published(|p| p.draining)
+    }
+
+    /// Version of the configuration in force.
+    pub fn version(&self) -> ConfigVersion {
+        self.published(|p| p.version)
+    }
+
+    /// Serves a caller's request on the forwarding path. If the future is
+    /// dropped, because the caller has closed its connection, the request
+    /// is abandoned.
+    pub(crate) async fn forward(
+        &self,
+        submission: Submission,
+        req: Arc<CallerRequest>,
+    ) -> Option<forward::CallerResponse> {
+        let token = self.token();
+        let (tx, rx) = oneshot::channel();
+        self.input(Input::Forward { token, submission, req, response: tx });
+        let gone = Input::ForwardCallerGone(token);
+        let mut guard = CallGuard { handle: self, gone: Some(gone) };
+        let response = rx.await.ok();
+        guard.gone = None;
+        response
+    }
+
+    /// Brings a forwarding table into force, unless a higher revision is.
+    pub async fn revise(&self, table: &Forwarding) -> Ordered {
+        // Writing plain data to a vector cannot fail.
+        let bytes = rmp_serde::to_vec_named(table).unwrap_or_default().into();
+        let revision = Revision { revision: table.revision, table: bytes };
+        self.order(OperatorRequest::Revise(revision)).await
+    }
+
+    /// Takes a zone out or in.
+    pub async fn set_zone(&self, order: ZoneOrder) -> Ordered {
+        self.order(OperatorRequest::SetZone(order)).await
+    }
+
+    /// The newest configuration, or why it cannot be told: it holds
+    /// everything that was accepted before this call.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the control group does not answer, or if this instance does
+    /// not learn of the newest version in time.
+    pub async fn newest_configuration(
+        &self,
+    ) -> Result<Option<Arc<Configuration>>, String> {
+        let version = match self.order(OperatorRequest::Barrier).await {
+            Ordered::Accepted(version) => version,
+            Ordered::NotNow(reason) => return Err(reason),
+        };
+        let deadline = Instant::now() + CATCH_UP;
+        while self.version() < version {
+            if Instant::now() >= deadline {
+                return Err(format!(
+                    "this instance knows version {} of {version}",
+                    self.version()
+                ));
+            }
+            tokio::time::sleep(CATCH_UP_PAUSE).await;
+        }
+        let (tx, rx) = oneshot::channel();
+        self.input(Input::Document(tx));
+        rx.await.map_err(|_| "this instance is stopping".into())
+    }
+
+    async fn order(&self, req: OperatorRequest) -> Ordered {
+        match self.operate(req).await {
+            Some(OperatorReply::Control(ControlReply::Version(version))) => {
+                Ordered::Accepted(version)
+            }
+            Some(OperatorReply::Control(
+                ControlReply::NotReady(reason) | ControlReply::Refused(reason),
+            ))
+            | Some(OperatorReply::Refused(reason)) => Ordered::NotNow(reason),
+            Some(_) => Ordered::NotNow("the outcome is not known".into()),
+            None => Ordered::NotNow("this instance is stopping".into()),
+        }
+    }
+
+    /// Sets the addresses at which other instances may be found.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        self.event(Event::Seeds(seeds));
+    }
+
     /// Largest body of a caller's request.
     pub(crate) fn max_body_bytes(&self) -> usize {
         self.max_body_bytes.load(Ordering::Relaxed) as usize
@@ -107,14 +280,15 @@
     /// caller has closed its connection, the request is abandoned.
     pub(crate) async fn call(
         &self,
-        req: CallerRequest,
-    ) -> Option<CallerResponse> {
+        req: query::CallerRequest,
+    ) -> Option<query::CallerResponse> {
         let token = self.token();
         let (tx, rx) = oneshot::channel();
         self.input(Input::Caller(token, req, tx));
-        let mut guard = CallGuard { handle: self, token, answered: false };
+        let gone = Input::Event(Event::CallerGone(token));
+        let mut guard = CallGuard { handle: self, gone: Some(gone) };
         let response = rx.await.ok();
-        guard.answered = true;
+        guard.gone = None;
         response
     }
 
@@ -136,7 +310,7 @@
     }
 
     /// The metrics page in the Prometheus text format.
-    pub(crate) fn metrics(&self) -> String {
+    pub fn metrics(&self) -> String {
         self.metrics.render()
     }
 
@@ -148,14 +322,14 @@
 /// Tells the reducer when a caller goes away without its answer.
 struct CallGuard<'a> {
     handle: &'a Handle,
-    token: Token,
-    answered: bool,
+    /// What to say, until the answer is there.
+    gone: Option<Input>,
 }
 
 impl Drop for CallGuard<'_> {
     fn drop(&mut self) {
-        if !self.answered {
-            self.handle.event(Event::CallerGone(self.token));
+        if let Some(gone) = self.gone.take() {
+            self.handle.input(gone);
         }
     }
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -22,7 +22,8 @@
 use anyhow::Context;
 use primrosemast_core::{
     event::{Level, LogEvent},
-    id::{InstanceId, Token, ZoneId},
+    forward::ForwardEvent,
+    id::{ConfigVersion, InstanceId, Token, ZoneId},
     membership::{Member, MemberState},
     node::{Effect, Event, Node, OperatorReply},
     query::CallerResponse,
@@ -37,12 +38,14 @@
 };
 use volo_http::server::Server;
 
-pub(crate) use self::handle::{Handle, Query, View};
+pub use self::handle::{Handle, Ordered};
+pub(crate) use self::handle::{Input, Query, View};
 use self::{
-    clock::Clock, handle::Input, metrics::Metrics, options::options,
+    clock::Clock, handle::Published, metrics::Metrics, options::options,
     views::Names,
 };
 use crate::{
+    forward::{self, Forwarding, Native, Protocol},
     http::{caller_router, operator_router},
     peer::{self, Peers, Received},
     settings::{InstanceSettings, Role},
@@ -56,6 +59,9 @@
 /// Events handled before the effects of a batch are carried out.
 const MAX_BATCH: usize = 256;
 
+/// How often idle connections to targets are looked at.
+const CLOSE_IDLE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Time for the servers to finish their connections after the last response.
 const SERVER_SHUTDOWN: Duration = Duration::from_secs(5);
 
@@ -66,15 +72,36 @@
 /// Fails if an address cannot be bound, if the data folder cannot be used or
 /// is damaged, or if a write to it fails.
 pub fn run(settings: &InstanceSettings) -> anyhow::Result<()> {
+    let protocol = Native::new(settings.platform_list.as_deref());
+    run_with(settings, protocol, |_| Ok(()))
+}
+
+/// Runs a daemon whose forwarding path speaks the given protocol.
+///
+/// `start` is called once the daemon can be reached through its handle, for
+/// listeners of its own. It runs within the daemon's runtime.
+///
+/// # Errors
+///
+/// As [`run`], and if `start` fails.
+pub fn run_with(
+    settings: &InstanceSettings,
+    protocol: impl Protocol,
+    start: impl FnOnce(&Handle) -> anyhow::Result<()>,
+) -> anyhow::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .context("cannot start the runtime")?;
     let local = LocalSet::new();
-    runtime.block_on(local.run_until(serve(settings)))
+    runtime.block_on(local.run_until(serve(settings, protocol, start)))
 }
 
-async fn serve(settings: &InstanceSettings) -> anyhow::Result<()> {
+async fn serve<P: Protocol>(
+    settings: &InstanceSettings,
+    protocol: P,
+    start: impl FnOnce(&Handle) -> anyhow::Result<()>,
+) -> anyhow::Result<()> {
     let bind = |address: SocketAddr, what: &'static str| async move {
         TcpListener::bind(address)
             .await
@@ -95,10 +122,22 @@
     let (drained_tx, drained) = watch::channel(false);
     let servers = [
         spawn_server(callers, caller_router(&handle), drained.clone()),
-        spawn_server(operators, operator_router(&handle), drained),
+        spawn_server(operators, operator_router(&handle), drained.clone()),
     ];
+    if let Some(address) = settings.listen.forward {
+        let listener = bind(address, "forwarded requests").await?;
+        spawn_local(forward::serve(
+            listener,
+            protocol.clone(),
+            handle.clone(),
+            drained.clone(),
+        ));
+    }
+    start(&handle)?;
 
-    let mut daemon = Daemon::new(settings, &addresses, handle, metrics)?;
+    let forwarding = Forwarding::new(protocol, handle.clone());
+    let mut daemon =
+        Daemon::new(settings, &addresses, handle, metrics, forwarding)?;
     spawn_local(peer::serve(daemon.me, peers, daemon.handle.clone()));
     if let Some(url) = settings.platform_list.clone() {
         let interval =
@@ -186,7 +225,7 @@
     response: oneshot::Sender<T>,
 }
 
-struct Daemon {
+struct Daemon<P> {
     me: InstanceId,
     names: Names,
     node: Node,
@@ -198,6 +237,8 @@
     /// Number of addresses at which members are looked for.
     seeds: usize,
     connections: Connections,
+    forwarding: Forwarding<P>,
+    close_idle_at: Instant,
     storage: Option<StorageThread>,
     /// Sorted by token, because tokens only grow.
     callers: Vec<Waiting<CallerResponse>>,
@@ -205,13 +246,14 @@
     drained: bool,
 }
 
-impl Daemon {
+impl<P: Protocol> Daemon<P> {
     fn new(
         settings: &InstanceSettings,
         addresses: &Addresses,
         handle: Handle,
         metrics: Metrics,
-    ) -> anyhow::Result<Daemon> {
+        forwarding: Forwarding<P>,
+    ) -> anyhow::Result<Daemon<P>> {
         let me = InstanceId::from_name(&settings.name);
         let (storage, recovered) = open_storage(settings, &handle)?;
         // Wall-clock time makes the incarnation of a restarted instance
@@ -246,6 +288,8 @@
             metrics,
             epoch: Clock::start(),
             connections: Connections::default(),
+            forwarding,
+            close_idle_at: Instant::now(),
             storage,
             callers: Vec::new(),
             operators: Vec::new(),
@@ -367,6 +411,25 @@
                 let view = views::view(&self.node, &self.names, &query);
                 let _ = response.send(view);
             }
+            Input::Document(response) => {
+                let configuration = self.node.configuration();
+                let _ = response.send(configuration.map(|c| c.1.clone()));
+            }
+            Input::Forward { token, submission, req, response } => {
+                self.forwarding.add(token, req, response);
+                let event = ForwardEvent::Submit(token, submission);
+                self.step(Event::Forward(event), effects);
+            }
+            Input::ForwardCallerGone(token) => {
+                self.forwarding.caller_gone(token);
+                let event = ForwardEvent::CallerGone(token);
+                self.step(Event::Forward(event), effects);
+            }
+            Input::ForwardEnded(id, ended) => {
+                let outcome = self.forwarding.ended(id, ended);
+                let event = ForwardEvent::Ended(id, outcome);
+                self.step(Event::Forward(event), effects);
+            }
             Input::StorageFailed(message) => {
                 anyhow::bail!("the data folder failed: {message}");
             }
@@ -383,6 +446,17 @@
             self.handle
                 .set_max_body_bytes(configuration.limits.max_body_bytes);
         }
+        self.handle.publish(Published {
+            serving: self.node.serving(),
+            draining: self.node.draining(),
+            version: ConfigVersion(version),
+            table: self.node.forwarding_table().clone(),
+        });
+        let now = Instant::now();
+        if now >= self.close_idle_at {
+            self.close_idle_at = now + CLOSE_IDLE_INTERVAL;
+            self.forwarding.close_idle();
+        }
         // Members that were replaced leave connections behind.
         let members = self.node.members();
         if self.peers.len() > members.len() + self.seeds {
--- a/src/daemon/options.rs
+++ b/src/daemon/options.rs
@@ -5,6 +5,9 @@
 use primrosemast_core::{
     config_sync::SyncOptions,
     consensus::ConsensusOptions,
+    forward::{
+        ForwardOptions, budget::BudgetOptions, directory::DirectoryOptions,
+    },
     membership::MembershipOptions,
     node::NodeOptions,
     query::{DispatchMode, QueryOptions},
@@ -55,7 +58,10 @@
             election_max: ms(2 * timing.election_timeout_ms),
             ..ConsensusOptions::default()
         },
+        forward: forward_options(settings),
         seeds: settings.peers.clone(),
+        min_voters: settings.min_voters,
+        found_group: settings.found_control_group,
         control_group_size: settings.control_group_size,
         wall_epoch_ms: SystemTime::now()
             .duration_since(UNIX_EPOCH)
@@ -65,3 +71,21 @@
         ..NodeOptions::default()
     }
 }
+
+fn forward_options(settings: &InstanceSettings) -> ForwardOptions {
+    let extra = &settings.forwarding;
+    let ms = Duration::from_millis;
+    ForwardOptions {
+        budget: BudgetOptions {
+            window: ms(extra.extra_window_ms),
+            ratio: extra.extra_ratio,
+            slack: extra.extra_slack,
+            ..BudgetOptions::default()
+        },
+        directory: DirectoryOptions {
+            lag: ms(extra.list_lag_ms),
+            ..DirectoryOptions::default()
+        },
+        ..ForwardOptions::default()
+    }
+}
--- /dev/null
+++ b/src/forward/mod.rs
@@ -0,0 +1,215 @@
+/*!
+The forwarding path's edges: callers, targets and the platform's list.
+
+The reducer decides; this module keeps what it never sees, the requests and
+answers with their bodies, and carries its effects out. What is particular to
+one protocol is behind [`Protocol`].
+*/
+
+mod connections;
+mod ingress;
+mod native;
+mod protocol;
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use primrosemast_core::{
+    forward::{
+        ForwardEffect, ForwardEvent, Outcome, Reason, Response,
+        merge::merge_top,
+    },
+    id::{AttemptId, Token},
+    node::Event,
+    verdict::Verdict,
+};
+use tokio::{sync::oneshot, task::spawn_local};
+
+use self::connections::{Connections, Ended};
+pub use self::protocol::{
+    AnswerHead, CallerHead, CallerRequest, CallerResponse, Malformed,
+    Protocol, Rejection, TargetAnswer, message_headers,
+};
+pub(crate) use self::{ingress::serve, native::Native};
+use crate::daemon::{Handle, Input};
+
+/// A caller that waits for its response.
+struct Exchange {
+    token: Token,
+    req: Arc<CallerRequest>,
+    response: oneshot::Sender<CallerResponse>,
+}
+
+/// Callers in flight and what targets have answered them.
+pub(crate) struct Forwarding<P> {
+    protocol: P,
+    handle: Handle,
+    connections: Connections<P>,
+    /// Sorted by token.
+    exchanges: Vec<Exchange>,
+    /// Sorted by attempt.
+    answers: Vec<(AttemptId, Token, TargetAnswer)>,
+    /// Requests of the running attempts, sorted by attempt.
+    requests: Vec<(AttemptId, Token)>,
+}
+
+impl<P: Protocol> Forwarding<P> {
+    pub(crate) fn new(protocol: P, handle: Handle) -> Forwarding<P> {
+        Forwarding {
+            connections: Connections::new(protocol.clone()),
+            protocol,
+            handle,
+            exchanges: Vec::new(),
+            answers: Vec::new(),
+            requests: Vec::new(),
+        }
+    }
+
+    /// Keeps a caller's request until it is answered.
+    pub(crate) fn add(
+        &mut self,
+        token: Token,
+        req: Arc<CallerRequest>,
+        response: oneshot::Sender<CallerResponse>,
+    ) {
+        // Tokens are taken before they are queued, so two callers may
+        // arrive here in the other order.
+        let i = self.exchanges.partition_point(|e| e.token < token);
+        self.exchanges.insert(i, Exchange { token, req, response });
+    }
+
+    /// Forgets a caller that has left.
+    pub(crate) fn caller_gone(&mut self, token: Token) {
+        self.take(token);
+    }
+
+    /// Keeps what an attempt has brought, and says how it has ended.
+    pub(crate) fn ended(&mut self, id: AttemptId, ended: Ended) -> Outcome {
+        self.connections.ended(id);
+        let (outcome, answer) = ended;
+        let Some(token) = self.forget(id) else { return outcome };
+        if let Some(answer) = answer
+            && self.position(token).is_ok()
+        {
+            let i = self.answers.partition_point(|a| a.0 < id);
+            self.answers.insert(i, (id, token, answer));
+        }
+        outcome
+    }
+
+    /// Carries an effect of the reducer out.
+    pub(crate) fn carry_out(&mut self, effect: ForwardEffect) {
+        match effect {
+            ForwardEffect::Send(send) => {
+                let Ok(i) = self.position(send.token) else { return };
+                let req = Arc::clone(&self.exchanges[i].req);
+                self.requests.push((send.attempt, send.token));
+                let handle = self.handle.clone();
+                self.connections.send(send, req, move |id, ended| {
+                    handle.input(Input::ForwardEnded(id, ended));
+                });
+            }
+            ForwardEffect::Cancel(id) => {
+                self.forget(id);
+                self.connections.cancel(id);
+            }
+            ForwardEffect::Respond(token, response) => {
+                self.respond(token, response);
+            }
+            ForwardEffect::ReadDirectory => self.read_directory(),
+            ForwardEffect::Broadcast(_) | ForwardEffect::Log(_) => {
+                unreachable!("the node handles these itself")
+            }
+        }
+    }
+
+    /// Closes connections that have been idle for too long.
+    pub(crate) fn close_idle(&self) {
+        self.connections.close_idle();
+    }
+
+    fn read_directory(&self) {
+        let reading = self.protocol.read_directory();
+        let handle = self.handle.clone();
+        spawn_local(async move {
+            let result = reading.await.map_err(|e| format!("{e:#}"));
+            let event = ForwardEvent::DirectoryRead(result);
+            handle.event(Event::Forward(event));
+        });
+    }
+
+    fn respond(&mut self, token: Token, response: Response) {
+        let response = self.build(response);
+        if let Some(exchange) = self.take(token) {
+            // A caller that has just left needs no response.
+            let _ = exchange.response.send(response);
+        }
+    }
+
+    fn build(&self, response: Response) -> CallerResponse {
+        match response {
+            Response::Relay(id) => match self.answer(id) {
+                Some(answer) => relay(answer),
+                None => self.reject_lost(),
+            },
+            Response::Merge { parts, missing, top } => {
+                let answers: Vec<&TargetAnswer> =
+                    parts.iter().filter_map(|p| self.answer(*p)).collect();
+                if answers.len() < parts.len() {
+                    return self.reject_lost();
+                }
+                let signatures: Vec<_> = answers
+                    .iter()
+                    .filter_map(|a| a.signature.clone())
+                    .collect();
+                let bodies = answers.iter().map(|a| a.body.as_ref());
+                let records = merge_top(bodies, top);
+                self.protocol.merged(&signatures, missing, records)
+            }
+            Response::Reject { reason, verdict, retry_after } => {
+                let rejection = Rejection { reason, verdict, retry_after };
+                self.protocol.rejection(rejection)
+            }
+        }
+    }
+
+    /// An answer that the reducer counts on is not here.
+    fn reject_lost(&self) -> CallerResponse {
+        log::error!("an answer of a target was lost before its response");
+        self.protocol.rejection(Rejection {
+            reason: Reason::TargetFailed,
+            verdict: Verdict::MayHaveRun,
+            retry_after: None,
+        })
+    }
+
+    fn answer(&self, id: AttemptId) -> Option<&TargetAnswer> {
+        let i = self.answers.binary_search_by_key(&id, |a| a.0).ok()?;
+        Some(&self.answers[i].2)
+    }
+
+    fn position(&self, token: Token) -> Result<usize, usize> {
+        self.exchanges.binary_search_by_key(&token, |e| e.token)
+    }
+
+    fn take(&mut self, token: Token) -> Option<Exchange> {
+        let i = self.position(token).ok()?;
+        self.answers.retain(|a| a.1 != token);
+        Some(self.exchanges.remove(i))
+    }
+
+    fn forget(&mut self, id: AttemptId) -> Option<Token> {
+        let i = self.requests.binary_search_by_key(&id, |r| r.0).ok()?;
+        Some(self.requests.remove(i).1)
+    }
+}
+
+/// A target's answer, unchanged but for what concerns its connection.
+fn relay(answer: &TargetAnswer) -> CallerResponse {
+    let body: Bytes = answer.body.clone();
+    let mut response = CallerResponse::new(Full::new(body));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = message_headers(&answer.headers);
+    response
+}
--- /dev/null
+++ b/src/forward/native.rs
@@ -0,0 +1,183 @@
+/*!
+The forwarding path in the project's own protocol.
+
+Headers: `x-request-id` names a request, `x-deadline-ms` the time that is
+left, `x-target` the incarnation that is meant. A target answers with its
+`x-signature`; `x-not-run: yes` says that it refused the request, and
+`x-not-run: other` that it is another incarnation. A merged response has
+`x-signatures` and `x-missing-shards`.
+*/
+
+use std::{sync::Arc, time::Duration};
+
+use anyhow::Context;
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, Uri, header};
+use http_body_util::Full;
+use primrosemast_core::{
+    forward::{
+        Outcome, Send,
+        directory::{Directory, ListedTarget},
+    },
+    verdict::Verdict,
+};
+use serde::Deserialize;
+
+use super::{
+    AnswerHead, CallerHead, CallerRequest, CallerResponse, Malformed,
+    Protocol, Rejection, message_headers,
+};
+use crate::http_client::Client;
+
+const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+const DEADLINE_MS: HeaderName = HeaderName::from_static("x-deadline-ms");
+const TARGET: HeaderName = HeaderName::from_static("x-target");
+const SIGNATURE: HeaderName = HeaderName::from_static("x-signature");
+const SIGNATURES: HeaderName = HeaderName::from_static("x-signatures");
+const NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
+const MISSING: HeaderName = HeaderName::from_static("x-missing-shards");
+
+/// Time to read the platform's list.
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Largest list that is read, in bytes.
+const MAX_LIST_BYTES: usize = 16 << 20;
+
+/// The project's own protocol.
+#[derive(Clone, Debug)]
+pub(crate) struct Native {
+    /// URL of the platform's list, if there is one.
+    list: Option<Arc<str>>,
+}
+
+impl Native {
+    pub(crate) fn new(list: Option<&str>) -> Native {
+        Native { list: list.map(Arc::from) }
+    }
+}
+
+impl Protocol for Native {
+    fn caller_head(
+        &self,
+        headers: &HeaderMap,
+    ) -> Result<CallerHead, Malformed> {
+        let id = headers.get(REQUEST_ID).and_then(|v| v.to_str().ok());
+        let Some(request_id) = id.filter(|id| !id.is_empty()) else {
+            return Err(Malformed(format!("{REQUEST_ID} is missing")));
+        };
+        let remaining = match headers.get(DEADLINE_MS) {
+            Some(value) => Some(read_ms(value).ok_or_else(|| {
+                Malformed(format!("{DEADLINE_MS} is not a number: {value:?}"))
+            })?),
+            None => None,
+        };
+        Ok(CallerHead { request_id: request_id.into(), remaining })
+    }
+
+    fn target_request(
+        &self,
+        req: &CallerRequest,
+        send: &Send,
+    ) -> http::Request<Full<Bytes>> {
+        let mut outgoing = http::Request::new(Full::new(req.body.clone()));
+        *outgoing.method_mut() = req.method.clone();
+        *outgoing.uri_mut() = req.uri.clone();
+        let mut headers = message_headers(&req.headers);
+        headers.insert(DEADLINE_MS, HeaderValue::from(ms(send.budget)));
+        if let Ok(name) = HeaderValue::from_str(&send.name) {
+            headers.insert(TARGET, name);
+        }
+        *outgoing.headers_mut() = headers;
+        outgoing
+    }
+
+    fn answer_head(
+        &self,
+        request_id: &str,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> Option<AnswerHead> {
+        let id = headers.get(REQUEST_ID)?;
+        if id.as_bytes() != request_id.as_bytes() {
+            return None;
+        }
+        let signature = headers.get(SIGNATURE).cloned();
+        let outcome = match headers.get(NOT_RUN).map(HeaderValue::as_bytes) {
+            Some(b"other") => Outcome::Replaced,
+            Some(_) => Outcome::Refused,
+            None if status.is_success() && signature.is_some() => {
+                Outcome::Success
+            }
+            None => Outcome::Failure,
+        };
+        Some(AnswerHead { outcome, signature, keep_alive: None })
+    }
+
+    fn merged(
+        &self,
+        signatures: &[HeaderValue],
+        missing: usize,
+        records: Vec<u8>,
+    ) -> CallerResponse {
+        let mut response = CallerResponse::new(Full::new(records.into()));
+        let headers = response.headers_mut();
+        for signature in signatures {
+            headers.append(SIGNATURES, signature.clone());
+        }
+        headers.insert(MISSING, HeaderValue::from(missing));
+        response
+    }
+
+    fn rejection(&self, rejection: Rejection) -> CallerResponse {
+        let Rejection { reason, verdict, retry_after } = rejection;
+        let text = format!("{}: {}\n", verdict.as_str(), reason.as_str());
+        let mut response = CallerResponse::new(Full::new(text.into()));
+        *response.status_mut() = match verdict {
+            Verdict::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Verdict::MayHaveRun | Verdict::Ran => StatusCode::BAD_GATEWAY,
+        };
+        if let Some(after) = retry_after.filter(|_| verdict == Verdict::NotRun)
+        {
+            let seconds = after.as_secs_f64().ceil() as u64;
+            response
+                .headers_mut()
+                .insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+        }
+        response
+    }
+
+    fn read_directory(
+        &self,
+    ) -> impl Future<Output = anyhow::Result<Directory>> + 'static {
+        let list = self.list.clone();
+        async move {
+            let url = list.context("the settings name no platform list")?;
+            read_list(&url).await
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct List {
+    #[serde(default)]
+    listed_targets: Vec<ListedTarget>,
+}
+
+async fn read_list(url: &str) -> anyhow::Result<Directory> {
+    let uri: Uri = url.parse()?;
+    let authority = uri.authority().context("the URL has no address")?;
+    let address = authority.as_str().parse()?;
+    let mut client = Client::connect(address, READ_TIMEOUT).await?;
+    let body = client.get(uri.path(), MAX_LIST_BYTES).await?;
+    let list: List = serde_json::from_slice(&body)?;
+    Ok(Directory { targets: list.listed_targets })
+}
+
+fn read_ms(value: &HeaderValue) -> Option<Duration> {
+    let ms: u64 = value.to_str().ok()?.trim().parse().ok()?;
+    Some(Duration::from_millis(ms))
+}
+
+fn ms(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- a/src/http/operator.rs
+++ b/src/http/operator.rs
@@ -206,6 +206,7 @@
         }
         ControlReply::Unknown
         | ControlReply::Claim(_)
+        | ControlReply::Version(_)
         | ControlReply::Done => change_response(
             Outcome::Unknown,
             None,
--- /dev/null
+++ b/src/http_client.rs
@@ -0,0 +1,86 @@
+//! A small client for single requests over a connection of their own.
+
+use std::{net::SocketAddr, time::Duration};
+
+use anyhow::Context;
+use bytes::Bytes;
+use http::{Request, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
+
+/// A connection for one request after the other; closed when dropped.
+#[derive(Debug)]
+pub struct Client {
+    address: SocketAddr,
+    limit: Duration,
+    sender: SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
+}
+
+impl Drop for Client {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl Client {
+    /// Opens a connection. `limit` bounds this and each request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection cannot be opened in time.
+    pub async fn connect(
+        address: SocketAddr,
+        limit: Duration,
+    ) -> anyhow::Result<Client> {
+        let stream = timeout(limit, TcpStream::connect(address))
+            .await
+            .with_context(|| format!("connecting to {address} timed out"))?
+            .with_context(|| format!("cannot connect to {address}"))?;
+        stream.set_nodelay(true)?;
+        let (sender, connection) =
+            http1::handshake(TokioIo::new(stream)).await?;
+        let driver = tokio::spawn(async move {
+            // The request's own future reports the error.
+            let _ = connection.await;
+        });
+        let driver = driver.abort_handle();
+        Ok(Client { address, limit, sender, driver })
+    }
+
+    /// Gets a document of at most `max_bytes`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no complete response in time, if it is too large or
+    /// if its status is not 200.
+    pub async fn get(
+        &mut self,
+        path: &str,
+        max_bytes: usize,
+    ) -> anyhow::Result<Bytes> {
+        let address = self.address;
+        let req = Request::get(path)
+            .header(header::HOST, address.to_string())
+            .body(Full::new(Bytes::new()))?;
+        let exchange = async {
+            self.sender.ready().await?;
+            let response = self.sender.send_request(req).await?;
+            let status = response.status();
+            anyhow::ensure!(
+                status == StatusCode::OK,
+                "{address} answered {status}"
+            );
+            let body = Limited::new(response.into_body(), max_bytes);
+            let body = body.collect().await.map_err(|e| {
+                anyhow::anyhow!("the response of {address} broke off: {e}")
+            })?;
+            Ok(body.to_bytes())
+        };
+        timeout(self.limit, exchange)
+            .await
+            .with_context(|| format!("{address} did not answer in time"))?
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod api;
 pub mod cli;
 pub mod daemon;
+pub mod forward;
+pub mod http_client;
 pub mod settings;
 pub mod storage;
 
--- a/src/settings/instance.rs
+++ b/src/settings/instance.rs
@@ -37,6 +37,14 @@
     pub peers: Vec<SocketAddr>,
     /// Voters that a control group aims for, 3 or 5.
     pub control_group_size: u32,
+    /// Voters that a control group needs before it accepts forwarding tables
+    /// and orders on zones.
+    pub min_voters: u32,
+    /// Whether the first of `peers` that has a replica founds the control
+    /// group by itself. Only for the first start of a whole fleet.
+    pub found_control_group: bool,
+    /// The forwarding path.
+    pub forwarding: ForwardingSettings,
     /// URL of the platform's list of live and leaving instances.
     pub platform_list: Option<String>,
     /// Log filter in the syntax of `env_logger`.
@@ -57,6 +65,9 @@
             data_folder: None,
             peers: Vec::new(),
             control_group_size: 3,
+            min_voters: 1,
+            found_control_group: false,
+            forwarding: ForwardingSettings::default(),
             platform_list: None,
             log: "info".into(),
             timing: Timing::default(),
@@ -115,6 +126,8 @@
     pub caller: SocketAddr,
     /// For operators and metrics.
     pub operator: SocketAddr,
+    /// For callers of forwarding routes, if there are any.
+    pub forward: Option<SocketAddr>,
     /// For other instances. Its IP address is announced to them, so it
     /// cannot be a wildcard.
     pub peer: SocketAddr,
@@ -124,6 +137,7 @@
     fn default() -> Listen {
         let local = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
         Listen {
+            forward: None,
             caller: local(7400),
             operator: local(7401),
             peer: local(7402),
@@ -131,6 +145,33 @@
     }
 }
 
+/// Limits of the forwarding path that hold for all instances together.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Serialize, Deserialize, JsonSchema,
+)]
+#[serde(default, deny_unknown_fields)]
+pub struct ForwardingSettings {
+    /// Extra requests to a service for each request to it, in a window.
+    pub extra_ratio: f64,
+    /// Extra requests to a service besides, in a window.
+    pub extra_slack: f64,
+    /// Length of the sliding window, in milliseconds.
+    pub extra_window_ms: u64,
+    /// Time by which the platform's list may lag, in milliseconds.
+    pub list_lag_ms: u64,
+}
+
+impl Default for ForwardingSettings {
+    fn default() -> ForwardingSettings {
+        ForwardingSettings {
+            extra_ratio: 0.05,
+            extra_slack: 10.0,
+            extra_window_ms: 10_000,
+            list_lag_ms: 1_000,
+        }
+    }
+}
+
 /// Intervals and timeouts, in milliseconds.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema,
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -24,7 +24,9 @@
 use self::{problem::Finding, source::Node};
 
 pub use check::check_configuration;
-pub use instance::{Dispatch, InstanceSettings, Listen, Role, Timing};
+pub use instance::{
+    Dispatch, ForwardingSettings, InstanceSettings, Listen, Role, Timing,
+};
 pub use problem::{Problem, SettingsError, SettingsErrorKind, Severity};
 
 /// A valid site configuration and what is doubtful about it.
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -64,6 +64,7 @@
         (4, event::control::CATALOGUE),
         (5, event::config::CATALOGUE),
         (6, event::daemon::CATALOGUE),
+        (7, event::forward::CATALOGUE),
     ];
     let mut count = 0;
     for (hundred, kinds) in areas {
