--- /dev/null
+++ b/crates/core/src/forward/delegate.rs
@@ -0,0 +1,640 @@
+/*!
+Sharing a request with instances near its targets.
+
+A root that asks many shards itself pays for each of them in processor time,
+and in bytes between zones if the targets are elsewhere. It rather splits the
+shards among a few delegates in one zone that has the targets. A delegate
+handles its shards like requests of its own, hedges included, and sends back
+the greatest records of what has arrived, with the targets' signatures.
+
+A delegate that does not acknowledge is passed over for a while, and the root
+asks its shards itself. That may ask a target a second time, so it takes extra
+requests from the budget.
+*/
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use rand::seq::SliceRandom;
+use serde::{Deserialize, Serialize};
+
+use super::{
+    ForwardEffect, Forwarder,
+    request::{Origin, Progress, Request, Shard},
+    table::CompiledRoute,
+};
+use crate::{
+    event::forward as kinds,
+    id::{AttemptId, InstanceId, RouteId, ServiceId, Token, ZoneId},
+    time::Time,
+};
+
+/// Tokens of other roots' requests have this bit, so that they never collide
+/// with those of callers.
+const DELEGATED_TOKEN: u64 = 1 << 62;
+
+/// How long the choice of zones for a route is kept.
+const ZONES_KEPT_FOR: Duration = Duration::from_millis(250);
+
+/// An entry instance that may be a delegate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Fellow {
+    /// The instance.
+    pub id: InstanceId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Whether it can be reached and is not suspected to have failed.
+    pub reachable: bool,
+}
+
+/// Options of delegation.
+#[derive(Clone, Debug)]
+pub struct DelegateOptions {
+    /// Shards that one instance handles, about.
+    pub shards: usize,
+    /// Shards below which another zone's targets are asked from here.
+    pub least: usize,
+    /// Part of the objective in which a delegate has to acknowledge.
+    pub acknowledge_part: f64,
+    /// Shortest such time.
+    pub acknowledge_min: Duration,
+    /// Time that a delegate's response takes to the root.
+    pub hop: Duration,
+    /// Time for which a silent delegate is passed over.
+    pub avoid: Duration,
+}
+
+impl Default for DelegateOptions {
+    fn default() -> DelegateOptions {
+        DelegateOptions {
+            // A shard request takes some 80 us, so this many take 20 ms on
+            // an eighth of a core.
+            shards: 32,
+            // A task takes about as many bytes as two shard requests.
+            least: 3,
+            acknowledge_part: 0.45,
+            acknowledge_min: Duration::from_millis(15),
+            hop: Duration::from_millis(5),
+            avoid: Duration::from_secs(1),
+        }
+    }
+}
+
+/// The content of a caller's request, as delegates need it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Content {
+    /// The caller's identifier of the request.
+    pub request_id: Arc<str>,
+    /// Method.
+    pub method: String,
+    /// Path and query.
+    pub uri: String,
+    /// Headers.
+    pub headers: Vec<(String, Bytes)>,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// What a root wants of a delegate.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Task {
+    /// The root's number of the request.
+    pub number: u64,
+    /// The caller's identifier of the request.
+    pub request_id: Arc<str>,
+    /// Revision of the table that the root uses.
+    pub revision: u64,
+    /// The route.
+    pub route: RouteId,
+    /// Places of the shards among the route's services.
+    pub shards: Vec<u16>,
+    /// Time until the response has to be complete, in microseconds.
+    pub remaining_us: u64,
+    /// Time until what there is must not be held back, in microseconds.
+    pub soft_us: u64,
+}
+
+/// A task with the content that it needs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// What is wanted.
+    pub task: Task,
+    /// The caller's request.
+    pub content: Content,
+}
+
+/// Messages between roots and delegates.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// Handle shards of a request.
+    Ask(Box<Ask>),
+    /// The task was taken over.
+    Accepted(u64),
+    /// The task was not taken over, and nothing was sent.
+    Declined(u64),
+    /// Some shards are answered.
+    Part(Part),
+    /// The task is no longer needed.
+    Cancel {
+        /// Number of the task.
+        number: u64,
+        /// The caller has left, so running requests are to be ended too.
+        caller_gone: bool,
+    },
+}
+
+/// Answered shards of a task.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// Number of the task.
+    pub number: u64,
+    /// Places of the answered shards.
+    pub shards: Vec<u16>,
+    /// Signatures of their targets.
+    pub signatures: Vec<Bytes>,
+    /// Their greatest records.
+    pub records: Bytes,
+    /// Whether nothing more follows.
+    pub done: bool,
+}
+
+/// A root's share of a request that a delegate handles.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Delegation {
+    pub(super) to: InstanceId,
+    /// Until when it has to acknowledge; `None` once it has.
+    pub(super) acknowledge_by: Option<Time>,
+}
+
+/// The shards of a route by the zone in which they are handled.
+#[derive(Clone, Debug)]
+pub(super) struct RouteZones {
+    parts: Vec<(ZoneId, Vec<usize>)>,
+    until: Time,
+}
+
+/// One part of a request's shards and who handles it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Assignment {
+    /// `None` for this instance.
+    pub(super) to: Option<InstanceId>,
+    pub(super) shards: Vec<usize>,
+}
+
+impl Forwarder {
+    /// Splits the shards of a request among this instance and delegates.
+    /// A request without shards has one part, of whichever service it goes
+    /// to.
+    pub(super) fn assign(
+        &mut self,
+        now: Time,
+        route: &CompiledRoute,
+    ) -> Vec<Assignment> {
+        if !route.is_sharded() {
+            return vec![Assignment { to: None, shards: vec![0] }];
+        }
+        self.avoided.retain(|a| a.1 > now);
+        let mut local = Vec::new();
+        let mut assignments = Vec::new();
+        for (zone, shards) in self.zone_parts(now, route) {
+            let own = zone == self.zone;
+            let mut handlers = self.delegates_in(zone);
+            handlers.shuffle(&mut self.rng);
+            let mut handlers: Vec<Option<InstanceId>> =
+                handlers.into_iter().map(Some).collect();
+            if own {
+                // Nothing is nearer than this instance.
+                handlers.insert(0, None);
+            }
+            let few = shards.len() < self.options.delegate.least;
+            if handlers.is_empty() || (few && !own) {
+                local.extend(shards);
+                continue;
+            }
+            let parts = shards
+                .len()
+                .div_ceil(self.options.delegate.shards.max(1))
+                .min(handlers.len());
+            let length = shards.len().div_ceil(parts.max(1)).max(1);
+            for (part, to) in shards.chunks(length).zip(handlers) {
+                match to {
+                    None => local.extend_from_slice(part),
+                    Some(_) => assignments
+                        .push(Assignment { to, shards: part.to_vec() }),
+                }
+            }
+        }
+        if !local.is_empty() {
+            assignments.push(Assignment { to: None, shards: local });
+        }
+        assignments
+    }
+
+    /// Instances of a zone that can take tasks.
+    fn delegates_in(&self, zone: ZoneId) -> Vec<InstanceId> {
+        let avoided = |id| self.avoided.iter().any(|a| a.0 == id);
+        self.fellows
+            .iter()
+            .filter(|f| f.zone == zone && f.reachable && !avoided(f.id))
+            .map(|f| f.id)
+            .collect()
+    }
+
+    /// The shards of a route by the zone in which they are handled: the own
+    /// zone where it has a target, otherwise as few zones as possible.
+    fn zone_parts(
+        &mut self,
+        now: Time,
+        route: &CompiledRoute,
+    ) -> Vec<(ZoneId, Vec<usize>)> {
+        let found = self.zones.binary_search_by_key(&route.id, |z| z.0);
+        if let Ok(i) = found
+            && now < self.zones[i].1.until
+        {
+            return self.zones[i].1.parts.clone();
+        }
+        let parts = self.cover(now, route);
+        let until = now + ZONES_KEPT_FOR;
+        let kept = RouteZones { parts: parts.clone(), until };
+        match found {
+            Ok(i) => self.zones[i].1 = kept,
+            Err(i) => self.zones.insert(i, (route.id, kept)),
+        }
+        parts
+    }
+
+    fn cover(
+        &mut self,
+        now: Time,
+        route: &CompiledRoute,
+    ) -> Vec<(ZoneId, Vec<usize>)> {
+        let mut open: Vec<(usize, Vec<ZoneId>)> = route
+            .services
+            .iter()
+            .map(|&service| self.targets.usable_zones(now, service))
+            .enumerate()
+            .collect();
+        let mut zones: Vec<ZoneId> =
+            open.iter().flat_map(|o| o.1.iter().copied()).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        // Zones that cover equally many shards take turns.
+        zones.shuffle(&mut self.rng);
+        if let Some(own) = zones.iter().position(|&z| z == self.zone) {
+            zones.swap(0, own);
+        }
+        let mut parts = Vec::new();
+        let mut next = zones.first().copied().filter(|&z| z == self.zone);
+        loop {
+            let covers = |zone: &ZoneId| {
+                open.iter().filter(|o| o.1.contains(zone)).count()
+            };
+            let zone = match next.take() {
+                Some(own) => own,
+                None => match zones.iter().max_by_key(|&z| covers(z)) {
+                    Some(&zone) if covers(&zone) > 0 => zone,
+                    _ => break,
+                },
+            };
+            let (covered, rest): (Vec<_>, Vec<_>) =
+                open.into_iter().partition(|o| o.1.contains(&zone));
+            open = rest;
+            let shards = covered.into_iter().map(|o| o.0).collect();
+            parts.push((zone, shards));
+        }
+        if !open.is_empty() {
+            // No target is usable now; one may be soon.
+            let shards = open.into_iter().map(|o| o.0).collect();
+            parts.push((self.zone, shards));
+        }
+        parts
+    }
+
+    /// Hands shards of a request to a delegate.
+    pub(super) fn delegate(
+        &mut self,
+        now: Time,
+        token: Token,
+        to: InstanceId,
+        shards: &[usize],
+    ) {
+        let options = self.options.delegate.clone();
+        let revision = self.table.revision;
+        let Some(request) = self.request_mut(token) else { return };
+        for &shard in shards {
+            request.shards[shard].progress = Progress::Delegated(to);
+        }
+        let objective =
+            Duration::from_millis(request.route.route.objective_ms.into());
+        let wait = objective
+            .mul_f64(options.acknowledge_part)
+            .max(options.acknowledge_min);
+        let acknowledge_by = Some(now + wait);
+        request.delegations.push(Delegation { to, acknowledge_by });
+        let until = |at: Time| {
+            at.since(now).saturating_sub(options.hop).as_micros() as u64
+        };
+        let task = Task {
+            number: token.0,
+            request_id: Arc::clone(&request.id),
+            revision,
+            route: request.route.id,
+            shards: shards.iter().map(|&s| s as u16).collect(),
+            remaining_us: until(request.hard_at),
+            soft_us: until(request.soft_at),
+        };
+        if self.options.log_debug {
+            let detail = format!(
+                "request={} delegate={to} shards={}",
+                task.request_id,
+                task.shards.len()
+            );
+            self.log(&kinds::DELEGATED, detail);
+        }
+        self.out.push(ForwardEffect::Ask { token, to, task });
+    }
+
+    /// Takes the shards of silent delegates back.
+    pub(super) fn check_delegates(&mut self, now: Time, token: Token) {
+        let Some(request) = self.request(token) else { return };
+        let silent: Vec<InstanceId> = request
+            .delegations
+            .iter()
+            .filter(|d| d.acknowledge_by.is_some_and(|at| at <= now))
+            .map(|d| d.to)
+            .collect();
+        for to in silent {
+            let until = now + self.options.delegate.avoid;
+            self.avoided.push((to, until));
+            self.log(
+                &kinds::DELEGATE_SILENT,
+                format!("delegate={to} request={token}"),
+            );
+            // Its attempts are made again, so they must not run on.
+            self.tell_cancel(token, to, true);
+            self.take_back(now, token, to, true);
+        }
+    }
+
+    /// Asks shards that a delegate does not handle.
+    fn take_back(
+        &mut self,
+        now: Time,
+        token: Token,
+        from: InstanceId,
+        may_have_sent: bool,
+    ) {
+        let Some(request) = self.request_mut(token) else { return };
+        request.delegations.retain(|d| d.to != from);
+        let mut taken = Vec::new();
+        for (i, shard) in request.shards.iter_mut().enumerate() {
+            if shard.progress == Progress::Delegated(from) {
+                shard.progress = Progress::Waiting;
+                shard.may_have_run |= may_have_sent;
+                // Waiting shards that were sent before need extra budget.
+                shard.sent_elsewhere |= may_have_sent;
+                taken.push(i);
+            }
+        }
+        for shard in taken {
+            self.ask(now, token, shard, may_have_sent);
+        }
+        self.plan_check(now, token);
+    }
+
+    /// An instance cannot be reached: its tasks are handled here.
+    pub(super) fn delegate_unreachable(&mut self, now: Time, id: InstanceId) {
+        let tokens: Vec<Token> = self
+            .requests
+            .iter()
+            .filter(|r| r.delegations.iter().any(|d| d.to == id))
+            .map(|r| r.token)
+            .collect();
+        for token in tokens {
+            self.take_back(now, token, id, true);
+            self.settle(now, token);
+        }
+    }
+
+    /// Ends the tasks of a request that is over.
+    pub(super) fn end_delegations(
+        &mut self,
+        request: &Request,
+        caller_gone: bool,
+    ) {
+        for delegation in &request.delegations {
+            self.tell_cancel(request.token, delegation.to, caller_gone);
+        }
+    }
+
+    fn tell_cancel(&mut self, token: Token, to: InstanceId, gone: bool) {
+        let number = token.0;
+        let message = Message::Cancel { number, caller_gone: gone };
+        self.out.push(ForwardEffect::Tell(to, message));
+    }
+
+    /// Handles a message of a root or a delegate. An `Ask` arrives without
+    /// its content, which the daemon keeps under `adopted`.
+    pub(super) fn delegate_message(
+        &mut self,
+        now: Time,
+        from: InstanceId,
+        message: Incoming,
+    ) {
+        match message {
+            Incoming::Task(adopted, task) => {
+                self.task(now, from, adopted, task);
+            }
+            Incoming::Accepted(number) => {
+                if let Some(request) = self.request_mut(Token(number)) {
+                    for d in &mut request.delegations {
+                        if d.to == from {
+                            d.acknowledge_by = None;
+                        }
+                    }
+                }
+            }
+            Incoming::Declined(number) => {
+                self.take_back(now, Token(number), from, false);
+                self.settle(now, Token(number));
+            }
+            Incoming::Part(part) => self.part(now, from, part),
+            Incoming::Cancel { number, caller_gone } => {
+                let found = self
+                    .requests
+                    .iter()
+                    .find(|r| r.origin == Origin::Root { from, number });
+                let Some(token) = found.map(|r| r.token) else { return };
+                if caller_gone {
+                    self.caller_gone(token);
+                } else {
+                    self.end(now, token);
+                }
+                self.out.push(ForwardEffect::Forget(token));
+            }
+        }
+    }
+
+    /// The token under which the daemon keeps the content of a task.
+    pub(super) fn adopted_token(&mut self) -> Token {
+        self.last_adopted += 1;
+        Token(DELEGATED_TOKEN | self.last_adopted)
+    }
+
+    /// Takes a task over from a root.
+    fn task(&mut self, now: Time, from: InstanceId, token: Token, task: Task) {
+        let number = task.number;
+        let route = self
+            .table
+            .routes()
+            .iter()
+            .find(|r| {
+                r.id == task.route && task.revision == self.table.revision
+            })
+            .cloned();
+        let services = route.as_ref().and_then(|route| {
+            let service =
+                |&s: &u16| route.services.get(usize::from(s)).copied();
+            task.shards.iter().map(service).collect::<Option<Vec<ServiceId>>>()
+        });
+        let (Ok(()), Some(route), Some(services)) =
+            (self.admits(), route, services)
+        else {
+            let message = Message::Declined(number);
+            self.out.push(ForwardEffect::Tell(from, message));
+            self.out.push(ForwardEffect::Forget(token));
+            return;
+        };
+        let message = Message::Accepted(number);
+        self.out.push(ForwardEffect::Tell(from, message));
+        let after = |us: u64| now + Duration::from_micros(us);
+        self.start(
+            now,
+            Request {
+                token,
+                id: task.request_id,
+                origin: Origin::Root { from, number },
+                started: now,
+                soft_at: after(task.soft_us),
+                hard_at: after(task.remaining_us),
+                shards: services.into_iter().map(Shard::new).collect(),
+                places: task.shards,
+                delegations: Vec::new(),
+                check_at: now,
+                route,
+            },
+            None,
+        );
+    }
+
+    /// Sends a root what has been answered since the last time.
+    pub(super) fn settle_task(&mut self, now: Time, token: Token) {
+        let Some(request) = self.request_mut(token) else { return };
+        let Origin::Root { from, number } = request.origin else { return };
+        let done = request.open() == 0 || now >= request.hard_at;
+        if !done && now < request.soft_at {
+            return;
+        }
+        let mut parts: Vec<AttemptId> = Vec::new();
+        let mut shards = Vec::new();
+        for (shard, place) in request.shards.iter_mut().zip(&request.places) {
+            if let Progress::Answered(id) = shard.progress
+                && !shard.reported
+            {
+                shard.reported = true;
+                parts.push(id);
+                shards.push(*place);
+            }
+        }
+        if parts.is_empty() && !done {
+            return;
+        }
+        let top = request.route.top();
+        self.out.push(ForwardEffect::SendPart {
+            token,
+            to: from,
+            number,
+            parts,
+            shards,
+            top,
+            done,
+        });
+        if done {
+            self.end(now, token);
+            self.out.push(ForwardEffect::Forget(token));
+        }
+    }
+
+    /// Takes answered shards over from a delegate.
+    fn part(&mut self, now: Time, from: InstanceId, part: Part) {
+        let token = Token(part.number);
+        if self.position(token).is_none() {
+            return;
+        }
+        let attempt = self.attempts.next_id();
+        let Some(request) = self.request_mut(token) else { return };
+        let mut taken = 0;
+        for &place in &part.shards {
+            let shard = request.shards.get_mut(usize::from(place));
+            if let Some(shard) = shard
+                && shard.progress == Progress::Delegated(from)
+            {
+                shard.progress = Progress::Answered(attempt);
+                taken += 1;
+            }
+        }
+        let used = taken == part.shards.len();
+        if !used {
+            // Some of its shards were taken back, and the merged records
+            // cannot be told apart: none of them can be used.
+            for shard in &mut request.shards {
+                if shard.progress == Progress::Answered(attempt) {
+                    shard.progress = Progress::Failed;
+                }
+            }
+        }
+        for d in &mut request.delegations {
+            if d.to == from {
+                d.acknowledge_by = None;
+            }
+        }
+        if part.done {
+            request.delegations.retain(|d| d.to != from);
+            for shard in &mut request.shards {
+                if shard.progress == Progress::Delegated(from) {
+                    shard.progress = Progress::Failed;
+                    shard.may_have_run = true;
+                }
+            }
+        }
+        if used && taken > 0 {
+            self.out.push(ForwardEffect::Keep {
+                attempt,
+                token,
+                signatures: part.signatures,
+                records: part.records,
+            });
+        }
+        self.settle(now, token);
+    }
+}
+
+/// A message with its content put aside.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Incoming {
+    /// Handle shards of a request whose content is kept under this token.
+    Task(Token, Task),
+    /// The task was taken over.
+    Accepted(u64),
+    /// The task was not taken over, and nothing was sent.
+    Declined(u64),
+    /// Some shards are answered.
+    Part(Part),
+    /// The task is no longer needed.
+    Cancel {
+        /// Number of the task.
+        number: u64,
+        /// The caller has left.
+        caller_gone: bool,
+    },
+}
--- a/crates/core/src/forward/finish.rs
+++ b/crates/core/src/forward/finish.rs
@@ -4,7 +4,7 @@
 
 use super::{
     ForwardEffect, Forwarder, Reason, Response,
-    request::{Progress, Request},
+    request::{Origin, Progress, Request},
     table::Destination,
 };
 use crate::{
@@ -21,6 +21,10 @@
     /// Ends a request that has what it needs, or that cannot get it.
     pub(super) fn settle(&mut self, now: Time, token: Token) {
         let Some(request) = self.request(token) else { return };
+        if request.origin != Origin::Caller {
+            self.settle_task(now, token);
+            return;
+        }
         let (answered, open) = (request.answered(), request.open());
         let needed = request.route.needed();
         if answered + open < needed {
@@ -33,6 +37,10 @@
     /// The time of a request has passed.
     pub(super) fn expire(&mut self, now: Time, token: Token) {
         let Some(request) = self.request(token) else { return };
+        if request.origin != Origin::Caller {
+            self.settle_task(now, token);
+            return;
+        }
         if request.answered() >= request.route.needed() {
             self.respond(now, token);
         } else {
@@ -51,6 +59,10 @@
             })
             .collect();
         let missing = request.shards.len() - parts.len();
+        let mut parts = parts;
+        // A delegate's answer stands for several shards.
+        parts.sort_unstable();
+        parts.dedup();
         let took = now.since(request.started);
         let objective = request.route.route.objective_ms;
         let late = took.as_millis() > objective.into();
@@ -90,9 +102,10 @@
 
     /// Removes a request. Its attempts run on for a while if they may run
     /// twice, so that their connections can be kept.
-    fn end(&mut self, now: Time, token: Token) -> Option<Request> {
+    pub(super) fn end(&mut self, now: Time, token: Token) -> Option<Request> {
         let at = self.position(token)?;
         let mut request = self.requests.remove(at);
+        self.end_delegations(&request, false);
         let until = now + self.options.linger;
         for attempt in self.attempts.of_request_mut(token) {
             let shard = &mut request.shards[attempt.shard];
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -14,6 +14,7 @@
 
 mod attempts;
 pub mod budget;
+pub mod delegate;
 pub mod directory;
 mod finish;
 pub mod latency;
@@ -27,8 +28,11 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use bytes::Bytes;
+
 use self::{
-    directory::{Directory, Message},
+    delegate::{Content, Fellow, Incoming, Task},
+    directory::Directory,
     table::{CompiledRoute, CompiledTable},
 };
 pub use self::{options::ForwardOptions, reducer::Forwarder};
@@ -87,11 +91,15 @@
     Serving(bool),
     /// The entry instances that are alive, this one not included, and the
     /// number of instances that share the targets.
-    Fellows(Vec<InstanceId>, usize),
+    Fellows(Vec<Fellow>, usize),
+    /// A message of another instance about a shared request.
+    Shared(InstanceId, Incoming),
+    /// Another instance cannot be reached.
+    Unreachable(InstanceId),
     /// The platform's list was read, or could not be.
     DirectoryRead(Result<Directory, String>),
     /// Another instance says something about the platform's list.
-    Message(Message),
+    Directory(directory::Message),
     /// A deadline has passed.
     Tick,
 }
@@ -137,7 +145,8 @@
     Relay(AttemptId),
     /// The greatest records of these attempts' answers.
     Merge {
-        /// One attempt for each shard that is included.
+        /// Attempts that have brought the included shards. One that a
+        /// delegate has sent stands for several.
         parts: Vec<AttemptId>,
         /// Shards that are left out.
         missing: usize,
@@ -184,10 +193,53 @@
     /// Answer the caller. Answers of the request that are not part of the
     /// response are no longer needed.
     Respond(Token, Response),
+    /// Send a task to a delegate, with the content of the request.
+    Ask {
+        /// The request.
+        token: Token,
+        /// The delegate.
+        to: InstanceId,
+        /// What is wanted of it.
+        task: Task,
+    },
+    /// Send answered shards to the root of a task.
+    SendPart {
+        /// Under which the task is kept here.
+        token: Token,
+        /// The root.
+        to: InstanceId,
+        /// The root's number of the task.
+        number: u64,
+        /// Attempts that have brought the answers.
+        parts: Vec<AttemptId>,
+        /// Places of the answered shards.
+        shards: Vec<u16>,
+        /// Records in the response.
+        top: usize,
+        /// Whether nothing more follows.
+        done: bool,
+    },
+    /// Keep the content of a task.
+    Adopt(Token, Content),
+    /// A task is over; its content and answers are no longer needed.
+    Forget(Token),
+    /// Keep what a delegate has sent as the answer of an attempt.
+    Keep {
+        /// Stands for all shards in it.
+        attempt: AttemptId,
+        /// The request.
+        token: Token,
+        /// Signatures of the targets.
+        signatures: Vec<Bytes>,
+        /// Their greatest records.
+        records: Bytes,
+    },
+    /// Send a message to another instance.
+    Tell(InstanceId, delegate::Message),
     /// Read the platform's list and answer with `DirectoryRead`.
     ReadDirectory,
     /// Send a message to the other entry instances.
-    Broadcast(Message),
+    Broadcast(directory::Message),
     /// Write a line to the log.
     Log(LogEvent),
 }
--- a/crates/core/src/forward/options.rs
+++ b/crates/core/src/forward/options.rs
@@ -3,16 +3,21 @@
 use std::time::Duration;
 
 use super::{
-    budget::BudgetOptions, directory::DirectoryOptions, targets::TargetChoice,
+    budget::BudgetOptions, delegate::DelegateOptions,
+    directory::DirectoryOptions, targets::TargetChoice,
 };
 
 /// Options of the forwarding path.
 #[derive(Clone, Debug)]
 pub struct ForwardOptions {
+    /// Whether decisions on single attempts are logged.
+    pub log_debug: bool,
     /// Of extra requests.
     pub budget: BudgetOptions,
     /// Of the platform's list.
     pub directory: DirectoryOptions,
+    /// Of sharing requests with other instances.
+    pub delegate: DelegateOptions,
     /// Of the choice of a target.
     pub choice: TargetChoice,
     /// Requests of callers that are served at the same time.
@@ -41,8 +46,10 @@
 impl Default for ForwardOptions {
     fn default() -> ForwardOptions {
         ForwardOptions {
+            log_debug: false,
             budget: BudgetOptions::default(),
             directory: DirectoryOptions::default(),
+            delegate: DelegateOptions::default(),
             choice: TargetChoice::default(),
             max_in_flight: 400,
             // 3 ms each way to a caller, and the merge on a quarter of a
--- a/crates/core/src/forward/reducer.rs
+++ b/crates/core/src/forward/reducer.rs
@@ -9,6 +9,7 @@
     ForwardEffect, ForwardEvent, ForwardOptions, Outcome, Reason, Response,
     attempts::{Attempt, Attempts},
     budget::Budget,
+    delegate::{Fellow, RouteZones},
     directory::{DirectoryEffect, Reader},
     latency::Latencies,
     request::{Progress, Request},
@@ -42,6 +43,14 @@
     latencies: Vec<(RouteId, Latencies)>,
     /// Progress of the weighted turns of each route, sorted by route.
     pub(super) turns: Vec<(RouteId, Vec<f64>)>,
+    /// Sorted by identifier.
+    pub(super) fellows: Vec<Fellow>,
+    /// Delegates that were silent, and until when they are passed over.
+    pub(super) avoided: Vec<(InstanceId, Time)>,
+    /// Zones for each route, sorted by route.
+    pub(super) zones: Vec<(RouteId, RouteZones)>,
+    pub(super) zone: ZoneId,
+    pub(super) last_adopted: u64,
     serving: bool,
     pub(super) out: Vec<ForwardEffect>,
 }
@@ -65,6 +74,11 @@
             budgets: Vec::new(),
             latencies: Vec::new(),
             turns: Vec::new(),
+            fellows: Vec::new(),
+            avoided: Vec::new(),
+            zones: Vec::new(),
+            zone,
+            last_adopted: 0,
             serving: false,
             out: Vec::new(),
             options,
@@ -91,6 +105,11 @@
         self.reader.age(now).is_some()
     }
 
+    /// A token under which the content of a task is kept.
+    pub fn adopt(&mut self) -> Token {
+        self.adopted_token()
+    }
+
     /// Handles one event.
     pub fn step(
         &mut self,
@@ -112,13 +131,21 @@
             }
             ForwardEvent::Serving(serving) => self.serving = serving,
             ForwardEvent::Fellows(fellows, instances) => {
-                self.reader.set_fellows(fellows);
+                self.reader
+                    .set_fellows(fellows.iter().map(|f| f.id).collect());
+                self.fellows = fellows;
                 self.targets.set_instances(instances);
             }
             ForwardEvent::DirectoryRead(result) => {
                 self.directory_read(now, result);
             }
-            ForwardEvent::Message(message) => {
+            ForwardEvent::Shared(from, message) => {
+                self.delegate_message(now, from, message);
+            }
+            ForwardEvent::Unreachable(id) => {
+                self.delegate_unreachable(now, id);
+            }
+            ForwardEvent::Directory(message) => {
                 let mut effects = Vec::new();
                 self.reader.message(now, message, &mut effects);
                 self.directory_effects(now, effects);
@@ -214,9 +241,10 @@
     }
 
     /// The caller has left: nobody needs its attempts.
-    fn caller_gone(&mut self, token: Token) {
+    pub(super) fn caller_gone(&mut self, token: Token) {
         let Some(at) = self.position(token) else { return };
-        self.requests.remove(at);
+        let request = self.requests.remove(at);
+        self.end_delegations(&request, true);
         let open: Vec<AttemptId> =
             self.attempts.of_request(token).map(|a| a.id).collect();
         for id in open {
@@ -248,6 +276,9 @@
     fn ended(&mut self, now: Time, id: AttemptId, outcome: Outcome) {
         let Some(attempt) = self.attempts.take(id) else { return };
         self.targets.ended(attempt.target, id);
+        if self.options.log_debug {
+            self.log_ended(now, &attempt, outcome);
+        }
         self.learn(now, &attempt, outcome);
         let Some(at) = self.position(attempt.token) else { return };
         let request = &mut self.requests[at];
@@ -282,6 +313,18 @@
         self.settle(now, attempt.token);
     }
 
+    fn log_ended(&mut self, now: Time, attempt: &Attempt, outcome: Outcome) {
+        let request = self.request(attempt.token);
+        let target = self.targets.get(attempt.target);
+        let detail = format!(
+            "request={} target={} outcome={outcome:?} took_ms={}",
+            request.map_or("-", |r| &r.id),
+            target.map_or("-", |t| &t.name),
+            now.since(attempt.sent_at).as_millis()
+        );
+        self.log(&kinds::ATTEMPT_ENDED, detail);
+    }
+
     /// Takes what an attempt shows of its target into account.
     fn learn(&mut self, now: Time, attempt: &Attempt, outcome: Outcome) {
         let target = attempt.target;
@@ -359,6 +402,14 @@
         Some(&self.requests[self.position(token)?])
     }
 
+    pub(super) fn request_mut(
+        &mut self,
+        token: Token,
+    ) -> Option<&mut Request> {
+        let at = self.position(token)?;
+        Some(&mut self.requests[at])
+    }
+
     pub(super) fn reject(
         &mut self,
         token: Token,
--- a/crates/core/src/forward/request.rs
+++ b/crates/core/src/forward/request.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use super::table::CompiledRoute;
+use super::{delegate::Delegation, table::CompiledRoute};
 use crate::{
-    id::{AttemptId, ServiceId, TargetId, Token},
+    id::{AttemptId, InstanceId, ServiceId, TargetId, Token},
     time::Time,
 };
 
@@ -15,6 +15,8 @@
     Waiting,
     /// Has at least one attempt.
     Asked,
+    /// Is handled by this instance.
+    Delegated(InstanceId),
     /// This attempt has brought the answer.
     Answered(AttemptId),
     /// Cannot be answered any more.
@@ -38,6 +40,10 @@
     pub(super) may_have_run: bool,
     /// The last answer that was a failure, for requests without shards.
     pub(super) failure: Option<AttemptId>,
+    /// Whether a delegate may have sent an attempt.
+    pub(super) sent_elsewhere: bool,
+    /// Whether the answer was sent to the root.
+    pub(super) reported: bool,
     /// When the last attempt was sent.
     pub(super) sent_at: Time,
 }
@@ -53,21 +59,42 @@
             refused: 0,
             may_have_run: false,
             failure: None,
+            sent_elsewhere: false,
+            reported: false,
             sent_at: Time::ZERO,
         }
     }
 
+    /// Attempts that targets may have run or may still run.
+    pub(super) fn may_run(&self) -> u32 {
+        self.sent - self.refused + u32::from(self.sent_elsewhere)
+    }
+
     /// Whether an answer may still come.
     pub(super) fn is_open(&self) -> bool {
-        matches!(self.progress, Progress::Waiting | Progress::Asked)
+        !matches!(self.progress, Progress::Answered(_) | Progress::Failed)
     }
 }
 
+/// Who waits for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Origin {
+    /// A caller of this instance.
+    Caller,
+    /// Another instance that has given it a task.
+    Root {
+        from: InstanceId,
+        /// The root's number of the task.
+        number: u64,
+    },
+}
+
 /// A caller's request in flight.
 #[derive(Clone, Debug)]
 pub(super) struct Request {
     pub(super) token: Token,
     pub(super) id: Arc<str>,
+    pub(super) origin: Origin,
     pub(super) route: Arc<CompiledRoute>,
     pub(super) started: Time,
     /// From here on a response with enough shards is not held back.
@@ -75,6 +102,10 @@
     /// The caller gets its final response at this time.
     pub(super) hard_at: Time,
     pub(super) shards: Vec<Shard>,
+    /// Places of the shards among the route's services.
+    pub(super) places: Vec<u16>,
+    /// Delegates that handle some of the shards.
+    pub(super) delegations: Vec<Delegation>,
     /// When the request is looked at next.
     pub(super) check_at: Time,
 }
--- a/crates/core/src/forward/send.rs
+++ b/crates/core/src/forward/send.rs
@@ -7,7 +7,8 @@
 use super::{
     ForwardEffect, Forwarder, Reason, Send, Submission,
     attempts::Attempt,
-    request::{Progress, Request, Shard},
+    delegate::Assignment,
+    request::{Origin, Progress, Request, Shard},
     table::{CompiledRoute, Destination},
     targets::Unavailable,
 };
@@ -52,29 +53,68 @@
         let hard_at = now + limit.saturating_sub(self.options.deadline_margin);
         let objective = Duration::from_millis(route.route.objective_ms.into());
         let soft_at = now + objective.saturating_sub(self.options.delivery);
-        for &service in &services {
-            let options = self.options.budget;
-            self.budget(service).request(&options, now);
-        }
-        let shards = services.into_iter().map(Shard::new).collect::<Vec<_>>();
-        let count = shards.len();
-        self.requests.push(Request {
-            token,
-            id: request_id,
-            route,
-            started: now,
-            soft_at: soft_at.min(hard_at),
-            hard_at,
-            shards,
-            check_at: now,
+        let assignments = self.assign(now, &route);
+        self.start(
+            now,
+            Request {
+                token,
+                id: request_id,
+                origin: Origin::Caller,
+                route,
+                started: now,
+                soft_at: soft_at.min(hard_at),
+                hard_at,
+                places: (0..services.len() as u16).collect(),
+                shards: services.into_iter().map(Shard::new).collect(),
+                delegations: Vec::new(),
+                check_at: now,
+            },
+            Some(assignments),
+        );
+    }
+
+    /// Sends a request's shards to targets or, if others handle some of
+    /// them, to these.
+    pub(super) fn start(
+        &mut self,
+        now: Time,
+        request: Request,
+        assignments: Option<Vec<Assignment>>,
+    ) {
+        let token = request.token;
+        let count = request.shards.len();
+        // Tokens are taken before requests are queued, so two may arrive in
+        // the other order.
+        let at = self.requests.partition_point(|r| r.token < token);
+        self.requests.insert(at, request);
+        let assignments = assignments.unwrap_or_else(|| {
+            let shards = (0..count).collect();
+            vec![Assignment { to: None, shards }]
         });
-        for shard in 0..count {
-            self.ask(now, token, shard, false);
+        // Delegates work while this instance sends its own part.
+        for assignment in &assignments {
+            if let Some(to) = assignment.to {
+                self.delegate(now, token, to, &assignment.shards);
+            }
+        }
+        for assignment in assignments.iter().filter(|a| a.to.is_none()) {
+            for &shard in &assignment.shards {
+                self.count_request(now, token, shard);
+                self.ask(now, token, shard, false);
+            }
         }
         self.plan_check(now, token);
         self.settle(now, token);
     }
 
+    /// Counts a request in the budget of a shard's service.
+    fn count_request(&mut self, now: Time, token: Token, shard: usize) {
+        let options = self.options.budget;
+        let Some(request) = self.request(token) else { return };
+        let service = request.shards[shard].service;
+        self.budget(service).request(&options, now);
+    }
+
     fn refuse(
         &mut self,
         token: Token,
@@ -247,6 +287,9 @@
             cancel_at: None,
         });
         self.targets.sent(now, target, attempt);
+        if self.options.log_debug {
+            self.log_sent(now, token, shard, &name, extra);
+        }
         self.out.push(ForwardEffect::Send(Send {
             attempt,
             token,
@@ -259,6 +302,24 @@
         true
     }
 
+    fn log_sent(
+        &mut self,
+        now: Time,
+        token: Token,
+        shard: usize,
+        target: &str,
+        extra: bool,
+    ) {
+        let Some(request) = self.request(token) else { return };
+        let detail = format!(
+            "request={} shard={} target={target} extra={extra} after_ms={}",
+            request.id,
+            request.places[shard],
+            now.since(request.started).as_millis()
+        );
+        self.log(&kinds::ATTEMPT_SENT, detail);
+    }
+
     /// Cancels an attempt at a target of the service that nobody waits for.
     fn free_connection(&mut self, now: Time, service: ServiceId) -> bool {
         let unneeded = self
@@ -281,7 +342,7 @@
         if part.open > 0 {
             return;
         }
-        let ran = part.sent - part.refused;
+        let ran = part.may_run();
         let allowed = (repeatable || !part.may_have_run)
             && ran < max_attempts
             && part.refused <= max_refusals;
@@ -309,19 +370,21 @@
             self.expire(now, token);
             return;
         }
+        self.check_delegates(now, token);
+        let Some(at) = self.position(token) else { return };
         let delay = self.hedge_delay(at);
         for shard in 0..self.requests[at].shards.len() {
             let request = &self.requests[at];
             let part = &request.shards[shard];
             match part.progress {
                 Progress::Waiting => {
-                    let extra = part.sent > 0;
+                    let extra = part.sent > 0 || part.sent_elsewhere;
                     self.ask(now, token, shard, extra);
                 }
                 Progress::Asked
                     if request.route.route.repeatable
                         && now.since(part.sent_at) >= delay
-                        && part.sent - part.refused
+                        && part.may_run()
                             < request.route.route.max_attempts =>
                 {
                     self.ask(now, token, shard, true);
@@ -350,7 +413,7 @@
     }
 
     /// Sets when the request is looked at next.
-    fn plan_check(&mut self, now: Time, token: Token) {
+    pub(super) fn plan_check(&mut self, now: Time, token: Token) {
         let Some(at) = self.position(token) else { return };
         let delay = self.hedge_delay(at);
         let pause = self.options.retry_pause;
@@ -360,12 +423,17 @@
         if request.soft_at > now {
             next = next.min(request.soft_at);
         }
+        for delegation in &request.delegations {
+            if let Some(at) = delegation.acknowledge_by {
+                next = next.min(at);
+            }
+        }
         for part in &request.shards {
             match part.progress {
                 Progress::Waiting => next = next.min(now + pause),
                 Progress::Asked
                     if request.route.route.repeatable
-                        && part.sent - part.refused < max_attempts =>
+                        && part.may_run() < max_attempts =>
                 {
                     // A hedge that found no budget or target is tried again.
                     let due = part.sent_at + delay;
--- a/crates/core/src/forward/table.rs
+++ b/crates/core/src/forward/table.rs
@@ -201,6 +201,14 @@
         matches!(self.route.destination, Destination::Shards { .. })
     }
 
+    /// Records in a merged response.
+    pub fn top(&self) -> usize {
+        match &self.route.destination {
+            Destination::Shards { top, .. } => *top as usize,
+            _ => 0,
+        }
+    }
+
     /// Number of shards that a response needs at least.
     pub fn needed(&self) -> usize {
         match &self.route.destination {
--- a/crates/core/src/forward/targets.rs
+++ b/crates/core/src/forward/targets.rs
@@ -37,15 +37,16 @@
     fn default() -> TargetChoice {
         TargetChoice {
             connection_part: 0.85,
-            sample_weight: 0.4,
+            sample_weight: 0.3,
             forget_half: Duration::from_secs(2),
             stall_factor: 3,
             stall_min: Duration::from_millis(25),
             pause_first: Duration::from_millis(100),
             pause_max: Duration::from_secs(2),
-            // A hop between zones takes about a millisecond, a tenth of the
-            // shortest work.
-            other_zone: 0.25,
+            // Above the spread of the latencies of equal targets, so that
+            // only a slow or busy target is passed over for one in another
+            // zone.
+            other_zone: 0.8,
         }
     }
 }
@@ -233,6 +234,18 @@
             .filter_map(|s| self.get(s.1))
     }
 
+    /// Zones in which the service has a usable target, sorted.
+    pub fn usable_zones(&self, now: Time, service: ServiceId) -> Vec<ZoneId> {
+        let mut zones: Vec<ZoneId> = self
+            .of_service(service)
+            .filter(|t| self.unusable_until(now, t).is_none())
+            .map(|t| t.zone)
+            .collect();
+        zones.sort_unstable();
+        zones.dedup();
+        zones
+    }
+
     /// Requests that this instance may have at one target at a time.
     fn share(&self, target: &Target, connections: u32) -> usize {
         let all = f64::from(connections) * self.choice.connection_part;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -25,4 +25,6 @@
     Control(control::Message),
     /// Readings of the platform's list of targets.
     Directory(forward::directory::Message),
+    /// Requests that instances share.
+    Shared(forward::delegate::Message),
 }
--- a/crates/core/src/node/forwarding.rs
+++ b/crates/core/src/node/forwarding.rs
@@ -9,10 +9,16 @@
         LogEvent,
         forward::{TABLE_INSTALLED, TABLE_REJECTED},
     },
-    forward::{ForwardEffect, ForwardEvent, directory, table::CompiledTable},
+    forward::{
+        ForwardEffect, ForwardEvent,
+        delegate::{Ask, Fellow, Incoming, Message},
+        directory,
+        table::CompiledTable,
+    },
     id::{ConfigVersion, InstanceId, ZoneId},
-    membership::Member,
+    membership::{Member, MemberState},
     message::PeerMessage,
+    placement::Candidate,
     time::Time,
 };
 
@@ -53,12 +59,49 @@
                 ForwardEffect::Broadcast(message) => {
                     self.broadcast_directory(&message, out);
                 }
+                ForwardEffect::Tell(to, message) => {
+                    self.send(to, PeerMessage::Shared(message), out);
+                }
+                ForwardEffect::Ask { to, .. }
+                | ForwardEffect::SendPart { to, .. } => {
+                    // The daemon adds the content, but does not know where
+                    // the instance is.
+                    if let Some(member) = self.member(to) {
+                        let address = member.address;
+                        out.extend([Effect::Share { address, effect }]);
+                    }
+                }
                 ForwardEffect::Log(event) => out.extend([Effect::Log(event)]),
                 effect => out.extend([Effect::Forward(effect)]),
             }
         }
     }
 
+    /// Puts the content of a message aside, which the reducer never sees.
+    pub(super) fn shared_message(
+        &mut self,
+        from: InstanceId,
+        message: Message,
+        out: &mut impl Extend<Effect>,
+    ) {
+        let message = match message {
+            Message::Ask(ask) => {
+                let Ask { task, content } = *ask;
+                let token = self.forwarder.adopt();
+                let effect = ForwardEffect::Adopt(token, content);
+                out.extend([Effect::Forward(effect)]);
+                Incoming::Task(token, task)
+            }
+            Message::Accepted(number) => Incoming::Accepted(number),
+            Message::Declined(number) => Incoming::Declined(number),
+            Message::Part(part) => Incoming::Part(part),
+            Message::Cancel { number, caller_gone } => {
+                Incoming::Cancel { number, caller_gone }
+            }
+        };
+        self.push(Internal::Forward(ForwardEvent::Shared(from, message)));
+    }
+
     fn broadcast_directory(
         &self,
         message: &directory::Message,
@@ -98,8 +141,8 @@
         }
     }
 
-    fn update_fellows(&mut self, now: Time) {
-        let fellows: Vec<InstanceId> = self.entry_fellows().collect();
+    pub(super) fn update_fellows(&mut self, now: Time) {
+        let fellows = self.fellows();
         let seen = &mut self.forward_fleet.seen;
         seen.retain(|s| s.1.is_none_or(|at| now < at + COUNT_GONE_FOR));
         let instances = seen.len().max(1);
@@ -113,6 +156,26 @@
         )));
     }
 
+    /// The other entry instances that live.
+    fn fellows(&self) -> Vec<Fellow> {
+        let fellow = |c: &Candidate| {
+            let suspect = self
+                .member(c.instance)
+                .is_none_or(|m| m.state != MemberState::Alive);
+            let unreachable = self
+                .unreachable
+                .binary_search_by_key(&c.instance, |u| u.0)
+                .is_ok();
+            Fellow {
+                id: c.instance,
+                zone: c.zone,
+                reachable: !suspect && !unreachable,
+            }
+        };
+        let others = |c: &&Candidate| c.instance != self.me.id;
+        self.candidates.iter().filter(others).map(fellow).collect()
+    }
+
     /// Hands a table on that has come into force, and the zones' states.
     pub(super) fn configure_forwarding(
         &mut self,
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -440,7 +440,7 @@
         message: PeerMessage,
         out: &mut impl Extend<Effect>,
     ) {
-        self.mark_reachable(from);
+        self.mark_reachable(now, from);
         match message {
             PeerMessage::Membership(message) => self.push(
                 Internal::Membership(MembershipEvent::Message(from, message)),
@@ -452,7 +452,11 @@
                 self.push(Internal::Home(from, message));
             }
             PeerMessage::Directory(message) => {
-                self.push(Internal::Forward(ForwardEvent::Message(message)))
+                let event = ForwardEvent::Directory(message);
+                self.push(Internal::Forward(event));
+            }
+            PeerMessage::Shared(message) => {
+                self.shared_message(from, message, out);
             }
             PeerMessage::Consensus(envelope) => {
                 self.consensus_message(now, envelope, out);
--- a/crates/core/src/node/roles.rs
+++ b/crates/core/src/node/roles.rs
@@ -7,6 +7,7 @@
     config::Configuration,
     config_sync::SyncEvent,
     event::{LogEvent, membership::HOME_MOVED},
+    forward::ForwardEvent,
     id::{InstanceId, TargetId},
     membership::{Member, MemberState, MembershipEvent},
     placement::{self, BundleKey, Bundled, Placed},
@@ -31,14 +32,17 @@
             Err(i) => {
                 self.unreachable.insert(i, (id, until));
                 self.update_query_candidates();
+                self.update_fellows(now);
             }
         }
+        self.push(Internal::Forward(ForwardEvent::Unreachable(id)));
     }
 
-    pub(super) fn mark_reachable(&mut self, id: InstanceId) {
+    pub(super) fn mark_reachable(&mut self, now: Time, id: InstanceId) {
         if let Ok(i) = self.unreachable.binary_search_by_key(&id, |u| u.0) {
             self.unreachable.remove(i);
             self.update_query_candidates();
+            self.update_fellows(now);
         }
     }
 
@@ -47,6 +51,7 @@
         self.unreachable.retain(|&(_, until)| until > now);
         if self.unreachable.len() != before {
             self.update_query_candidates();
+            self.update_fellows(now);
         }
     }
 
--- a/crates/core/src/node/types.rs
+++ b/crates/core/src/node/types.rs
@@ -167,6 +167,13 @@
     Target(TargetEffect),
     /// Do something on the forwarding path.
     Forward(ForwardEffect),
+    /// Send content of the forwarding path to another instance.
+    Share {
+        /// Its peer address.
+        address: SocketAddr,
+        /// What to send, an `Ask` or a `SendPart`.
+        effect: ForwardEffect,
+    },
     /// Write and sync, then answer with `Persisted`.
     Persist {
         /// Rises by one with each write.
--- a/src/daemon/effects.rs
+++ b/src/daemon/effects.rs
@@ -1,6 +1,10 @@
 //! Carries the effects of the reducer out.
 
+use std::net::SocketAddr;
+
 use primrosemast_core::{
+    forward::ForwardEffect,
+    id::InstanceId,
     message::PeerMessage,
     node::Effect,
     target::{RequestId, TargetEffect},
@@ -16,13 +20,21 @@
     pub(super) fn carry_out(&mut self, effect: Effect) {
         match effect {
             Effect::Send { to, address, message } => {
-                let class = class_name(&message);
-                if let Some(size) = self.peers.send(to, address, &message) {
-                    self.metrics.peer_message(class, size);
-                }
+                self.send_peer(to, address, &message);
             }
             Effect::Target(effect) => self.target_effect(effect),
             Effect::Forward(effect) => self.forwarding.carry_out(effect),
+            Effect::Share { address, effect } => {
+                let to = match &effect {
+                    ForwardEffect::Ask { to, .. }
+                    | ForwardEffect::SendPart { to, .. } => *to,
+                    _ => return,
+                };
+                if let Some(message) = self.forwarding.share(effect) {
+                    let message = PeerMessage::Shared(message);
+                    self.send_peer(to, address, &message);
+                }
+            }
             Effect::Persist { ticket, write } => {
                 if let Some(storage) = &self.storage {
                     storage.write(ticket, write);
@@ -47,6 +59,17 @@
         }
     }
 
+    fn send_peer(
+        &mut self,
+        to: InstanceId,
+        address: SocketAddr,
+        message: &PeerMessage,
+    ) {
+        if let Some(size) = self.peers.send(to, address, message) {
+            self.metrics.peer_message(class_name(message), size);
+        }
+    }
+
     pub(super) fn target_effect(&mut self, effect: TargetEffect) {
         match effect {
             TargetEffect::Connect { address, conn, .. } => {
@@ -91,5 +114,6 @@
         PeerMessage::Query(_) => "query",
         PeerMessage::Control(_) => "control",
         PeerMessage::Directory(_) => "directory",
+        PeerMessage::Shared(_) => "shared",
     }
 }
--- a/src/daemon/options.rs
+++ b/src/daemon/options.rs
@@ -76,6 +76,10 @@
     let extra = &settings.forwarding;
     let ms = Duration::from_millis;
     ForwardOptions {
+        log_debug: log::log_enabled!(
+            target: EVENT_TARGET,
+            log::Level::Debug
+        ),
         budget: BudgetOptions {
             window: ms(extra.extra_window_ms),
             ratio: extra.extra_ratio,
--- a/src/forward/connections.rs
+++ b/src/forward/connections.rs
@@ -249,7 +249,7 @@
     let answer = TargetAnswer {
         status: parts.status,
         headers: parts.headers,
-        signature: head.signature,
+        signatures: head.signature.into_iter().collect(),
         body: body.to_bytes(),
     };
     (head.outcome, Some(answer))
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -10,14 +10,17 @@
 mod ingress;
 mod native;
 mod protocol;
+mod shared;
 
 use std::sync::Arc;
 
 use bytes::Bytes;
+use http::HeaderValue;
 use http_body_util::Full;
 use primrosemast_core::{
     forward::{
         ForwardEffect, ForwardEvent, Outcome, Reason, Response,
+        delegate::{Ask, Message, Part},
         merge::merge_top,
     },
     id::{AttemptId, Token},
@@ -38,7 +41,8 @@
 struct Exchange {
     token: Token,
     req: Arc<CallerRequest>,
-    response: oneshot::Sender<CallerResponse>,
+    /// `None` for a task of another instance.
+    response: Option<oneshot::Sender<CallerResponse>>,
 }
 
 /// Callers in flight and what targets have answered them.
@@ -73,10 +77,14 @@
         req: Arc<CallerRequest>,
         response: oneshot::Sender<CallerResponse>,
     ) {
+        self.insert(Exchange { token, req, response: Some(response) });
+    }
+
+    fn insert(&mut self, exchange: Exchange) {
         // Tokens are taken before they are queued, so two callers may
         // arrive here in the other order.
-        let i = self.exchanges.partition_point(|e| e.token < token);
-        self.exchanges.insert(i, Exchange { token, req, response });
+        let i = self.exchanges.partition_point(|e| e.token < exchange.token);
+        self.exchanges.insert(i, exchange);
     }
 
     /// Forgets a caller that has left.
@@ -92,12 +100,51 @@
         if let Some(answer) = answer
             && self.position(token).is_ok()
         {
-            let i = self.answers.partition_point(|a| a.0 < id);
-            self.answers.insert(i, (id, token, answer));
+            self.keep(id, token, answer);
         }
         outcome
     }
 
+    fn keep(&mut self, id: AttemptId, token: Token, answer: TargetAnswer) {
+        let i = self.answers.partition_point(|a| a.0 < id);
+        self.answers.insert(i, (id, token, answer));
+    }
+
+    /// Adds the content to a message of the reducer for another instance.
+    pub(crate) fn share(&self, effect: ForwardEffect) -> Option<Message> {
+        match effect {
+            ForwardEffect::Ask { token, task, .. } => {
+                let i = self.position(token).ok()?;
+                let content = shared::content(&self.exchanges[i].req);
+                Some(Message::Ask(Box::new(Ask { task, content })))
+            }
+            ForwardEffect::SendPart {
+                number,
+                parts,
+                shards,
+                top,
+                done,
+                ..
+            } => {
+                let answers = self.answers(&parts)?;
+                let (signatures, records) = merge(&answers, top);
+                let signatures = signatures
+                    .iter()
+                    .map(|s| Bytes::copy_from_slice(s.as_bytes()))
+                    .collect();
+                let records = records.into();
+                Some(Message::Part(Part {
+                    number,
+                    shards,
+                    signatures,
+                    records,
+                    done,
+                }))
+            }
+            _ => None,
+        }
+    }
+
     /// Carries an effect of the reducer out.
     pub(crate) fn carry_out(&mut self, effect: ForwardEffect) {
         match effect {
@@ -118,7 +165,29 @@
                 self.respond(token, response);
             }
             ForwardEffect::ReadDirectory => self.read_directory(),
-            ForwardEffect::Broadcast(_) | ForwardEffect::Log(_) => {
+            ForwardEffect::Adopt(token, content) => {
+                match shared::request(content) {
+                    Ok(req) => {
+                        let req = Arc::new(req);
+                        self.insert(Exchange { token, req, response: None });
+                    }
+                    Err(e) => log::warn!("a task cannot be read: {e:#}"),
+                }
+            }
+            ForwardEffect::Forget(token) => {
+                self.take(token);
+            }
+            ForwardEffect::Keep { attempt, token, signatures, records } => {
+                if self.position(token).is_ok() {
+                    let answer = shared::answer(signatures, records);
+                    self.keep(attempt, token, answer);
+                }
+            }
+            ForwardEffect::Ask { .. }
+            | ForwardEffect::SendPart { .. }
+            | ForwardEffect::Tell(..)
+            | ForwardEffect::Broadcast(_)
+            | ForwardEffect::Log(_) => {
                 unreachable!("the node handles these itself")
             }
         }
@@ -141,9 +210,10 @@
 
     fn respond(&mut self, token: Token, response: Response) {
         let response = self.build(response);
-        if let Some(exchange) = self.take(token) {
+        let waiting = self.take(token).and_then(|e| e.response);
+        if let Some(waiting) = waiting {
             // A caller that has just left needs no response.
-            let _ = exchange.response.send(response);
+            let _ = waiting.send(response);
         }
     }
 
@@ -154,17 +224,10 @@
                 None => self.reject_lost(),
             },
             Response::Merge { parts, missing, top } => {
-                let answers: Vec<&TargetAnswer> =
-                    parts.iter().filter_map(|p| self.answer(*p)).collect();
-                if answers.len() < parts.len() {
+                let Some(answers) = self.answers(&parts) else {
                     return self.reject_lost();
-                }
-                let signatures: Vec<_> = answers
-                    .iter()
-                    .filter_map(|a| a.signature.clone())
-                    .collect();
-                let bodies = answers.iter().map(|a| a.body.as_ref());
-                let records = merge_top(bodies, top);
+                };
+                let (signatures, records) = merge(&answers, top);
                 self.protocol.merged(&signatures, missing, records)
             }
             Response::Reject { reason, verdict, retry_after } => {
@@ -184,6 +247,11 @@
         })
     }
 
+    /// The answers of these attempts, if all of them are here.
+    fn answers(&self, ids: &[AttemptId]) -> Option<Vec<&TargetAnswer>> {
+        ids.iter().map(|id| self.answer(*id)).collect()
+    }
+
     fn answer(&self, id: AttemptId) -> Option<&TargetAnswer> {
         let i = self.answers.binary_search_by_key(&id, |a| a.0).ok()?;
         Some(&self.answers[i].2)
@@ -205,6 +273,17 @@
     }
 }
 
+/// The signatures of all answers, and their greatest records.
+fn merge(
+    answers: &[&TargetAnswer],
+    top: usize,
+) -> (Vec<HeaderValue>, Vec<u8>) {
+    let signatures =
+        answers.iter().flat_map(|a| a.signatures.iter().cloned()).collect();
+    let records = merge_top(answers.iter().map(|a| a.body.as_ref()), top);
+    (signatures, records)
+}
+
 /// A target's answer, unchanged but for what concerns its connection.
 fn relay(answer: &TargetAnswer) -> CallerResponse {
     let body: Bytes = answer.body.clone();
--- a/src/forward/protocol.rs
+++ b/src/forward/protocol.rs
@@ -56,8 +56,9 @@
     pub status: StatusCode,
     /// Its headers.
     pub headers: HeaderMap,
-    /// The target's signature.
-    pub signature: Option<HeaderValue>,
+    /// Signatures of the targets whose records are in the body: the target's
+    /// own, or those that a delegate has merged.
+    pub signatures: Vec<HeaderValue>,
     /// Its complete body.
     pub body: Bytes,
 }
--- /dev/null
+++ b/src/forward/shared.rs
@@ -0,0 +1,64 @@
+//! The content of requests that instances share.
+
+use std::{str::FromStr, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri};
+use primrosemast_core::forward::delegate::Content;
+
+use super::{CallerHead, CallerRequest, TargetAnswer, message_headers};
+
+/// The content of a caller's request, for a delegate.
+pub(super) fn content(req: &CallerRequest) -> Content {
+    let headers = message_headers(&req.headers)
+        .iter()
+        .map(|(name, value)| {
+            let value = Bytes::copy_from_slice(value.as_bytes());
+            (name.as_str().to_owned(), value)
+        })
+        .collect();
+    Content {
+        request_id: req.head.request_id.clone(),
+        method: req.method.as_str().to_owned(),
+        uri: req.uri.to_string(),
+        headers,
+        body: req.body.clone(),
+    }
+}
+
+/// The request that a root has sent.
+///
+/// # Errors
+///
+/// Fails if the root is of a release that allows other characters.
+pub(super) fn request(content: Content) -> anyhow::Result<CallerRequest> {
+    let mut headers = HeaderMap::with_capacity(content.headers.len());
+    for (name, value) in content.headers {
+        let name = HeaderName::from_str(&name)?;
+        headers.append(name, HeaderValue::from_maybe_shared(value)?);
+    }
+    Ok(CallerRequest {
+        head: CallerHead {
+            request_id: content.request_id,
+            remaining: None::<Duration>,
+        },
+        method: Method::from_str(&content.method)?,
+        uri: Uri::from_str(&content.uri)?,
+        headers,
+        body: content.body,
+    })
+}
+
+/// What a delegate has merged, kept like the answer of a target.
+pub(super) fn answer(signatures: Vec<Bytes>, records: Bytes) -> TargetAnswer {
+    let signatures = signatures
+        .into_iter()
+        .filter_map(|s| HeaderValue::from_maybe_shared(s).ok())
+        .collect();
+    TargetAnswer {
+        status: StatusCode::OK,
+        headers: HeaderMap::new(),
+        signatures,
+        body: records,
+    }
+}
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -118,7 +118,7 @@
             PeerMessage::Sync(_) => Class::Sync,
             PeerMessage::Query(_) => Class::Query,
             PeerMessage::Control(_) => Class::Control,
-            PeerMessage::Directory(_) => Class::Query,
+            PeerMessage::Directory(_) | PeerMessage::Shared(_) => Class::Query,
         };
         let resend = may_be_repeated(message);
         let body = rmp_serde::to_vec(message).ok()?;
