--- a/crates/core/src/forward/send.rs
+++ b/crates/core/src/forward/send.rs
@@ -14,7 +14,7 @@
 };
 use crate::{
     event::forward as kinds,
-    id::{ServiceId, Token},
+    id::{ServiceId, TargetId, Token},
     time::Time,
     verdict::Verdict,
 };
@@ -288,7 +288,7 @@
         });
         self.targets.sent(now, target, attempt);
         if self.options.log_debug {
-            self.log_sent(now, token, shard, &name, extra);
+            self.log_sent(now, token, shard, target, extra);
         }
         self.out.push(ForwardEffect::Send(Send {
             attempt,
@@ -307,14 +307,18 @@
         now: Time,
         token: Token,
         shard: usize,
-        target: &str,
+        target: TargetId,
         extra: bool,
     ) {
         let Some(request) = self.request(token) else { return };
+        let Some(target) = self.targets.get(target) else { return };
         let detail = format!(
-            "request={} shard={} target={target} extra={extra} after_ms={}",
+            "request={} shard={} target={} own_zone={} extra={extra} \
+             after_ms={}",
             request.id,
             request.places[shard],
+            target.name,
+            target.zone == self.zone,
             now.since(request.started).as_millis()
         );
         self.log(&kinds::ATTEMPT_SENT, detail);
--- a/crates/core/src/forward/targets.rs
+++ b/crates/core/src/forward/targets.rs
@@ -16,6 +16,9 @@
     pub connection_part: f64,
     /// Weight of a new latency in the slowness of a target, 0 to 1.
     pub sample_weight: f64,
+    /// Targets may pause for this long now and then, which does not make
+    /// them slow.
+    pub usual_pause: Duration,
     /// Time in which half of what is known of a target's slowness is
     /// forgotten.
     pub forget_half: Duration,
@@ -38,6 +41,7 @@
         TargetChoice {
             connection_part: 0.85,
             sample_weight: 0.3,
+            usual_pause: Duration::from_millis(200),
             forget_half: Duration::from_secs(2),
             stall_factor: 3,
             stall_min: Duration::from_millis(25),
@@ -51,6 +55,10 @@
     }
 }
 
+/// A latency above this many typical ones is that of a slow or paused
+/// target.
+const SLOW_SAMPLE: f64 = 1.5;
+
 /// An incarnation of a target.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -75,6 +83,8 @@
     /// Latency relative to the typical one of its service.
     slowness: f64,
     sampled_at: Time,
+    /// When a slow answer last counted.
+    slow_at: Option<Time>,
     failures: u32,
     paused_until: Time,
     /// It refused a connection: a reading of the list that began after this
@@ -191,6 +201,7 @@
             open: Vec::new(),
             slowness: 1.0,
             sampled_at: Time::ZERO,
+            slow_at: None,
             failures: 0,
             paused_until: Time::ZERO,
             confirm_after: None,
@@ -362,12 +373,24 @@
     /// Takes a latency, relative to the typical one, into account.
     pub fn sample(&mut self, now: Time, id: TargetId, relative: f64) {
         let weight = self.choice.sample_weight;
+        let pause = self.choice.usual_pause;
         let Some(target) = self.get(id) else { return };
         let before = self.slowness(now, target);
+        let slow = relative > SLOW_SAMPLE;
+        // Every request that waits during one pause is slow, but only the
+        // first of them says something new.
+        let again = target.slow_at.is_some_and(|at| now.since(at) < pause);
+        if slow && again {
+            return;
+        }
+        let highest = 2.0 * before.max(SLOW_SAMPLE);
+        let relative = relative.clamp(0.2, highest);
         let Some(target) = self.get_mut(id) else { return };
-        let relative = relative.clamp(0.2, 30.0);
         target.slowness = before + weight * (relative - before);
         target.sampled_at = now;
+        if slow {
+            target.slow_at = Some(now);
+        }
     }
 
     /// Notes a good answer.
