--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -380,3 +380,93 @@
     assert_eq!(out, [ServiceEffect::Send(InstanceId(4), expected)]);
     assert!(!service.owns(token));
 }
+
+mod revisions {
+    //! Forwarding tables and zone orders in the replicated state.
+
+    use primrosemast_core::{
+        config::{Configuration, ZoneState},
+        control::{Applied, Command, ControlState, Revision, ZoneOrder},
+        forward::table::Forwarding,
+    };
+
+    fn revise(state: &mut ControlState, revision: u64, source: &str) -> bool {
+        let table = Forwarding {
+            revision,
+            source: source.into(),
+            ..Forwarding::default()
+        };
+        let table = rmp_serde::to_vec_named(&table).expect("a table").into();
+        let command = Command::Revise(Revision { revision, table });
+        changed(state, &command)
+    }
+
+    fn changed(state: &mut ControlState, command: &Command) -> bool {
+        let index = state.index() + 1;
+        match state.apply(index, &command.encode()) {
+            Applied::Version { changed, .. } => changed,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn configuration(state: &ControlState) -> Configuration {
+        let document = state.record().document;
+        rmp_serde::from_slice(&document).expect("a configuration")
+    }
+
+    // Guards against an older table, or another one of the same number, that
+    // replaces the one in force, and against a resend that is refused.
+    #[test]
+    fn the_highest_revision_is_in_force() {
+        let mut state = ControlState::default();
+        assert!(revise(&mut state, 5, "five"));
+        assert!(!revise(&mut state, 5, "another five"));
+        assert!(!revise(&mut state, 3, "three"));
+        assert!(revise(&mut state, 9, "nine"));
+        assert_eq!(configuration(&state).forwarding.source, "nine");
+        assert_eq!(state.version().0, 2);
+    }
+
+    // Guards against a table that brings a zone back, and against orders
+    // that are lost with a snapshot.
+    #[test]
+    fn zones_stay_out_while_tables_change() {
+        let mut state = ControlState::default();
+        let order = |zone: &str, state| {
+            let zone = zone.into();
+            Command::SetZone(ZoneOrder { zone, state })
+        };
+        assert!(revise(&mut state, 1, "one"));
+        assert!(changed(&mut state, &order("b", ZoneState::Out)));
+        assert!(!changed(&mut state, &order("b", ZoneState::Out)));
+        assert!(!changed(&mut state, &order("a", ZoneState::In)));
+        assert!(revise(&mut state, 2, "two"));
+        let mut restored = ControlState::default();
+        restored.restore(&state.snapshot()).expect("a snapshot");
+        assert!(configuration(&restored).zone_is_out("b"));
+        assert_eq!(configuration(&restored).forwarding.source, "two");
+        assert!(changed(&mut restored, &order("b", ZoneState::In)));
+        assert!(!configuration(&restored).zone_is_out("b"));
+    }
+
+    // Guards against a barrier that reports less than what was accepted
+    // before it, and against commands that count as no change to come.
+    #[test]
+    fn a_barrier_tells_the_version_at_its_place() {
+        let mut state = ControlState::default();
+        assert!(revise(&mut state, 4, "four"));
+        let index = state.index() + 1;
+        let applied = state.apply(index, &Command::Barrier.encode());
+        let version = state.version();
+        assert_eq!(applied, Applied::Version { version, changed: false });
+        let pending = [
+            Command::Barrier.encode(),
+            Command::SetZone(ZoneOrder {
+                zone: "c".into(),
+                state: ZoneState::Out,
+            })
+            .encode(),
+        ];
+        assert_eq!(state.logged_version(pending.iter()).0, version.0 + 1);
+    }
+}
