--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -252,10 +252,7 @@
         site.submit("one");
         let sent = site.sent().len();
         let none = site.responses().iter().any(|r| {
-            matches!(
-                r.1,
-                Response::Reject { reason: Reason::NoTarget, .. }
-            )
+            matches!(r.1, Response::Reject { reason: Reason::NoTarget, .. })
         });
         assert_eq!(none, sent == 0);
         none
--- a/crates/core/tests/forward_support/mod.rs
+++ b/crates/core/tests/forward_support/mod.rs
@@ -232,7 +232,8 @@
     /// Other entry instances, in zone `b`.
     pub fn set_fellows(&mut self, ids: &[u64]) {
         let zone = ZoneId::from_name("b");
-        let fellow = |&id| Fellow { id: InstanceId(id), zone, reachable: true };
+        let fellow =
+            |&id| Fellow { id: InstanceId(id), zone, reachable: true };
         let fellows: Vec<Fellow> = ids.iter().map(fellow).collect();
         let instances = fellows.len() + 1;
         self.step(ForwardEvent::Fellows(fellows, instances));
