Confirm reads of the configuration with the control group

Cause: GET /v1/configuration showed what the instance had in force.

Change: a read passes a barrier through the replicated log and waits until the instance has that version; otherwise it answers 503 and says why.

--- a/src/daemon/handle.rs
+++ b/src/daemon/handle.rs
@@ -219,16 +219,14 @@
         self.order(OperatorRequest::SetZone(order)).await
     }
 
-    /// The newest configuration, or why it cannot be told: it holds
-    /// everything that was accepted before this call.
+    /// Waits until this instance has everything that was accepted before
+    /// this call.
     ///
     /// # Errors
     ///
-    /// Fails if the control group does not answer, or if this instance does
-    /// not learn of the newest version in time.
-    pub async fn newest_configuration(
-        &self,
-    ) -> Result<Option<Arc<Configuration>>, String> {
+    /// Fails with the reason if the control group does not answer, or if
+    /// this instance does not learn of the newest version in time.
+    pub async fn catch_up(&self) -> Result<(), String> {
         let version = match self.order(OperatorRequest::Barrier).await {
             Ordered::Accepted(version) => version,
             Ordered::NotNow(reason) => return Err(reason),
@@ -243,6 +241,19 @@
             }
             tokio::time::sleep(CATCH_UP_PAUSE).await;
         }
+        Ok(())
+    }
+
+    /// The newest configuration, or why it cannot be told: it holds
+    /// everything that was accepted before this call.
+    ///
+    /// # Errors
+    ///
+    /// As [`Handle::catch_up`].
+    pub async fn newest_configuration(
+        &self,
+    ) -> Result<Option<Arc<Configuration>>, String> {
+        self.catch_up().await?;
         let (tx, rx) = oneshot::channel();
         self.input(Input::Document(tx));
         rx.await.map_err(|_| "this instance is stopping".into())
--- a/src/http/operator.rs
+++ b/src/http/operator.rs
@@ -39,7 +39,13 @@
 /// Routes of the operators' listener.
 pub(crate) fn router(handle: &Handle) -> Router {
     let status = view(handle, || Query::Status);
-    let configuration = view(handle, || Query::Configuration);
+    let configuration = {
+        let handle = handle.clone();
+        move || {
+            let handle = handle.clone();
+            async move { configuration(&handle).await }
+        }
+    };
     let explain = {
         let handle = handle.clone();
         move |PathParams(id): PathParams<String>| {
@@ -98,6 +104,17 @@
     }
 }
 
+/// Shows the newest configuration. An instance that cannot be sure of it
+/// says so, because what was shown once must not be followed by less.
+async fn configuration(handle: &Handle) -> Response {
+    match handle.catch_up().await {
+        Ok(()) => show(handle.view(Query::Configuration).await),
+        Err(reason) => {
+            error(StatusCode::SERVICE_UNAVAILABLE, "not_sure", reason)
+        }
+    }
+}
+
 fn show(view: Option<View>) -> Response {
     match view {
         Some(View::Found(value)) => json(StatusCode::OK, &value),
