Let a few instances of a zone handle the same shards

Cause: on the grown sites each instance sees a target 0.6 times a second, so it finds a slow one only after seconds, and keeps a connection to each.

Change: bundles of 32 shards are handled by the three instances of the zone that rank first for them (rendezvous hashing, as for homes).

--- a/crates/core/src/forward/delegate.rs
+++ b/crates/core/src/forward/delegate.rs
@@ -15,7 +15,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use rand::seq::SliceRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use serde::{Deserialize, Serialize};
 
 use super::{
@@ -26,6 +26,7 @@
 use crate::{
     event::forward as kinds,
     id::{AttemptId, InstanceId, RouteId, ServiceId, Token, ZoneId},
+    placement::{BundleKey, first_ranked},
     time::Time,
 };
 
@@ -52,6 +53,8 @@
 pub struct DelegateOptions {
     /// Shards that one instance handles, about.
     pub shards: usize,
+    /// Instances of a zone that handle the same shards.
+    pub handlers: usize,
     /// Shards below which another zone's targets are asked from here.
     pub least: usize,
     /// Part of the objective in which a delegate has to acknowledge.
@@ -70,6 +73,8 @@
             // A shard request takes some 80 us, so this many take 20 ms on
             // an eighth of a core.
             shards: 32,
+            // Two may be lost at the same time on the larger sites.
+            handlers: 3,
             // A task takes about as many bytes as two shard requests.
             least: 3,
             acknowledge_part: 0.45,
@@ -194,33 +199,21 @@
             return vec![Assignment { to: None, shards: vec![0] }];
         }
         self.avoided.retain(|a| a.1 > now);
+        let size = self.options.delegate.shards.max(1);
         let mut local = Vec::new();
         let mut assignments = Vec::new();
         for (zone, shards) in self.zone_parts(now, route) {
-            let own = zone == self.zone;
-            let mut handlers = self.delegates_in(zone);
-            handlers.shuffle(&mut self.rng);
-            let mut handlers: Vec<Option<InstanceId>> =
-                handlers.into_iter().map(Some).collect();
-            if own {
-                // Nothing is nearer than this instance.
-                handlers.insert(0, None);
-            }
             let few = shards.len() < self.options.delegate.least;
-            if handlers.is_empty() || (few && !own) {
+            if few && zone != self.zone {
                 local.extend(shards);
                 continue;
             }
-            let parts = shards
-                .len()
-                .div_ceil(self.options.delegate.shards.max(1))
-                .min(handlers.len());
-            let length = shards.len().div_ceil(parts.max(1)).max(1);
-            for (part, to) in shards.chunks(length).zip(handlers) {
-                match to {
+            for part in shards.chunk_by(|a, b| a / size == b / size) {
+                let bundle = part[0] / size;
+                let to = self.handler(route, zone, bundle);
+                match to.filter(|&to| to != self.me) {
+                    Some(to) => add(&mut assignments, to, part),
                     None => local.extend_from_slice(part),
-                    Some(_) => assignments
-                        .push(Assignment { to, shards: part.to_vec() }),
                 }
             }
         }
@@ -230,6 +223,29 @@
         assignments
     }
 
+    /// One of the few instances that handle a bundle of shards in a zone, so
+    /// that each of them sees enough of its targets to know them.
+    fn handler(
+        &mut self,
+        route: &CompiledRoute,
+        zone: ZoneId,
+        bundle: usize,
+    ) -> Option<InstanceId> {
+        let mut instances = self.delegates_in(zone);
+        if zone == self.zone {
+            instances.push(self.me);
+        }
+        let first = bundle * self.options.delegate.shards;
+        let service = route.services.get(first)?;
+        let key = BundleKey(service.0 ^ zone.0.rotate_left(1));
+        let count = self.options.delegate.handlers;
+        let ranked = first_ranked(key, instances, count);
+        if ranked.contains(&self.me) {
+            return Some(self.me);
+        }
+        ranked.choose(&mut self.rng).copied()
+    }
+
     /// Instances of a zone that can take tasks.
     fn delegates_in(&self, zone: ZoneId) -> Vec<InstanceId> {
         let avoided = |id| self.avoided.iter().any(|a| a.0 == id);
@@ -619,6 +635,15 @@
     }
 }
 
+/// Adds shards to the one task that an instance gets of a request.
+fn add(assignments: &mut Vec<Assignment>, to: InstanceId, part: &[usize]) {
+    match assignments.iter_mut().find(|a| a.to == Some(to)) {
+        Some(assignment) => assignment.shards.extend_from_slice(part),
+        None => assignments
+            .push(Assignment { to: Some(to), shards: part.to_vec() }),
+    }
+}
+
 /// A message with its content put aside.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Incoming {
--- a/crates/core/src/forward/reducer.rs
+++ b/crates/core/src/forward/reducer.rs
@@ -49,6 +49,7 @@
     pub(super) avoided: Vec<(InstanceId, Time)>,
     /// Zones for each route, sorted by route.
     pub(super) zones: Vec<(RouteId, RouteZones)>,
+    pub(super) me: InstanceId,
     pub(super) zone: ZoneId,
     pub(super) last_adopted: u64,
     serving: bool,
@@ -77,6 +78,7 @@
             fellows: Vec::new(),
             avoided: Vec::new(),
             zones: Vec::new(),
+            me,
             zone,
             last_adopted: 0,
             serving: false,
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -106,7 +106,7 @@
     let mut second = None;
     for candidate in candidates {
         let id = candidate.instance;
-        let weight = xxh3_64_with_seed(&id.0.to_le_bytes(), bundle.0);
+        let weight = weight(bundle, id);
         let entry = Some((candidate.zone == zone, weight, id));
         if entry > first {
             second = first;
@@ -118,6 +118,21 @@
     (first.map(|x| x.2), second.map(|x| x.2))
 }
 
+/// The `count` instances that rank first for a bundle, in that order.
+pub fn first_ranked(
+    bundle: BundleKey,
+    mut instances: Vec<InstanceId>,
+    count: usize,
+) -> Vec<InstanceId> {
+    instances.sort_by_key(|&id| std::cmp::Reverse(weight(bundle, id)));
+    instances.truncate(count);
+    instances
+}
+
+fn weight(bundle: BundleKey, id: InstanceId) -> u64 {
+    xxh3_64_with_seed(&id.0.to_le_bytes(), bundle.0)
+}
+
 /// The instances that can be homes: entry instances that do not leave.
 ///
 /// Suspects stay candidates, because most suspicions are refuted and a home
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -495,3 +495,19 @@
     }
     assert_eq!(site.responses().len(), 3);
 }
+
+// Guards against two tasks of one request for the same instance: the end of
+// the first took the shards of the second for failed.
+#[test]
+fn an_instance_gets_one_task_of_a_request() {
+    let forwarding = table(vec![route("q", shards(100, 0.5))]);
+    let mut site = Site::new(&forwarding, 2);
+    site.directory.targets.retain(|t| t.name.ends_with("/1"));
+    site.pass(ms(800));
+    site.set_fellows(&[9]);
+    site.effects.clear();
+    site.submit("q");
+    let tasks = asked(&mut site);
+    assert_eq!(tasks.len(), 1);
+    assert_eq!(tasks[0].1.shards.len(), 100);
+}
--- a/crates/core/tests/forward_support/mod.rs
+++ b/crates/core/tests/forward_support/mod.rs
@@ -76,7 +76,8 @@
         name: format!("{service}/{number}"),
         service: service.into(),
         address: ([10, 0, last, number], 80).into(),
-        availability_zone: if number % 2 == 0 { "a" } else { "b" }.into(),
+        availability_zone: if number.is_multiple_of(2) { "a" } else { "b" }
+            .into(),
         slots: 2,
         leaving: false,
         cold_ms: 0,
