Compress long messages and compare versions less often in large fleets

Change: bodies from 2 KB on are compressed (LZ4); above 32 members an instance compares every second instead of every 250 ms.

--- a/crates/core/src/config_sync/reducer.rs
+++ b/crates/core/src/config_sync/reducer.rs
@@ -14,6 +14,11 @@
     time::Time,
 };
 
+/// Comparisons are this many times less frequent above `direct_limit`
+/// members. Pushes bring most changes, and one instance in a large fleet
+/// adds little to what the others find.
+const LARGE_FLEET: u32 = 4;
+
 /// State of the control replica on this instance.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct OwnReplica {
@@ -303,7 +308,10 @@
 
     pub(super) fn on_tick(&mut self, now: Time) {
         if now >= self.next_compare {
-            self.next_compare = now + self.options.compare_interval;
+            let large = self.members.len() > self.options.direct_limit;
+            let interval = self.options.compare_interval;
+            let wait = if large { LARGE_FLEET * interval } else { interval };
+            self.next_compare = now + wait;
             self.compare();
         }
         if now >= self.next_round {
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -8,6 +8,7 @@
 */
 
 use std::{
+    borrow::Cow,
     collections::VecDeque,
     net::{IpAddr, SocketAddr},
     rc::Rc,
@@ -44,6 +45,15 @@
 /// Pause after a failed connection attempt.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
 
+/// Bodies are compressed from this length on, in bytes.
+const COMPRESS_FROM: usize = 2_048;
+
+/// Longest body after decompression, in bytes.
+const MAX_UNPACKED_BYTES: usize = 64 << 20;
+
+/// First byte of a compressed body; no MessagePack value begins with it.
+const COMPRESSED: u8 = 0xc1;
+
 /// Deliveries without an acknowledgement on one connection.
 const MAX_UNACKNOWLEDGED: usize = 1_024;
 
@@ -121,7 +131,7 @@
             PeerMessage::Directory(_) | PeerMessage::Shared(_) => Class::Query,
         };
         let resend = may_be_repeated(message);
-        let body = rmp_serde::to_vec(message).ok()?;
+        let body = pack(rmp_serde::to_vec(message).ok()?);
         let size = body.len();
         let link = self.link(address);
         link.queue.try_send(Outgoing { to, class, body, resend }).ok()?;
@@ -157,6 +167,35 @@
     }
 }
 
+/// Compresses a long body. Configurations and lists repeat the same names, so
+/// they shrink to a fraction.
+fn pack(body: Vec<u8>) -> Vec<u8> {
+    if body.len() < COMPRESS_FROM {
+        return body;
+    }
+    let compressed = lz4_flex::block::compress_prepend_size(&body);
+    let mut packed = Vec::with_capacity(compressed.len() + 1);
+    packed.push(COMPRESSED);
+    packed.extend_from_slice(&compressed);
+    packed
+}
+
+fn unpack(body: &[u8]) -> Result<Cow<'_, [u8]>, capnp::Error> {
+    let Some((&COMPRESSED, compressed)) = body.split_first() else {
+        return Ok(Cow::Borrowed(body));
+    };
+    let (size, block) = lz4_flex::block::uncompressed_size(compressed)
+        .map_err(|e| capnp::Error::failed(e.to_string()))?;
+    if size > MAX_UNPACKED_BYTES {
+        return Err(capnp::Error::failed(format!(
+            "a message of {size} bytes is too long"
+        )));
+    }
+    lz4_flex::block::decompress(block, size)
+        .map(Cow::Owned)
+        .map_err(|e| capnp::Error::failed(e.to_string()))
+}
+
 /// Whether a message that may have arrived can be sent again. Nothing above
 /// sends replies and shard requests again before a timeout; a root drops the
 /// second of two replies, and a home the second of two requests while the
@@ -365,7 +404,8 @@
         if recipient != 0 && recipient != self.me.0 {
             return Ok(());
         }
-        let message = rmp_serde::from_slice(envelope.get_body()?)
+        let body = unpack(envelope.get_body()?)?;
+        let message = rmp_serde::from_slice(&body)
             .map_err(|e| capnp::Error::failed(e.to_string()))?;
         let from = InstanceId(envelope.get_sender());
         self.events.received(Received { from, message });
