Ask a fellow for the list of targets before the platform

Change: an instance without a reading asks the instance that reads for all, and reads the list itself only 2.2 s later. The list is read every 0.9 s. An instance is ready once it knows the targets. Tests of the reader take the interval from the settings; what they assert is the same.

--- a/crates/core/src/forward/directory.rs
+++ b/crates/core/src/forward/directory.rs
@@ -50,6 +50,8 @@
         /// The reading.
         directory: Arc<Directory>,
     },
+    /// The sender has no reading yet and wants the receiver's.
+    Wanted,
     /// A later call has read the same list again.
     Unchanged {
         /// Time since that call began, in microseconds.
@@ -76,8 +78,8 @@
         DirectoryOptions {
             // A leaving target is known within the lag and one interval,
             // which leaves a second of the 3 s in which it must be left alone.
-            interval: Duration::from_millis(700),
-            // Three readings have failed or were lost by then.
+            interval: Duration::from_millis(900),
+            // Two readings have failed or were lost by then.
             fallback: Duration::from_millis(2_200),
             lag: Duration::from_secs(1),
         }
@@ -91,6 +93,8 @@
     Read,
     /// Send a message to the other entry instances.
     Broadcast(Message),
+    /// Send a message to one of them.
+    Send(InstanceId, Message),
     /// Use this reading, which is at least as old as `read_at`.
     Install {
         /// When the call that read it began.
@@ -109,7 +113,11 @@
     /// When the running call began.
     running: Option<Time>,
     next_at: Time,
+    /// When this instance began to need a reading.
+    needed_since: Option<Time>,
     read_at: Option<Time>,
+    /// The last reading.
+    directory: Arc<Directory>,
     hash: u64,
     /// Instances joined that have no full reading yet.
     full_due: bool,
@@ -124,7 +132,9 @@
             fellows: Vec::new(),
             running: None,
             next_at: Time::ZERO,
+            needed_since: None,
             read_at: None,
+            directory: Arc::default(),
             hash: 0,
             full_due: true,
         }
@@ -147,13 +157,24 @@
         self.read_at.map(|at| now.since(at))
     }
 
+    /// Whether there is any reading.
+    pub fn has_reading(&self) -> bool {
+        self.read_at.is_some()
+    }
+
     /// Starts a call if this instance is to read the list now.
     pub fn tick(&mut self, now: Time, out: &mut Vec<DirectoryEffect>) {
         if self.running.is_some() || now < self.next_at {
             return;
         }
-        let outdated =
-            self.age(now).is_none_or(|age| age >= self.options.fallback);
+        let needed_since = *self.needed_since.get_or_insert(now);
+        let latest = self.read_at.unwrap_or(needed_since);
+        let outdated = now.since(latest) >= self.options.fallback;
+        if self.read_at.is_none()
+            && let Some(&fellow) = self.fellows.iter().min()
+        {
+            out.push(DirectoryEffect::Send(fellow, Message::Wanted));
+        }
         if self.reads_for_all() || outdated {
             self.running = Some(now);
             out.push(DirectoryEffect::Read);
@@ -191,6 +212,7 @@
     pub fn message(
         &mut self,
         now: Time,
+        from: InstanceId,
         message: Message,
         out: &mut Vec<DirectoryEffect>,
     ) {
@@ -201,6 +223,15 @@
             Message::Unchanged { age_us, hash } if hash == self.hash => {
                 (age_us, hash, None)
             }
+            Message::Wanted => {
+                if let Some(age) = self.age(now) {
+                    let directory = Arc::clone(&self.directory);
+                    let age_us = age.as_micros() as u64;
+                    let reading = Message::Reading { age_us, directory };
+                    out.push(DirectoryEffect::Send(from, reading));
+                }
+                return;
+            }
             // The reading that it refers to was lost. The fallback reads
             // the list if no full one follows.
             Message::Unchanged { .. } => return,
@@ -224,6 +255,9 @@
             // says that nothing is to be taken over.
             self.read_at.is_none() || hash != self.hash
         });
+        if let Some(directory) = &directory {
+            self.directory = Arc::clone(directory);
+        }
         self.read_at = Some(read_at);
         self.hash = hash;
         out.push(DirectoryEffect::Install { read_at, directory });
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -99,7 +99,7 @@
     /// The platform's list was read, or could not be.
     DirectoryRead(Result<Directory, String>),
     /// Another instance says something about the platform's list.
-    Directory(directory::Message),
+    Directory(InstanceId, directory::Message),
     /// A deadline has passed.
     Tick,
 }
@@ -236,6 +236,8 @@
     },
     /// Send a message to another instance.
     Tell(InstanceId, delegate::Message),
+    /// Send another instance something about the platform's list.
+    TellDirectory(InstanceId, directory::Message),
     /// Read the platform's list and answer with `DirectoryRead`.
     ReadDirectory,
     /// Send a message to the other entry instances.
--- a/crates/core/src/forward/reducer.rs
+++ b/crates/core/src/forward/reducer.rs
@@ -103,8 +103,8 @@
     }
 
     /// Whether the platform's list has been read at all.
-    pub fn has_directory(&self, now: Time) -> bool {
-        self.reader.age(now).is_some()
+    pub fn has_directory(&self) -> bool {
+        self.reader.has_reading()
     }
 
     /// A token under which the content of a task is kept.
@@ -147,9 +147,9 @@
             ForwardEvent::Unreachable(id) => {
                 self.delegate_unreachable(now, id);
             }
-            ForwardEvent::Directory(message) => {
+            ForwardEvent::Directory(from, message) => {
                 let mut effects = Vec::new();
-                self.reader.message(now, message, &mut effects);
+                self.reader.message(now, from, message, &mut effects);
                 self.directory_effects(now, effects);
             }
             ForwardEvent::Tick => {}
@@ -216,6 +216,10 @@
                 DirectoryEffect::Broadcast(message) => {
                     self.out.push(ForwardEffect::Broadcast(message));
                 }
+                DirectoryEffect::Send(to, message) => {
+                    let effect = ForwardEffect::TellDirectory(to, message);
+                    self.out.push(effect);
+                }
                 DirectoryEffect::Install { read_at, directory } => {
                     self.targets.install(read_at, directory.as_deref());
                     if directory.is_some() {
--- a/crates/core/src/node/forwarding.rs
+++ b/crates/core/src/node/forwarding.rs
@@ -62,6 +62,9 @@
                 ForwardEffect::Tell(to, message) => {
                     self.send(to, PeerMessage::Shared(message), out);
                 }
+                ForwardEffect::TellDirectory(to, message) => {
+                    self.send(to, PeerMessage::Directory(message), out);
+                }
                 ForwardEffect::Ask { to, .. }
                 | ForwardEffect::SendPart { to, .. } => {
                     // The daemon adds the content, but does not know where
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -452,7 +452,7 @@
                 self.push(Internal::Home(from, message));
             }
             PeerMessage::Directory(message) => {
-                let event = ForwardEvent::Directory(message);
+                let event = ForwardEvent::Directory(from, message);
                 self.push(Internal::Forward(event));
             }
             PeerMessage::Shared(message) => {
--- a/crates/core/src/node/view.rs
+++ b/crates/core/src/node/view.rs
@@ -42,7 +42,12 @@
 
     /// Whether new requests should be sent here.
     pub fn ready(&self) -> bool {
-        self.serving && self.configuration.is_some() && !self.draining()
+        let has_targets = self.forwarding_table().revision == 0
+            || self.forwarder.has_directory();
+        self.serving
+            && self.configuration.is_some()
+            && has_targets
+            && !self.draining()
     }
 
     /// Explains the decisions on a recent request, if it was served here.
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -143,7 +143,7 @@
     let down = |site: &mut Site, shard: &str| {
         let prefix = format!("{shard}/");
         site.directory.targets.retain(|t| !t.name.starts_with(&prefix));
-        site.pass(ms(800));
+        site.pass(next_reading());
     };
     down(&mut site, "shard-3");
     site.submit("q");
@@ -260,7 +260,7 @@
     let mut site = Site::new(&forwarding, 1);
     assert!(!refused(&mut site));
     site.directory.targets[0].cold_ms = 2_000;
-    site.pass(ms(800));
+    site.pass(next_reading());
     assert!(refused(&mut site), "cold");
     site.directory.targets[0].cold_ms = 0;
     site.pass(ms(3_000));
@@ -275,7 +275,7 @@
     site.pass(ms(2_000));
     assert!(!refused(&mut site), "back and seen on the list since");
     site.directory.targets[0].leaving = true;
-    site.pass(ms(800));
+    site.pass(next_reading());
     assert!(refused(&mut site), "leaving");
 }
 
@@ -331,7 +331,7 @@
     let mut site = Site::new(&forwarding, 2);
     let far = ["shard-1/0", "shard-3/0", "shard-5/0"];
     site.directory.targets.retain(|t| !far.contains(&t.name.as_str()));
-    site.pass(ms(800));
+    site.pass(next_reading());
     site.set_fellows(&[9]);
     site.effects.clear();
     site
@@ -503,7 +503,7 @@
     let forwarding = table(vec![route("q", shards(100, 0.5))]);
     let mut site = Site::new(&forwarding, 2);
     site.directory.targets.retain(|t| t.name.ends_with("/1"));
-    site.pass(ms(800));
+    site.pass(next_reading());
     site.set_fellows(&[9]);
     site.effects.clear();
     site.submit("q");
--- a/crates/core/tests/forward_parts.rs
+++ b/crates/core/tests/forward_parts.rs
@@ -107,7 +107,7 @@
             _ => None,
         })
         .expect("the reading is passed on");
-    second.message(start, message, &mut Vec::new());
+    second.message(start, InstanceId(1), message, &mut Vec::new());
     let mut now = start;
     let step = Duration::from_millis(100);
     let mut waited = Duration::ZERO;
@@ -129,8 +129,29 @@
         age_us,
         directory: Directory::default().into(),
     };
-    reader.message(now, message(1_000), &mut out);
+    reader.message(now, InstanceId(1), message(1_000), &mut out);
     assert_eq!(out.len(), 1);
-    reader.message(now, message(500_000), &mut out);
+    reader.message(now, InstanceId(1), message(500_000), &mut out);
     assert_eq!(out.len(), 1);
 }
+
+// Guards against a whole fleet that reads the list at the same moment: an
+// instance that has started asks a fellow first.
+#[test]
+fn an_instance_without_a_reading_asks_a_fellow_first() {
+    let start = Time::from_millis(10_000);
+    let (mut first, mut second) = (reader(1, &[2]), reader(2, &[1]));
+    let mut out = Vec::new();
+    second.tick(start, &mut out);
+    let wanted = DirectoryEffect::Send(InstanceId(1), Message::Wanted);
+    assert_eq!(out, [wanted]);
+    first.tick(start, &mut Vec::new());
+    first.read(start, Some(Directory::default()), &mut Vec::new());
+    out.clear();
+    first.message(start, InstanceId(2), Message::Wanted, &mut out);
+    let Some(DirectoryEffect::Send(InstanceId(2), reading)) = out.pop() else {
+        panic!("no reading is sent");
+    };
+    second.message(start, InstanceId(1), reading, &mut Vec::new());
+    assert!(second.has_reading());
+}
--- a/crates/core/tests/forward_support/mod.rs
+++ b/crates/core/tests/forward_support/mod.rs
@@ -9,7 +9,7 @@
         Response, Send, Submission,
         budget::BudgetOptions,
         delegate::{Fellow, Incoming},
-        directory::{Directory, ListedTarget},
+        directory::{Directory, DirectoryOptions, ListedTarget},
         table::{
             CompiledTable, Destination, ForwardRoute, ForwardService,
             Forwarding, WeightedService,
@@ -25,6 +25,11 @@
     Duration::from_millis(millis)
 }
 
+/// Time after which the platform's list has been read again.
+pub fn next_reading() -> Duration {
+    DirectoryOptions::default().interval + ms(100)
+}
+
 pub fn route(path: &str, destination: Destination) -> ForwardRoute {
     ForwardRoute {
         name: path.into(),
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -186,6 +186,7 @@
             ForwardEffect::Ask { .. }
             | ForwardEffect::SendPart { .. }
             | ForwardEffect::Tell(..)
+            | ForwardEffect::TellDirectory(..)
             | ForwardEffect::Broadcast(_)
             | ForwardEffect::Log(_) => {
                 unreachable!("the node handles these itself")
