Replace a voter that stays silent; stop waiting for silent targets

Cause: a voter whose instance was replaced stayed in the group for ever, so the third replaced instance would have taken the majority.

Change: after 10 s of silence a ready learner is promoted and the voter is removed; a replica that knows no leader for 3 s asks to join again. A target with an attempt unanswered for 450 ms or 8 typical latencies gets nothing new until it answers, and a pause once its attempt is cancelled.

--- a/crates/core/src/control/repair.rs
+++ b/crates/core/src/control/repair.rs
@@ -12,6 +12,10 @@
 /// Time between looks at the group.
 const INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time after which a silent voter is replaced, if a learner is ready. Longer
+/// than a restart takes, because a voter that comes back needs no repair.
+const REPLACE_AFTER: Duration = Duration::from_secs(10);
+
 /// Entries that a learner may lack and still count as caught up.
 const CAUGHT_UP: u64 = 100;
 
@@ -39,6 +43,8 @@
 /// majority of active voters, or while another change is running.
 pub struct Repair {
     group_size: usize,
+    /// Voters that do not answer, sorted, and since when.
+    silent: Vec<(ReplicaId, Time)>,
     next_at: Time,
     running: Option<Token>,
     next_token: u64,
@@ -50,6 +56,7 @@
     pub fn new(group_size: usize, first_token: u64) -> Repair {
         Repair {
             group_size,
+            silent: Vec::new(),
             next_at: Time::ZERO,
             running: None,
             next_token: first_token,
@@ -79,10 +86,11 @@
                     return;
                 }
                 self.next_at = now + INTERVAL;
+                self.watch(now, &status);
                 if self.running.is_some() || status.role != Role::Leader {
                     return;
                 }
-                if let Some(change) = self.next_step(&status) {
+                if let Some(change) = self.next_step(now, &status) {
                     self.next_token += 1;
                     let token = Token(self.next_token);
                     self.running = Some(token);
@@ -110,20 +118,60 @@
         }
     }
 
-    /// The next change of the members, if one is needed.
-    fn next_step(&self, status: &Status) -> Option<MemberChange> {
+    /// Notes since when each voter is silent. Another leader does not know,
+    /// so a change of the leader starts the count again.
+    fn watch(&mut self, now: Time, status: &Status) {
+        if status.role != Role::Leader {
+            self.silent.clear();
+            return;
+        }
+        let is_silent = |id: ReplicaId| {
+            let at = status.members.iter().position(|m| m.id == id);
+            at.is_some_and(|at| {
+                let active = status.active.get(at).copied().unwrap_or(true);
+                status.members[at].voter && !active
+            })
+        };
+        self.silent.retain(|s| is_silent(s.0));
+        for member in &status.members {
+            let found = self.silent.binary_search_by_key(&member.id, |s| s.0);
+            if let Err(at) = found
+                && is_silent(member.id)
+            {
+                self.silent.insert(at, (member.id, now));
+            }
+        }
+    }
+
+    /// The next change that brings the group closer to its size.
+    ///
+    /// A replica of an instance that has a newer one goes first: its disk is
+    /// lost. A voter that has been silent for long is replaced: a learner is
+    /// promoted beside it, and then it is removed, so that the number of
+    /// voters with every entry never falls.
+    fn next_step(&self, now: Time, status: &Status) -> Option<MemberChange> {
+        let voters = status.members.iter().filter(|m| m.voter).count();
+        let lost = self
+            .silent
+            .iter()
+            .find(|s| now.since(s.1) >= REPLACE_AFTER)
+            .map(|s| s.0);
+        if let Some(lost) = lost
+            && voters > self.group_size
+        {
+            return Some(MemberChange::Remove(lost));
+        }
         let learner = ready_learner(status)?;
         let others = status
             .members
             .iter()
             .find(|m| m.instance == learner.instance && m.id != learner.id);
         if let Some(old) = others {
-            // The same instance cannot run two replicas: the other one's
-            // disk is lost.
             return Some(MemberChange::Remove(old.id));
         }
-        let voters = status.members.iter().filter(|m| m.voter).count();
-        (voters < self.group_size).then_some(MemberChange::Promote(learner.id))
+        let room = voters < self.group_size
+            || (lost.is_some() && voters == self.group_size);
+        room.then_some(MemberChange::Promote(learner.id))
     }
 }
 
--- a/crates/core/src/forward/reducer.rs
+++ b/crates/core/src/forward/reducer.rs
@@ -18,7 +18,7 @@
 };
 use crate::{
     event::{EventKind, LogEvent, forward as kinds},
-    id::{AttemptId, InstanceId, RouteId, ServiceId, Token, ZoneId},
+    id::{AttemptId, InstanceId, RouteId, ServiceId, TargetId, Token, ZoneId},
     time::Time,
     verdict::Verdict,
 };
@@ -264,6 +264,12 @@
     /// Cancels an attempt that has taken too long.
     pub(super) fn cancel(&mut self, now: Time, id: AttemptId) {
         let Some(attempt) = self.attempts.take(id) else { return };
+        let silent_after =
+            self.targets.silent_after(self.typical(attempt.route));
+        if now.since(attempt.sent_at) >= silent_after {
+            // Nobody waits for it any more, but it was given its time.
+            self.note_failure(now, attempt.target, "no answer");
+        }
         self.note_slow(now, &attempt);
         self.targets.ended(attempt.target, id);
         self.out.push(ForwardEffect::Cancel(id));
@@ -352,18 +358,19 @@
                 self.log_target(&kinds::TARGET_UNREACHABLE, target, "");
             }
             Outcome::Refused | Outcome::Failure | Outcome::Broken => {
-                let pause = self.targets.failed(now, target);
-                if let Some(pause) = pause {
-                    let detail = format!(
-                        " pause_ms={} outcome={outcome:?}",
-                        pause.as_millis()
-                    );
-                    self.log_target(&kinds::TARGET_PAUSED, target, &detail);
-                }
+                self.note_failure(now, target, &format!("{outcome:?}"));
             }
         }
     }
 
+    fn note_failure(&mut self, now: Time, target: TargetId, what: &str) {
+        if let Some(pause) = self.targets.failed(now, target) {
+            let detail =
+                format!(" pause_ms={} outcome={what:?}", pause.as_millis());
+            self.log_target(&kinds::TARGET_PAUSED, target, &detail);
+        }
+    }
+
     /// Lets the other attempts of an answered shard run on for a while, so
     /// that their connections can be kept.
     pub(super) fn release_shard(
@@ -434,7 +441,7 @@
     fn log_target(
         &mut self,
         kind: &'static EventKind,
-        target: crate::id::TargetId,
+        target: TargetId,
         detail: &str,
     ) {
         if let Some(target) = self.targets.get(target) {
--- a/crates/core/src/forward/targets.rs
+++ b/crates/core/src/forward/targets.rs
@@ -27,6 +27,11 @@
     pub stall_factor: u32,
     /// Shortest time after which an unanswered attempt shows that.
     pub stall_min: Duration,
+    /// An attempt that is unanswered for this many typical latencies shows a
+    /// target that does not answer at all.
+    pub silent_factor: u32,
+    /// Shortest time after which an unanswered attempt shows that.
+    pub silent_min: Duration,
     /// First pause after a failure of a target; doubles with each further
     /// one.
     pub pause_first: Duration,
@@ -45,6 +50,9 @@
             forget_half: Duration::from_secs(2),
             stall_factor: 3,
             stall_min: Duration::from_millis(25),
+            silent_factor: 8,
+            // Three usual pauses of a target.
+            silent_min: Duration::from_millis(450),
             pause_first: Duration::from_millis(100),
             pause_max: Duration::from_secs(2),
             // Above the spread of the latencies of equal targets, so that
@@ -92,6 +100,13 @@
     confirm_after: Option<Time>,
 }
 
+impl Target {
+    /// Whether an attempt is unanswered for longer than this.
+    fn waits_longer(&self, now: Time, limit: Duration) -> bool {
+        self.open.first().is_some_and(|o| now.since(o.1) > limit)
+    }
+}
+
 /// Why no target can take a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Unavailable {
@@ -289,6 +304,10 @@
                 until = until.min(at);
                 continue;
             }
+            if self.is_silent(now, target, typical) {
+                until = until.min(now + self.choice.pause_first);
+                continue;
+            }
             if target.open.len() >= self.share(target, connections) {
                 busy = true;
                 continue;
@@ -353,7 +372,21 @@
     ) -> bool {
         let limit =
             (typical * self.choice.stall_factor).max(self.choice.stall_min);
-        target.open.first().is_some_and(|o| now.since(o.1) > limit)
+        target.waits_longer(now, limit)
+    }
+
+    fn is_silent(
+        &self,
+        now: Time,
+        target: &Target,
+        typical: Duration,
+    ) -> bool {
+        target.waits_longer(now, self.silent_after(typical))
+    }
+
+    /// Time after which a target that has not answered counts as silent.
+    pub fn silent_after(&self, typical: Duration) -> Duration {
+        (typical * self.choice.silent_factor).max(self.choice.silent_min)
     }
 
     /// Notes that an attempt was sent.
--- a/crates/core/src/node/replica.rs
+++ b/crates/core/src/node/replica.rs
@@ -25,6 +25,10 @@
 /// How often a replica without a group asks to join one.
 const JOIN_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time without a leader after which a replica asks to join again. The group
+/// may have replaced it while it was away, and nobody tells it.
+const LEADERLESS_MAX: Duration = Duration::from_secs(3);
+
 /// Tokens of the repair policy start here, those of the service at 1, so
 /// that an outcome finds its owner.
 const FIRST_REPAIR_TOKEN: u64 = 1 << 62;
@@ -38,13 +42,17 @@
     pub(super) repair: Repair,
     pub(super) status: Status,
     pub(super) join_at: Time,
+    /// Since when no leader is known.
+    pub(super) leaderless_since: Option<Time>,
     /// What was last told to the configuration sync.
     pub(super) told: Option<(bool, u32, ConfigVersion, u64)>,
 }
 
 impl ReplicaNode {
     pub(super) fn next_deadline(&self) -> Option<Time> {
-        let join = (self.status.role == Role::Idle).then_some(self.join_at);
+        let asks =
+            self.status.role == Role::Idle || self.leaderless_since.is_some();
+        let join = asks.then_some(self.join_at);
         [self.consensus.next_deadline(), self.repair.next_deadline(), join]
             .into_iter()
             .flatten()
@@ -72,6 +80,7 @@
             repair: Repair::new(group_size, FIRST_REPAIR_TOKEN),
             status: Status::default(),
             join_at: now + JOIN_INTERVAL,
+            leaderless_since: None,
             told: None,
         });
         let mut effects = Vec::new();
@@ -99,8 +108,12 @@
         let Some(replica) = &mut self.replica else { return };
         let due = |at: Option<Time>| at.is_some_and(|at| at <= now);
         let tick = due(replica.consensus.next_deadline());
-        let join = replica.status.role == Role::Idle && replica.join_at <= now;
-        if join {
+        let leaderless = replica
+            .leaderless_since
+            .is_some_and(|since| now.since(since) >= LEADERLESS_MAX);
+        let join = (replica.status.role == Role::Idle || leaderless)
+            && replica.join_at <= now;
+        if replica.join_at <= now {
             replica.join_at = now + JOIN_INTERVAL;
         }
         if due(replica.repair.next_deadline()) {
@@ -424,6 +437,12 @@
     ) {
         let Some(replica) = &mut self.replica else { return };
         let joined = status.group != replica.status.group;
+        let has_leader = status.leader.is_some() || status.group == 0;
+        replica.leaderless_since = if has_leader {
+            None
+        } else {
+            replica.leaderless_since.or(Some(now))
+        };
         replica.status = status.clone();
         let id = replica.id;
         if joined {
--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -470,3 +470,83 @@
         assert_eq!(state.logged_version(pending.iter()).0, version.0 + 1);
     }
 }
+
+mod replacement {
+    //! Replacing a voter that stays silent.
+
+    use std::time::Duration;
+
+    use primrosemast_core::{
+        consensus::{MemberChange, Replica, Role, Status},
+        control::repair::{Repair, RepairEffect, RepairEvent},
+        id::{InstanceId, ReplicaId},
+        time::Time,
+    };
+
+    /// Replicas 1, 2 and so on; `voters` and `silent` name some of them.
+    fn status(count: u64, voters: &[u64], silent: &[u64]) -> Status {
+        let member = |id: u64| Replica {
+            id: ReplicaId(id),
+            instance: InstanceId(id),
+            name: format!("i{id}"),
+            address: ([127, 0, 0, 1], id as u16).into(),
+            voter: voters.contains(&id),
+        };
+        Status {
+            group: 1,
+            role: Role::Leader,
+            last_index: 10,
+            members: (1..=count).map(member).collect(),
+            progress: vec![10; count as usize],
+            active: (1..=count).map(|id| !silent.contains(&id)).collect(),
+            ..Status::default()
+        }
+    }
+
+    /// Shows the repair a status for some seconds; returns its first change.
+    fn watch(
+        repair: &mut Repair,
+        now: &mut Time,
+        seconds: u64,
+        status: &Status,
+    ) -> Option<MemberChange> {
+        for _ in 0..2 * seconds {
+            *now += Duration::from_millis(500);
+            let mut effects = Vec::new();
+            let event = RepairEvent::Status(status.clone());
+            repair.step(*now, event, &mut effects);
+            for effect in effects {
+                if let RepairEffect::ChangeMembers(token, change) = effect {
+                    repair.step(
+                        *now,
+                        RepairEvent::Outcome(token, Ok(1)),
+                        &mut Vec::new(),
+                    );
+                    return Some(change);
+                }
+            }
+        }
+        None
+    }
+
+    // Guards against a group that loses its majority one replaced instance
+    // after the other, and against one that replaces a voter that only
+    // restarts, or before there is another with every entry.
+    #[test]
+    fn a_voter_that_stays_silent_is_replaced() {
+        let (mut repair, mut now) =
+            (Repair::new(3, 1 << 40), Time::from_millis(1_000));
+        let sound = status(4, &[1, 2, 3], &[]);
+        let silent = status(4, &[1, 2, 3], &[2]);
+        assert_eq!(watch(&mut repair, &mut now, 30, &sound), None);
+        assert_eq!(watch(&mut repair, &mut now, 8, &silent), None);
+        assert_eq!(watch(&mut repair, &mut now, 8, &sound), None);
+        let promote = MemberChange::Promote(ReplicaId(4));
+        assert_eq!(watch(&mut repair, &mut now, 30, &silent), Some(promote));
+        let promoted = status(4, &[1, 2, 3, 4], &[2]);
+        let remove = MemberChange::Remove(ReplicaId(2));
+        assert_eq!(watch(&mut repair, &mut now, 30, &promoted), Some(remove));
+        let alone = status(3, &[1, 2, 3], &[2]);
+        assert_eq!(watch(&mut repair, &mut now, 30, &alone), None);
+    }
+}
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -511,3 +511,21 @@
     assert_eq!(tasks.len(), 1);
     assert_eq!(tasks[0].1.shards.len(), 100);
 }
+
+// Guards against requests that wait until their deadline for targets that
+// are known to answer nobody.
+#[test]
+fn silent_targets_are_not_waited_for() {
+    let forwarding = table(vec![route("one", one())]);
+    let mut site = Site::new(&forwarding, 2);
+    site.submit("one");
+    assert_eq!(site.sent().len(), 1);
+    site.pass(ms(40));
+    assert_eq!(site.sent().len(), 1, "the hedge");
+    site.pass(ms(500));
+    site.submit("one");
+    assert_eq!(site.sent(), Vec::new());
+    let responses = site.responses();
+    let expected = (Reason::NoTarget, Verdict::NotRun);
+    assert_eq!(rejected(&responses[0].1), expected);
+}
