Wait for room on a full disk instead of stopping

Change: a write that the disk has no room for is taken back and made again; other failures still stop the replica.

--- a/crates/core/src/event/control.rs
+++ b/crates/core/src/event/control.rs
@@ -28,5 +28,6 @@
     CONTROL_GAVE_UP = (425, Warn, "A request to the control leader got no answer within its time.");
     REPAIR_STEP = (426, Info, "The leader repairs the control group by a change of its members.");
     REPAIR_FAILED = (427, Warn, "A step of the repair of the control group failed; it will be tried again.");
+    STORAGE_FULL = (429, Warn, "The disk of the control replica is full. The replica acknowledges nothing until there is room; free some.");
     COMMAND_MALFORMED = (428, Error, "A committed command cannot be decoded and has no effect. The replicas run different releases; update the older ones.");
 }
--- a/src/daemon/handle.rs
+++ b/src/daemon/handle.rs
@@ -58,6 +58,8 @@
     ForwardCallerGone(Token),
     /// An attempt of the forwarding path has ended.
     ForwardEnded(AttemptId, (Outcome, Option<TargetAnswer>)),
+    /// The disk is full; the storage thread goes on when there is room.
+    StorageFull(String),
     /// The storage thread has failed; the replica must not go on.
     StorageFailed(String),
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -49,7 +49,7 @@
     http::{caller_router, operator_router},
     peer::{self, Peers, Received},
     settings::{InstanceSettings, Role},
-    storage::{Storage, StorageThread},
+    storage::{Storage, StorageErrorKind, StorageThread},
     target_client::{self, Connections},
 };
 
@@ -430,6 +430,12 @@
                 let event = ForwardEvent::Ended(id, outcome);
                 self.step(Event::Forward(event), effects);
             }
+            Input::StorageFull(message) => {
+                effects.push(Effect::Log(LogEvent::new(
+                    &primrosemast_core::event::control::STORAGE_FULL,
+                    format!("error={message:?}"),
+                )))
+            }
             Input::StorageFailed(message) => {
                 anyhow::bail!("the data folder failed: {message}");
             }
@@ -490,6 +496,9 @@
     let thread = StorageThread::spawn(storage, move |result| {
         let input = match result {
             Ok(ticket) => Input::Event(Event::Persisted(ticket)),
+            Err(e) if e.kind() == StorageErrorKind::Full => {
+                Input::StorageFull(e.to_string())
+            }
             Err(e) => Input::StorageFailed(e.to_string()),
         };
         handle.input(input);
--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -5,7 +5,8 @@
 lock. A record is a write of the replicated log: term and vote, entries, or a
 snapshot. Recovery replays the records in order. Nothing is reported as
 written before it is synced, and after the first failure nothing is reported
-at all: the daemon stops instead.
+at all: the daemon stops instead. A full disk alone is waited out, because the
+write can be taken back and made again.
 */
 
 mod error;
@@ -127,11 +128,21 @@
                 "an earlier write failed".into(),
             ));
         }
+        let synced = (self.segment.number(), self.segment.len());
         let result = self.try_write(batch);
-        self.failed = result.is_err();
+        if let Err(e) = &result {
+            let full = e.kind() == StorageErrorKind::Full;
+            self.failed = !(full && self.rewind(synced));
+        }
         result
     }
 
+    /// Drops what a write has left behind the synced end of a segment, so
+    /// that it can be written again. Returns whether that was possible.
+    fn rewind(&mut self, (number, len): (u64, u64)) -> bool {
+        self.segment.number() == number && self.segment.truncate(len).is_ok()
+    }
+
     fn try_write(&mut self, batch: &[Write]) -> Result<(), StorageError> {
         let mut buf = Vec::new();
         let mut snapshot = false;
--- a/src/storage/segment.rs
+++ b/src/storage/segment.rs
@@ -84,6 +84,16 @@
             .map_err(|e| StorageError::io("write", &self.path, e))
     }
 
+    /// Cuts the file at `len`.
+    pub(super) fn truncate(&mut self, len: u64) -> Result<(), StorageError> {
+        self.file
+            .set_len(len)
+            .and_then(|()| self.file.sync_data())
+            .map_err(|e| StorageError::io("truncate", &self.path, e))?;
+        self.len = len;
+        Ok(())
+    }
+
     pub(super) fn sync(&self) -> Result<(), StorageError> {
         self.file
             .sync_data()
--- a/src/storage/thread.rs
+++ b/src/storage/thread.rs
@@ -1,10 +1,13 @@
 //! A thread that writes, so that a slow sync does not stop the daemon.
 
-use std::{sync::mpsc, thread};
+use std::{sync::mpsc, thread, time::Duration};
 
 use primrosemast_core::consensus::Write;
 
-use super::{Storage, StorageError};
+use super::{Storage, StorageError, StorageErrorKind};
+
+/// Pause before a write to a full disk is made again.
+const FULL_PAUSE: Duration = Duration::from_millis(200);
 
 /// The writing thread of a data folder.
 #[derive(Debug)]
@@ -14,7 +17,8 @@
 
 impl StorageThread {
     /// Starts the thread. `report` gets the last synced ticket after each
-    /// sync, or the first failure, after which the thread ends.
+    /// sync, or a failure. After any failure but a full disk the thread
+    /// ends; a write to a full disk is made again.
     pub fn spawn(
         mut storage: Storage,
         report: impl Fn(Result<u64, StorageError>) + Send + 'static,
@@ -26,9 +30,13 @@
                 let (tickets, batch): (Vec<u64>, Vec<Write>) =
                     std::iter::once(first).chain(rx.try_iter()).unzip();
                 let last = tickets.last().copied().unwrap_or_default();
-                let result = storage.write(&batch).map(|()| last);
+                let mut result = storage.write(&batch);
+                if is_full(&result) {
+                    report(result.map(|()| last));
+                    result = write_when_free(&mut storage, &batch);
+                }
                 let failed = result.is_err();
-                report(result);
+                report(result.map(|()| last));
                 if failed {
                     return;
                 }
@@ -43,3 +51,21 @@
         let _ = self.writes.send((ticket, write));
     }
 }
+
+fn is_full(result: &Result<(), StorageError>) -> bool {
+    matches!(result, Err(e) if e.kind() == StorageErrorKind::Full)
+}
+
+/// Repeats a write until the disk is no longer full.
+fn write_when_free(
+    storage: &mut Storage,
+    batch: &[Write],
+) -> Result<(), StorageError> {
+    loop {
+        thread::sleep(FULL_PAUSE);
+        let result = storage.write(batch);
+        if !is_full(&result) {
+            return result;
+        }
+    }
+}
--- a/tests/storage.rs
+++ b/tests/storage.rs
@@ -272,3 +272,40 @@
     let error = Storage::open(dir.path()).expect_err("gap");
     assert_eq!(error.kind(), StorageErrorKind::Damaged);
 }
+
+/// Guards against a replica that ends because its disk is full for a while,
+/// and against one that loses what it wrote around that time.
+#[test]
+fn a_full_disk_is_waited_out() {
+    let dir = tempfile::tempdir().expect("folder");
+    let (mut storage, _, _) = Storage::open(dir.path()).expect("open");
+    storage.write(&[append(1, 10), append(2, 10)]).expect("write");
+    // Compaction writes its new segment to a device that is always full.
+    let next = dir.path().join("segment.new");
+    std::os::unix::fs::symlink("/dev/full", &next).expect("link");
+    let (tx, rx) = mpsc::channel();
+    let thread = StorageThread::spawn(storage, move |result| {
+        let _ = tx.send(result);
+    });
+    thread.write(7, snapshot(2, 1));
+    let wait = Duration::from_secs(10);
+    let error = rx.recv_timeout(wait).expect("a report").expect_err("full");
+    assert_eq!(error.kind(), StorageErrorKind::Full);
+    fs::remove_file(&next).expect("room");
+    let synced = rx.recv_timeout(wait).expect("a report");
+    assert_eq!(synced.expect("written"), 7);
+    thread.write(8, append(3, 10));
+    let synced = rx.recv_timeout(wait).expect("a report");
+    assert_eq!(synced.expect("written"), 8);
+    drop(thread);
+    // The lock is free once the thread has ended.
+    let start = std::time::Instant::now();
+    let (_, _, recovered) = loop {
+        match Storage::open(dir.path()) {
+            Ok(opened) => break opened,
+            Err(e) => assert!(start.elapsed() < wait, "{e}"),
+        }
+    };
+    let held = recovered.snapshot.expect("a snapshot").index;
+    assert_eq!((held, recovered.entries.len()), (2, 1));
+}
