Bound the attempts of a shared request; stagger the reading of the list

Change: a delegate makes one attempt a shard until the root confirms; the root takes nothing back from a confirmed one. Instances take the reading over one after the other and pass it on.

--- a/crates/core/src/forward/delegate.rs
+++ b/crates/core/src/forward/delegate.rs
@@ -8,8 +8,10 @@
 the greatest records of what has arrived, with the targets' signatures.
 
 A delegate that does not acknowledge is passed over for a while, and the root
-asks its shards itself. That may ask a target a second time, so it takes extra
-requests from the budget.
+asks its shards itself, with one attempt each from the budget for extra
+requests. A delegate makes one attempt for each shard until the root confirms
+that it will not do so, so that both together stay within the attempts that a
+route allows. The shards of a delegate that fails later are given up.
 */
 
 use std::{sync::Arc, time::Duration};
@@ -135,6 +137,9 @@
     Ask(Box<Ask>),
     /// The task was taken over.
     Accepted(u64),
+    /// The root knows that the task was taken over and will not take it
+    /// back.
+    Confirm(u64),
     /// The task was not taken over, and nothing was sent.
     Declined(u64),
     /// Some shards are answered.
@@ -427,11 +432,33 @@
             .map(|r| r.token)
             .collect();
         for token in tokens {
-            self.take_back(now, token, id, true);
+            let confirmed = self.request(token).is_some_and(|r| {
+                r.delegations
+                    .iter()
+                    .any(|d| d.to == id && d.acknowledge_by.is_none())
+            });
+            if confirmed {
+                self.give_up(token, id);
+            } else {
+                self.take_back(now, token, id, true);
+            }
             self.settle(now, token);
         }
     }
 
+    /// Gives the shards of a delegate up, which may have asked as many
+    /// targets as the route allows.
+    fn give_up(&mut self, token: Token, from: InstanceId) {
+        let Some(request) = self.request_mut(token) else { return };
+        request.delegations.retain(|d| d.to != from);
+        for shard in &mut request.shards {
+            if shard.progress == Progress::Delegated(from) {
+                shard.progress = Progress::Failed;
+                shard.may_have_run = true;
+            }
+        }
+    }
+
     /// Ends the tasks of a request that is over.
     pub(super) fn end_delegations(
         &mut self,
@@ -462,12 +489,17 @@
                 self.task(now, from, adopted, task);
             }
             Incoming::Accepted(number) => {
-                if let Some(request) = self.request_mut(Token(number)) {
-                    for d in &mut request.delegations {
-                        if d.to == from {
-                            d.acknowledge_by = None;
-                        }
-                    }
+                if self.acknowledged(Token(number), from) {
+                    let message = Message::Confirm(number);
+                    self.out.push(ForwardEffect::Tell(from, message));
+                }
+            }
+            Incoming::Confirm(number) => {
+                let origin = Origin::Root { from, number };
+                let found =
+                    self.requests.iter_mut().find(|r| r.origin == origin);
+                if let Some(request) = found {
+                    request.confirmed = true;
                 }
             }
             Incoming::Declined(number) => {
@@ -491,6 +523,16 @@
         }
     }
 
+    /// Notes that a delegate has taken its task over. Returns whether it
+    /// still has one.
+    fn acknowledged(&mut self, token: Token, from: InstanceId) -> bool {
+        let Some(request) = self.request_mut(token) else { return false };
+        let found = request.delegations.iter_mut().find(|d| d.to == from);
+        let Some(delegation) = found else { return false };
+        delegation.acknowledge_by = None;
+        true
+    }
+
     /// The token under which the daemon keeps the content of a task.
     pub(super) fn adopted_token(&mut self) -> Token {
         self.last_adopted += 1;
@@ -536,6 +578,7 @@
                 shards: services.into_iter().map(Shard::new).collect(),
                 places: task.shards,
                 delegations: Vec::new(),
+                confirmed: false,
                 check_at: now,
                 route,
             },
@@ -587,6 +630,7 @@
         if self.position(token).is_none() {
             return;
         }
+        self.acknowledged(token, from);
         let attempt = self.attempts.next_id();
         let Some(request) = self.request_mut(token) else { return };
         let mut taken = 0;
@@ -609,19 +653,8 @@
                 }
             }
         }
-        for d in &mut request.delegations {
-            if d.to == from {
-                d.acknowledge_by = None;
-            }
-        }
         if part.done {
-            request.delegations.retain(|d| d.to != from);
-            for shard in &mut request.shards {
-                if shard.progress == Progress::Delegated(from) {
-                    shard.progress = Progress::Failed;
-                    shard.may_have_run = true;
-                }
-            }
+            self.give_up(token, from);
         }
         if used && taken > 0 {
             self.out.push(ForwardEffect::Keep {
@@ -651,6 +684,8 @@
     Task(Token, Task),
     /// The task was taken over.
     Accepted(u64),
+    /// The root will not take the task back.
+    Confirm(u64),
     /// The task was not taken over, and nothing was sent.
     Declined(u64),
     /// Some shards are answered.
--- a/crates/core/src/forward/directory.rs
+++ b/crates/core/src/forward/directory.rs
@@ -3,8 +3,8 @@
 
 Every call to the platform has a price and the platform limits their rate, so
 the entry instance with the smallest identifier reads the list and sends it
-to the others. An instance that has not had a list for a while reads it
-itself, whatever the reason.
+to the others. If no reading comes, the next ones take over one after the
+other, so that they do not all call at once.
 */
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -66,8 +66,12 @@
 pub struct DirectoryOptions {
     /// Between two readings of the instance that reads for all.
     pub interval: Duration,
-    /// Age of the last reading after which every instance reads the list
-    /// itself.
+    /// Age of the last reading after which the instance that is next in line
+    /// reads the list.
+    pub takeover: Duration,
+    /// Further age after which each following instance does.
+    pub takeover_step: Duration,
+    /// Age after which any instance does, because it may be cut off.
     pub fallback: Duration,
     /// Time by which the list may lag behind the platform's state.
     pub lag: Duration,
@@ -79,8 +83,10 @@
             // A leaving target is known within the lag and one interval,
             // which leaves a second of the 3 s in which it must be left alone.
             interval: Duration::from_millis(900),
-            // Two readings have failed or were lost by then.
-            fallback: Duration::from_millis(2_200),
+            // A reading has failed or was lost by then.
+            takeover: Duration::from_millis(1_300),
+            takeover_step: Duration::from_millis(250),
+            fallback: Duration::from_millis(2_600),
             lag: Duration::from_secs(1),
         }
     }
@@ -169,7 +175,7 @@
         }
         let needed_since = *self.needed_since.get_or_insert(now);
         let latest = self.read_at.unwrap_or(needed_since);
-        let outdated = now.since(latest) >= self.options.fallback;
+        let outdated = now.since(latest) >= self.patience();
         if self.read_at.is_none()
             && let Some(&fellow) = self.fellows.iter().min()
         {
@@ -179,7 +185,21 @@
             self.running = Some(now);
             out.push(DirectoryEffect::Read);
         }
-        self.next_at = now + self.options.interval;
+        let wait = if self.reads_for_all() {
+            self.options.interval
+        } else {
+            self.options.takeover_step
+        };
+        self.next_at = now + wait;
+    }
+
+    /// Age of the last reading at which this instance reads the list itself.
+    fn patience(&self) -> Duration {
+        let before = self.fellows.iter().filter(|f| **f < self.me).count();
+        let steps =
+            u32::try_from(before.saturating_sub(1)).unwrap_or(u32::MAX);
+        let wait = self.options.takeover_step.saturating_mul(steps);
+        self.options.takeover.saturating_add(wait).min(self.options.fallback)
     }
 
     /// Takes the result of a call; `None` if it failed.
@@ -201,10 +221,8 @@
             let directory = Arc::clone(&directory);
             Message::Reading { age_us, directory }
         };
-        if self.reads_for_all() {
-            self.full_due = false;
-            out.push(DirectoryEffect::Broadcast(message));
-        }
+        self.full_due = false;
+        out.push(DirectoryEffect::Broadcast(message));
         self.install(read_at, hash, Some(directory), out);
     }
 
--- a/crates/core/src/forward/request.rs
+++ b/crates/core/src/forward/request.rs
@@ -106,6 +106,8 @@
     pub(super) places: Vec<u16>,
     /// Delegates that handle some of the shards.
     pub(super) delegations: Vec<Delegation>,
+    /// Whether nobody else will ask the same shards.
+    pub(super) confirmed: bool,
     /// When the request is looked at next.
     pub(super) check_at: Time,
 }
@@ -117,6 +119,12 @@
         self.shards.iter().filter(answered).count()
     }
 
+    /// Targets that may run each shard.
+    pub(super) fn max_attempts(&self) -> u32 {
+        let allowed = self.route.route.max_attempts.max(1);
+        if self.confirmed { allowed } else { 1 }
+    }
+
     pub(super) fn open(&self) -> usize {
         self.shards.iter().filter(|s| s.is_open()).count()
     }
--- a/crates/core/src/forward/send.rs
+++ b/crates/core/src/forward/send.rs
@@ -67,6 +67,7 @@
                 places: (0..services.len() as u16).collect(),
                 shards: services.into_iter().map(Shard::new).collect(),
                 delegations: Vec::new(),
+                confirmed: true,
                 check_at: now,
             },
             Some(assignments),
@@ -342,6 +343,7 @@
         let request = &mut self.requests[at];
         let repeatable = request.route.route.repeatable;
         let max_attempts = request.route.route.max_attempts.max(1);
+        let allowed_now = request.max_attempts();
         let part = &mut request.shards[shard];
         if part.open > 0 {
             return;
@@ -354,7 +356,7 @@
             part.progress = Progress::Failed;
             return;
         }
-        if self.ask(now, token, shard, true) {
+        if ran < allowed_now && self.ask(now, token, shard, true) {
             return;
         }
         let request = &mut self.requests[at];
@@ -383,13 +385,14 @@
             match part.progress {
                 Progress::Waiting => {
                     let extra = part.sent > 0 || part.sent_elsewhere;
-                    self.ask(now, token, shard, extra);
+                    if part.may_run() < request.max_attempts() {
+                        self.ask(now, token, shard, extra);
+                    }
                 }
                 Progress::Asked
                     if request.route.route.repeatable
                         && now.since(part.sent_at) >= delay
-                        && part.may_run()
-                            < request.route.route.max_attempts =>
+                        && part.may_run() < request.max_attempts() =>
                 {
                     self.ask(now, token, shard, true);
                 }
@@ -422,7 +425,7 @@
         let delay = self.hedge_delay(at);
         let pause = self.options.retry_pause;
         let request = &mut self.requests[at];
-        let max_attempts = request.route.route.max_attempts;
+        let max_attempts = request.max_attempts();
         let mut next = request.hard_at;
         if request.soft_at > now {
             next = next.min(request.soft_at);
--- a/crates/core/src/node/forwarding.rs
+++ b/crates/core/src/node/forwarding.rs
@@ -96,6 +96,7 @@
                 Incoming::Task(token, task)
             }
             Message::Accepted(number) => Incoming::Accepted(number),
+            Message::Confirm(number) => Incoming::Confirm(number),
             Message::Declined(number) => Incoming::Declined(number),
             Message::Part(part) => Incoming::Part(part),
             Message::Cancel { number, caller_gone } => {
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -529,3 +529,50 @@
     let expected = (Reason::NoTarget, Verdict::NotRun);
     assert_eq!(rejected(&responses[0].1), expected);
 }
+
+// Guards against a shard that runs on three targets: a delegate that the
+// root may take its task back from makes one attempt for each shard.
+#[test]
+fn a_delegate_hedges_only_once_the_root_has_confirmed() {
+    let forwarding = table(vec![route("q", shards(4, 0.5))]);
+    let mut site = Site::new(&forwarding, 3);
+    let task = Task {
+        number: 5,
+        request_id: "r".into(),
+        revision: 1,
+        route: RouteId::from_name("q"),
+        shards: vec![0, 1],
+        remaining_us: 900_000,
+        soft_us: 90_000,
+    };
+    let token = site.forwarder.adopt();
+    site.shared(3, Incoming::Task(token, task));
+    let first = site.sent();
+    assert_eq!(first.len(), 2);
+    site.pass(ms(80));
+    assert_eq!(site.sent(), Vec::new());
+    site.end(first[0].attempt, Outcome::Broken);
+    site.pass(ms(20));
+    assert_eq!(site.sent(), Vec::new());
+    site.shared(3, Incoming::Confirm(5));
+    site.pass(ms(30));
+    assert_eq!(site.sent().len(), 2);
+}
+
+// Guards against a root that asks again what a confirmed delegate may have
+// asked two targets already.
+#[test]
+fn shards_of_a_confirmed_delegate_are_not_asked_again() {
+    let mut site = site_with_far_shards();
+    let token = site.submit("q");
+    site.sent();
+    asked(&mut site);
+    site.shared(9, Incoming::Accepted(token.0));
+    let confirm = Message::Confirm(token.0);
+    let told = ForwardEffect::Tell(InstanceId(9), confirm);
+    assert!(site.effects.contains(&told));
+    site.step(ForwardEvent::Unreachable(InstanceId(9)));
+    let again: Vec<_> =
+        site.sent().into_iter().filter(|s| s.name.ends_with("/1")).collect();
+    assert_eq!(again, Vec::new());
+}
--- a/crates/core/tests/forward_parts.rs
+++ b/crates/core/tests/forward_parts.rs
@@ -116,7 +116,46 @@
         waited += step;
         assert!(waited < Duration::from_secs(4), "nobody reads the list");
     }
-    assert!(waited >= DirectoryOptions::default().fallback);
+    assert!(waited >= DirectoryOptions::default().takeover);
+}
+
+// Guards against a fleet that calls the platform all at once, beyond its
+// limit, when the instance that reads for all is gone.
+#[test]
+fn instances_take_the_reading_over_one_after_the_other() {
+    let start = Time::from_millis(10_000);
+    let ids: Vec<u64> = (1..=40).collect();
+    let mut readers: Vec<Reader> = ids[1..]
+        .iter()
+        .map(|&me| {
+            let others: Vec<u64> =
+                ids.iter().copied().filter(|&id| id != me).collect();
+            reader(me, &others)
+        })
+        .collect();
+    let (mut calls, mut now) = (0, start);
+    for _ in 0..20 {
+        let mut messages = Vec::new();
+        for reader in &mut readers {
+            if reads(reader, now) {
+                calls += 1;
+                let mut out = Vec::new();
+                reader.read(now, Some(Directory::default()), &mut out);
+                messages.extend(out.into_iter().filter_map(|e| match e {
+                    DirectoryEffect::Broadcast(message) => Some(message),
+                    _ => None,
+                }));
+            }
+        }
+        for message in messages {
+            for reader in &mut readers {
+                let from = InstanceId(2);
+                reader.message(now, from, message.clone(), &mut Vec::new());
+            }
+        }
+        now += Duration::from_millis(100);
+    }
+    assert_eq!(calls, 1, "one call in the 2 s after the reader is gone");
 }
 
 // Guards against an older reading that replaces a newer one.
