Plan the hedges of a task when the root confirms it

Change: the confirmation plans the next look. The test now confirms before the answers are due and fails without the change.

--- a/crates/core/src/forward/delegate.rs
+++ b/crates/core/src/forward/delegate.rs
@@ -500,6 +500,8 @@
                     self.requests.iter_mut().find(|r| r.origin == origin);
                 if let Some(request) = found {
                     request.confirmed = true;
+                    let token = request.token;
+                    self.plan_check(now, token);
                 }
             }
             Incoming::Declined(number) => {
