Send messages between roots and delegates again

Change: the arm is back, and every effect is named, so that the compiler finds the next one that is forgotten.

--- a/crates/core/src/node/forwarding.rs
+++ b/crates/core/src/node/forwarding.rs
@@ -55,6 +55,9 @@
         self.forwarder.step(now, event, &mut effects);
         for effect in effects {
             match effect {
+                ForwardEffect::Tell(to, message) => {
+                    self.send(to, PeerMessage::Shared(message), out);
+                }
                 ForwardEffect::TellDirectory(to, message) => {
                     self.send(to, PeerMessage::Directory(message), out);
                 }
@@ -68,7 +71,15 @@
                     }
                 }
                 ForwardEffect::Log(event) => out.extend([Effect::Log(event)]),
-                effect => out.extend([Effect::Forward(effect)]),
+                ForwardEffect::Send(_)
+                | ForwardEffect::Cancel(_)
+                | ForwardEffect::Respond(..)
+                | ForwardEffect::ReadDirectory
+                | ForwardEffect::Adopt(..)
+                | ForwardEffect::Forget(_)
+                | ForwardEffect::Keep { .. } => {
+                    out.extend([Effect::Forward(effect)]);
+                }
             }
         }
     }
