Write the log through a bounded queue

Cause: a log line waited for the reader of the output, so a reader that stops would have stopped the instance.

Measured: a test with a stopped reader, which a direct write never passes.

--- a/src/bin/primrosemastd.rs
+++ b/src/bin/primrosemastd.rs
@@ -3,7 +3,7 @@
 use std::{path::PathBuf, process::ExitCode};
 
 use clap::{Arg, Command, value_parser};
-use primrosemast::{daemon, settings};
+use primrosemast::{daemon, log_output, settings};
 
 /// Exit code for bad usage or settings.
 const EXIT_SETTINGS: u8 = 2;
@@ -33,11 +33,7 @@
             return ExitCode::from(EXIT_SETTINGS);
         }
     };
-    env_logger::Builder::new()
-        .parse_filters(&settings.log)
-        .parse_default_env()
-        .format_timestamp_micros()
-        .init();
+    log_output::init(&settings.log, std::io::stderr());
     match daemon::run(&settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
--- /dev/null
+++ b/tests/log_output.rs
@@ -0,0 +1,69 @@
+//! Log output that must not hold requests up.
+
+use std::{
+    io::{self, Write},
+    sync::{Arc, Condvar, Mutex},
+    time::{Duration, Instant},
+};
+
+use primrosemast::log_output::Output;
+
+#[derive(Default)]
+struct State {
+    stopped: bool,
+    read: Vec<u8>,
+}
+
+/// A reader that can be stopped, and what it has read.
+#[derive(Clone, Default)]
+struct Reader {
+    state: Arc<(Mutex<State>, Condvar)>,
+}
+
+impl Reader {
+    fn set_stopped(&self, stopped: bool) {
+        self.state.0.lock().expect("state").stopped = stopped;
+        self.state.1.notify_all();
+    }
+
+    fn text(&self) -> String {
+        let state = self.state.0.lock().expect("state");
+        String::from_utf8_lossy(&state.read).into_owned()
+    }
+}
+
+impl Write for Reader {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        let mut state = self.state.0.lock().expect("state");
+        while state.stopped {
+            state = self.state.1.wait(state).expect("state");
+        }
+        state.read.extend_from_slice(buf);
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against a daemon that stops with the reader of its log, and
+/// against lines that are left out without a word.
+#[test]
+fn a_stopped_reader_holds_nobody_up() {
+    let reader = Reader::default();
+    reader.set_stopped(true);
+    let mut output = Output::new(reader.clone());
+    // Far more lines than the queue holds; a blocked write never returns.
+    for i in 0..20_000 {
+        let line = format!("line {i}\n");
+        output.write_all(line.as_bytes()).expect("never fails");
+    }
+    reader.set_stopped(false);
+    let start = Instant::now();
+    while !reader.text().contains("log lines were left out") {
+        assert!(start.elapsed() < Duration::from_secs(30), "no count");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    assert!(reader.text().starts_with("line 0\nline 1\n"));
+}
