--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -23,6 +23,7 @@
 mod reducer;
 mod request;
 mod send;
+pub mod shared;
 pub mod table;
 pub mod targets;
 
@@ -31,8 +32,9 @@
 use bytes::Bytes;
 
 use self::{
-    delegate::{Content, Fellow, Incoming, Task},
+    delegate::Fellow,
     directory::Directory,
+    shared::{Content, Incoming, Task},
     table::{CompiledRoute, CompiledTable},
 };
 pub use self::{options::ForwardOptions, reducer::Forwarder};
@@ -235,7 +237,7 @@
         records: Bytes,
     },
     /// Send a message to another instance.
-    Tell(InstanceId, delegate::Message),
+    Tell(InstanceId, shared::Message),
     /// Send another instance something about the platform's list.
     TellDirectory(InstanceId, directory::Message),
     /// Read the platform's list and answer with `DirectoryRead`.
--- a/crates/core/src/forward/send.rs
+++ b/crates/core/src/forward/send.rs
@@ -10,7 +10,7 @@
     delegate::Assignment,
     request::{Origin, Progress, Request, Shard},
     table::{CompiledRoute, Destination},
-    targets::Unavailable,
+    targets::{TargetTable, Unavailable},
 };
 use crate::{
     event::forward as kinds,
@@ -234,25 +234,14 @@
         let typical = self.typical(route);
         let random = self.rng.random::<f64>();
         let connections = self.connections(service);
-        let mut choice = self.targets.choose(
-            now,
-            service,
-            connections,
-            typical,
-            &tried,
-            random,
-        );
+        let choose = |targets: &TargetTable| {
+            targets.choose(now, service, connections, typical, &tried, random)
+        };
+        let mut choice = choose(&self.targets);
         if choice == Err(Unavailable::Busy)
             && self.free_connection(now, service)
         {
-            choice = self.targets.choose(
-                now,
-                service,
-                connections,
-                typical,
-                &tried,
-                random,
-            );
+            choice = choose(&self.targets);
         }
         let Ok(target) = choice else { return false };
         if extra {
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -26,5 +26,5 @@
     /// Readings of the platform's list of targets.
     Directory(forward::directory::Message),
     /// Requests that instances share.
-    Shared(forward::delegate::Message),
+    Shared(forward::shared::Message),
 }
--- a/crates/core/src/node/forwarding.rs
+++ b/crates/core/src/node/forwarding.rs
@@ -11,7 +11,8 @@
     },
     forward::{
         ForwardEffect, ForwardEvent,
-        delegate::{Ask, Fellow, Incoming, Message},
+        delegate::Fellow,
+        shared::{Ask, Incoming, Message},
         table::CompiledTable,
     },
     id::{ConfigVersion, InstanceId, ZoneId},
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -9,7 +9,7 @@
 use primrosemast_core::{
     forward::{
         ForwardEffect, ForwardEvent, Outcome, Reason, Response,
-        delegate::{Incoming, Message, Part, Task},
+        shared::{Incoming, Message, Part, Task},
         table::{CompiledTable, Destination},
     },
     id::{InstanceId, RouteId, Token, ZoneId},
--- a/crates/core/tests/forward_support/mod.rs
+++ b/crates/core/tests/forward_support/mod.rs
@@ -8,8 +8,9 @@
         ForwardEffect, ForwardEvent, ForwardOptions, Forwarder, Outcome,
         Response, Send, Submission,
         budget::BudgetOptions,
-        delegate::{Fellow, Incoming},
+        delegate::Fellow,
         directory::{Directory, DirectoryOptions, ListedTarget},
+        shared::Incoming,
         table::{
             CompiledTable, Destination, ForwardRoute, ForwardService,
             Forwarding, WeightedService,
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -20,8 +20,8 @@
 use primrosemast_core::{
     forward::{
         ForwardEffect, ForwardEvent, Outcome, Reason, Response,
-        delegate::{Ask, Message, Part},
         merge::merge_top,
+        shared::{Ask, Message, Part},
     },
     id::{AttemptId, Token},
     node::Event,
@@ -32,7 +32,7 @@
 use self::connections::{Connections, Ended};
 pub use self::protocol::{
     AnswerHead, CallerHead, CallerRequest, CallerResponse, Malformed,
-    Protocol, Rejection, TargetAnswer, message_headers,
+    Protocol, Rejection, TargetAnswer, message_headers, read_caller_head,
 };
 pub(crate) use self::{ingress::serve, native::Native};
 use crate::daemon::{Handle, Input};
--- a/src/forward/native.rs
+++ b/src/forward/native.rs
@@ -25,7 +25,7 @@
 
 use super::{
     AnswerHead, CallerHead, CallerRequest, CallerResponse, Malformed,
-    Protocol, Rejection, message_headers,
+    Protocol, Rejection, message_headers, protocol::read_caller_head,
 };
 use crate::http_client::Client;
 
@@ -61,17 +61,7 @@
         &self,
         headers: &HeaderMap,
     ) -> Result<CallerHead, Malformed> {
-        let id = headers.get(REQUEST_ID).and_then(|v| v.to_str().ok());
-        let Some(request_id) = id.filter(|id| !id.is_empty()) else {
-            return Err(Malformed(format!("{REQUEST_ID} is missing")));
-        };
-        let remaining = match headers.get(DEADLINE_MS) {
-            Some(value) => Some(read_ms(value).ok_or_else(|| {
-                Malformed(format!("{DEADLINE_MS} is not a number: {value:?}"))
-            })?),
-            None => None,
-        };
-        Ok(CallerHead { request_id: request_id.into(), remaining })
+        read_caller_head(headers, &REQUEST_ID, &DEADLINE_MS)
     }
 
     fn target_request(
@@ -173,11 +163,6 @@
     Ok(Directory { targets: list.listed_targets })
 }
 
-fn read_ms(value: &HeaderValue) -> Option<Duration> {
-    let ms: u64 = value.to_str().ok()?.trim().parse().ok()?;
-    Some(Duration::from_millis(ms))
-}
-
 fn ms(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
--- a/src/forward/protocol.rs
+++ b/src/forward/protocol.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri};
 use http_body_util::Full;
 use primrosemast_core::{
     forward::{Outcome, Reason, Send, directory::Directory},
@@ -123,6 +123,37 @@
     ) -> impl Future<Output = anyhow::Result<Directory>> + 'static;
 }
 
+/// Reads the identifier and the remaining time, in milliseconds, from headers
+/// of these names.
+///
+/// # Errors
+///
+/// Fails if there is no identifier, or if the time is not a number.
+pub fn read_caller_head(
+    headers: &HeaderMap,
+    id: &HeaderName,
+    deadline_ms: &HeaderName,
+) -> Result<CallerHead, Malformed> {
+    let request_id = headers.get(id).and_then(|v| v.to_str().ok());
+    let Some(request_id) = request_id.filter(|id| !id.is_empty()) else {
+        return Err(Malformed(format!("{id} is missing")));
+    };
+    let remaining = match headers.get(deadline_ms) {
+        Some(value) => Some(read_ms(value).ok_or_else(|| {
+            Malformed(format!(
+                "{deadline_ms} is not a number of milliseconds: {value:?}"
+            ))
+        })?),
+        None => None,
+    };
+    Ok(CallerHead { request_id: request_id.into(), remaining })
+}
+
+fn read_ms(value: &HeaderValue) -> Option<Duration> {
+    let ms: u64 = value.to_str().ok()?.trim().parse().ok()?;
+    Some(Duration::from_millis(ms))
+}
+
 /// Headers that concern one connection only, sorted.
 const CONNECTION_HEADERS: [&str; 9] = [
     "connection",
--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri};
-use primrosemast_core::forward::delegate::Content;
+use primrosemast_core::forward::shared::Content;
 
 use super::{CallerHead, CallerRequest, TargetAnswer, message_headers};
 
