Replace a lost voter before the site allows the next loss

The leader was removed for good at 13.3 s and one more voter at 24.4 s. A silent voter was replaced after 10 s, counted from the new leader's election at 13.7 s, so the second loss left one of three voters although a caught-up learner had waited since 5 s. The platform counts a removed machine as lost only until its successor has run for `CatchUpS` (4 s).

Ruled out: seeds (the successors joined within 2 s) and the disk (no PM0418).

Test: `a_lost_voter_is_replaced_before_the_next_may_be_lost`.

--- a/crates/core/src/control/repair.rs
+++ b/crates/core/src/control/repair.rs
@@ -12,13 +12,30 @@
 /// Time between looks at the group.
 const INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time after which a silent voter is replaced, if a learner is ready. Longer
-/// than a restart takes, because a voter that comes back needs no repair.
-const REPLACE_AFTER: Duration = Duration::from_secs(10);
-
 /// Entries that a learner may lack and still count as caught up.
 const CAUGHT_UP: u64 = 100;
 
+/// Options of the repair.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RepairOptions {
+    /// Voters that the group aims for.
+    pub group_size: usize,
+    /// Time after which a silent voter is replaced, if a learner is ready.
+    /// The group bears one loss less until then.
+    pub replace_after: Duration,
+}
+
+impl Default for RepairOptions {
+    fn default() -> RepairOptions {
+        RepairOptions {
+            group_size: 3,
+            // Longer than a restart takes, because a voter that comes back
+            // needs no repair.
+            replace_after: Duration::from_secs(10),
+        }
+    }
+}
+
 /// Input of the reducer.
 #[derive(Clone, Debug, PartialEq)]
 pub enum RepairEvent {
@@ -42,7 +59,7 @@
 /// The consensus reducer itself refuses a change that would leave no
 /// majority of active voters, or while another change is running.
 pub struct Repair {
-    group_size: usize,
+    options: RepairOptions,
     /// Voters that do not answer, sorted, and since when.
     silent: Vec<(ReplicaId, Time)>,
     next_at: Time,
@@ -51,11 +68,10 @@
 }
 
 impl Repair {
-    /// Builds the reducer for a group of `group_size` voters. Its tokens
-    /// rise from `first_token`.
-    pub fn new(group_size: usize, first_token: u64) -> Repair {
+    /// Builds the reducer. Its tokens rise from `first_token`.
+    pub fn new(options: RepairOptions, first_token: u64) -> Repair {
         Repair {
-            group_size,
+            options,
             silent: Vec::new(),
             next_at: Time::ZERO,
             running: None,
@@ -154,10 +170,10 @@
         let lost = self
             .silent
             .iter()
-            .find(|s| now.since(s.1) >= REPLACE_AFTER)
+            .find(|s| now.since(s.1) >= self.options.replace_after)
             .map(|s| s.0);
         if let Some(lost) = lost
-            && voters > self.group_size
+            && voters > self.options.group_size
         {
             return Some(MemberChange::Remove(lost));
         }
@@ -169,8 +185,8 @@
         if let Some(old) = others {
             return Some(MemberChange::Remove(old.id));
         }
-        let room = voters < self.group_size
-            || (lost.is_some() && voters == self.group_size);
+        let size = self.options.group_size;
+        let room = voters < size || (lost.is_some() && voters == size);
         room.then_some(MemberChange::Promote(learner.id))
     }
 }
--- a/crates/core/src/node/replica.rs
+++ b/crates/core/src/node/replica.rs
@@ -13,7 +13,7 @@
         Applied, ChangeOutcome, ControlReply, ControlRequest, ControlState,
         Message,
         client::ClientEvent,
-        repair::{Repair, RepairEffect, RepairEvent},
+        repair::{Repair, RepairEffect, RepairEvent, RepairOptions},
         service::{Origin, Service, ServiceEffect, ServiceEvent},
     },
     id::{ConfigVersion, InstanceId, ReplicaId, Token},
@@ -71,13 +71,16 @@
         let options = self.options.consensus.clone();
         let seed = id.0 ^ self.me.incarnation;
         let consensus = Consensus::new(id, options, recovered, seed);
-        let group_size = self.options.control_group_size as usize;
+        let repair = RepairOptions {
+            group_size: self.options.control_group_size as usize,
+            replace_after: self.options.replace_voter,
+        };
         self.replica = Some(ReplicaNode {
             id,
             consensus,
             state: ControlState::default(),
             service: Service::new(1),
-            repair: Repair::new(group_size, FIRST_REPAIR_TOKEN),
+            repair: Repair::new(repair, FIRST_REPAIR_TOKEN),
             status: Status::default(),
             join_at: now + JOIN_INTERVAL,
             leaderless_since: None,
--- a/crates/core/src/node/types.rs
+++ b/crates/core/src/node/types.rs
@@ -5,7 +5,9 @@
 use crate::{
     config_sync::SyncOptions,
     consensus::{ConsensusOptions, Recovered, Write},
-    control::{Change, ControlReply, Revision, ZoneOrder},
+    control::{
+        Change, ControlReply, Revision, ZoneOrder, repair::RepairOptions,
+    },
     event::LogEvent,
     forward::{ForwardEffect, ForwardEvent, ForwardOptions},
     id::{InstanceId, ReplicaId, Token},
@@ -37,6 +39,8 @@
     /// Voters without which the leader accepts no tables and zone orders,
     /// because fewer could not bear the losses that the site allows for.
     pub min_voters: u32,
+    /// Time after which a silent voter is replaced by a learner.
+    pub replace_voter: Duration,
     /// Whether this instance may found the control group by itself.
     pub found_group: bool,
     /// Wall-clock time at `Time::ZERO`, in milliseconds since the Unix
@@ -65,6 +69,7 @@
             seeds: Vec::new(),
             control_group_size: 3,
             min_voters: 1,
+            replace_voter: RepairOptions::default().replace_after,
             found_group: false,
             wall_epoch_ms: 0,
             drain_grace: Duration::from_secs(3),
--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -165,7 +165,10 @@
 
 /// Lets the repair at the leader act until nothing is left to do.
 fn repair(cluster: &mut Cluster, group_size: usize, millis: u64) {
-    let mut repair = Repair::new(group_size, 1 << 40);
+    let mut repair = Repair::new(
+        RepairOptions { group_size, ..RepairOptions::default() },
+        1 << 40,
+    );
     let end = cluster.now + Duration::from_millis(millis);
     while cluster.now < end {
         if let Some(leader) = cluster.leader() {
@@ -478,11 +481,13 @@
 
     use primrosemast_core::{
         consensus::{MemberChange, Replica, Role, Status},
-        control::repair::{Repair, RepairEffect, RepairEvent},
+        control::repair::{Repair, RepairEffect, RepairEvent, RepairOptions},
         id::{InstanceId, ReplicaId},
         time::Time,
     };
 
+    const START: Time = Time::from_millis(1_000);
+
     /// Replicas 1, 2 and so on; `voters` and `silent` name some of them.
     fn status(count: u64, voters: &[u64], silent: &[u64]) -> Status {
         let member = |id: u64| Replica {
@@ -535,7 +540,7 @@
     #[test]
     fn a_voter_that_stays_silent_is_replaced() {
         let (mut repair, mut now) =
-            (Repair::new(3, 1 << 40), Time::from_millis(1_000));
+            (Repair::new(RepairOptions::default(), 1 << 40), START);
         let sound = status(4, &[1, 2, 3], &[]);
         let silent = status(4, &[1, 2, 3], &[2]);
         assert_eq!(watch(&mut repair, &mut now, 30, &sound), None);
@@ -549,4 +554,24 @@
         let alone = status(3, &[1, 2, 3], &[2]);
         assert_eq!(watch(&mut repair, &mut now, 30, &alone), None);
     }
+    // Guards against a group that keeps a voter that is gone for longer than
+    // its site allows: the next loss then stops all changes for good.
+    #[test]
+    fn a_lost_voter_is_replaced_before_the_next_may_be_lost() {
+        let options = RepairOptions {
+            replace_after: Duration::from_secs(2),
+            ..RepairOptions::default()
+        };
+        let (mut repair, mut now) = (Repair::new(options, 1 << 40), START);
+        let sound = status(4, &[1, 2, 3], &[]);
+        let silent = status(4, &[1, 2, 3], &[2]);
+        assert_eq!(watch(&mut repair, &mut now, 30, &sound), None);
+        // A voter that misses a few heartbeats is not replaced.
+        assert_eq!(watch(&mut repair, &mut now, 1, &silent), None);
+        let promote = MemberChange::Promote(ReplicaId(4));
+        assert_eq!(watch(&mut repair, &mut now, 2, &silent), Some(promote));
+        let promoted = status(4, &[1, 2, 3, 4], &[2]);
+        let remove = MemberChange::Remove(ReplicaId(2));
+        assert_eq!(watch(&mut repair, &mut now, 1, &promoted), Some(remove));
+    }
 }
--- a/src/daemon/options.rs
+++ b/src/daemon/options.rs
@@ -61,6 +61,7 @@
         forward: forward_options(settings),
         seeds: settings.peers.clone(),
         min_voters: settings.min_voters,
+        replace_voter: ms(timing.replace_voter_ms),
         found_group: settings.found_control_group,
         control_group_size: settings.control_group_size,
         wall_epoch_ms: SystemTime::now()
--- a/src/settings/instance.rs
+++ b/src/settings/instance.rs
@@ -197,6 +197,8 @@
     pub heartbeat_interval_ms: u64,
     /// Shortest time without a leader before an election.
     pub election_timeout_ms: u64,
+    /// After this silence a voter is replaced, if another replica is ready.
+    pub replace_voter_ms: u64,
     /// How long a new home keeps to the reduced limit.
     pub takeover_hold_ms: u64,
     /// How long an unused connection to a target is kept.
@@ -221,6 +223,8 @@
             lease_ms: 2_000,
             heartbeat_interval_ms: 100,
             election_timeout_ms: 500,
+            // Longer than a restart, after which no repair is needed.
+            replace_voter_ms: 10_000,
             takeover_hold_ms: 1_000,
             idle_max_ms: 30_000,
             platform_list_interval_ms: 2_000,
