--- a/crates/core/src/forward/request.rs
+++ b/crates/core/src/forward/request.rs
@@ -129,7 +129,15 @@
         self.shards.iter().filter(|s| s.is_open()).count()
     }
 
+    /// Whether a target may have run a part of it, or may still do so. What
+    /// a delegate has not declined, it may have sent.
     pub(super) fn may_have_run(&self) -> bool {
-        self.shards.iter().any(|s| s.may_have_run)
+        self.shards.iter().any(|s| {
+            let elsewhere = matches!(
+                s.progress,
+                Progress::Delegated(_) | Progress::Answered(_)
+            );
+            s.may_have_run || elsewhere
+        })
     }
 }
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -409,6 +409,24 @@
     assert_eq!((parts.len(), *missing), (4, 1));
 }
 
+// Guards against "not run" for a request whose shards another instance has
+// sent to their targets. Found by the soak, seed 1.
+#[test]
+fn a_request_that_a_delegate_has_taken_over_may_have_run() {
+    let mut site = site_with_far_shards();
+    let token = site.submit_for("q", ms(300));
+    site.shared(9, Incoming::Accepted(token.0));
+    let mut responses = Vec::new();
+    while responses.is_empty() {
+        for send in site.sent() {
+            site.end(send.attempt, Outcome::Refused);
+        }
+        site.pass(ms(5));
+        responses = site.responses();
+    }
+    assert_eq!(rejected(&responses[0].1).1, Verdict::MayHaveRun);
+}
+
 // Guards against a query that fails with the instance that it was shared
 // with, and against shards that run on three targets.
 #[test]
