Prefer targets that fail less; ask failing ones rather than none

A single failure changed nothing and a success cleared the count, so a shard went on asking the searchers that fail as often as the sound one: 23% of the attempts broke, and queries ended with 123 to 128 of the 129 shards that they need.

Change: each target has a failure rate that fades like its slowness and adds to its score; one recent failure outweighs another zone. A target that is paused after answered failures is asked if a shard has nothing else; one that is silent or sheds is not.

Tests: `a_searcher_that_fails_often_is_asked_less`, `a_shard_whose_searchers_all_fail_sometimes_is_still_asked`.

--- a/crates/core/src/forward/reducer.rs
+++ b/crates/core/src/forward/reducer.rs
@@ -14,7 +14,7 @@
     latency::Latencies,
     request::{Progress, Request},
     table::CompiledTable,
-    targets::TargetTable,
+    targets::{Failure, TargetTable},
 };
 use crate::{
     event::{EventKind, LogEvent, forward as kinds},
@@ -265,7 +265,7 @@
             self.targets.silent_after(self.typical(attempt.route));
         if now.since(attempt.sent_at) >= silent_after {
             // Nobody waits for it any more, but it was given its time.
-            self.note_failure(now, attempt.target, "no answer");
+            self.note_failure(now, attempt.target, Failure::Silent);
         }
         self.note_slow(now, &attempt);
         self.targets.ended(attempt.target, id);
@@ -344,7 +344,7 @@
                 let relative = latency.as_secs_f64() / typical;
                 self.targets.sample(now, target, relative);
                 self.latency(attempt.route).add(latency);
-                self.targets.succeeded(target);
+                self.targets.succeeded(now, target);
             }
             Outcome::Replaced => {
                 self.targets.replaced(target);
@@ -354,16 +354,19 @@
                 self.targets.refused_connection(now, target);
                 self.log_target(&kinds::TARGET_UNREACHABLE, target, "");
             }
-            Outcome::Refused | Outcome::Failure | Outcome::Broken => {
-                self.note_failure(now, target, &format!("{outcome:?}"));
+            Outcome::Refused => {
+                self.note_failure(now, target, Failure::Refused);
+            }
+            Outcome::Failure | Outcome::Broken => {
+                self.note_failure(now, target, Failure::Answered);
             }
         }
     }
 
-    fn note_failure(&mut self, now: Time, target: TargetId, what: &str) {
-        if let Some(pause) = self.targets.failed(now, target) {
+    fn note_failure(&mut self, now: Time, target: TargetId, what: Failure) {
+        if let Some(pause) = self.targets.failed(now, target, what) {
             let detail =
-                format!(" pause_ms={} outcome={what:?}", pause.as_millis());
+                format!(" pause_ms={} failure={what:?}", pause.as_millis());
             self.log_target(&kinds::TARGET_PAUSED, target, &detail);
         }
     }
--- a/crates/core/src/forward/targets.rs
+++ b/crates/core/src/forward/targets.rs
@@ -39,6 +39,10 @@
     pub pause_max: Duration,
     /// Added to the score of a target in another zone, as slowness.
     pub other_zone: f64,
+    /// Weight of a new outcome in the failure rate of a target, 0 to 1.
+    pub failure_sample: f64,
+    /// Added to the score of a target that always fails, as slowness.
+    pub failure_weight: f64,
 }
 
 impl Default for TargetChoice {
@@ -59,6 +63,9 @@
             // only a slow or busy target is passed over for one in another
             // zone.
             other_zone: 0.8,
+            failure_sample: 0.3,
+            // One recent failure weighs more than another zone.
+            failure_weight: 4.0,
         }
     }
 }
@@ -67,6 +74,18 @@
 /// target.
 const SLOW_SAMPLE: f64 = 1.5;
 
+/// How a target failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// It answered with a failure, or its answer broke off. Other requests
+    /// may still succeed.
+    Answered,
+    /// It turned a request away.
+    Refused,
+    /// It did not answer.
+    Silent,
+}
+
 /// An incarnation of a target.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -94,7 +113,12 @@
     /// When a slow answer last counted.
     slow_at: Option<Time>,
     failures: u32,
+    /// Part of the recent requests that failed at it.
+    failure_rate: f64,
+    failure_at: Time,
     paused_until: Time,
+    /// What the pause is for.
+    paused_for: Failure,
     /// It refused a connection: a reading of the list that began after this
     /// has to confirm it, because it may come back cold.
     confirm_after: Option<Time>,
@@ -218,7 +242,10 @@
             sampled_at: Time::ZERO,
             slow_at: None,
             failures: 0,
+            failure_rate: 0.0,
+            failure_at: Time::ZERO,
             paused_until: Time::ZERO,
+            paused_for: Failure::Answered,
             confirm_after: None,
         });
         target.leaving = listed.leaving;
@@ -279,7 +306,9 @@
         (share as usize).clamp(1, 2 * target.slots as usize)
     }
 
-    /// Chooses a target for a request to `service`, other than `tried`.
+    /// Chooses a target for a request to `service`, other than `tried`. One
+    /// that fails a part of its requests is better than none: where nothing
+    /// else is left, it is asked in spite of its pause.
     ///
     /// `typical` is the usual latency of such a request, `random` a number
     /// from 0 to 1 that decides between equals.
@@ -293,6 +322,7 @@
         random: f64,
     ) -> Result<TargetId, Unavailable> {
         let mut best: Option<(f64, TargetId)> = None;
+        let mut failing: Option<(Time, TargetId)> = None;
         let mut busy = false;
         let mut until = now + self.choice.pause_max;
         let mut turn = random;
@@ -300,7 +330,7 @@
             if tried.contains(&target.id) {
                 continue;
             }
-            if let Some(at) = self.unusable_until(now, target) {
+            if let Some(at) = self.excluded_until(now, target) {
                 until = until.min(at);
                 continue;
             }
@@ -308,7 +338,17 @@
                 until = until.min(now + self.choice.pause_first);
                 continue;
             }
-            if target.open.len() >= self.share(target, connections) {
+            let full = target.open.len() >= self.share(target, connections);
+            if target.paused_until > now {
+                until = until.min(target.paused_until);
+                let usable = target.paused_for == Failure::Answered && !full;
+                let pause = (target.paused_until, target.id);
+                if usable && failing.is_none_or(|f| pause < f) {
+                    failing = Some(pause);
+                }
+                continue;
+            }
+            if full {
                 busy = true;
                 continue;
             }
@@ -322,12 +362,19 @@
         match best {
             Some((_, id)) => Ok(id),
             None if busy => Err(Unavailable::Busy),
-            None => Err(Unavailable::Until(until)),
+            None => failing.map(|f| f.1).ok_or(Unavailable::Until(until)),
         }
     }
 
-    /// When a target that cannot be used now may be usable again.
+    /// When a target that is not used now may be used again.
     fn unusable_until(&self, now: Time, target: &Target) -> Option<Time> {
+        let paused = target.paused_until > now;
+        self.excluded_until(now, target)
+            .or(paused.then_some(target.paused_until))
+    }
+
+    /// When a target that must not be used now may be usable again.
+    fn excluded_until(&self, now: Time, target: &Target) -> Option<Time> {
         let never = now + self.choice.pause_max;
         let out = self.zones_out.binary_search(&target.zone).is_ok();
         if target.leaving || target.replaced || out {
@@ -337,10 +384,7 @@
             return Some(target.warm_at);
         }
         let back = self.zones_back.iter().any(|z| z.0 == target.zone);
-        if back || target.confirm_after.is_some() {
-            return Some(never);
-        }
-        (target.paused_until > now).then_some(target.paused_until)
+        (back || target.confirm_after.is_some()).then_some(never)
     }
 
     /// The lower, the sooner an answer is expected.
@@ -350,6 +394,7 @@
         if target.zone != self.zone {
             score += self.choice.other_zone;
         }
+        score += self.choice.failure_weight * self.failure_rate(now, target);
         if self.is_stalled(now, target, typical) {
             score += 10.0;
         }
@@ -359,9 +404,28 @@
     /// Slowness that fades while nothing new is known, so that a target that
     /// was slow is tried again.
     fn slowness(&self, now: Time, target: &Target) -> f64 {
-        let age = now.since(target.sampled_at).as_secs_f64();
-        let fade = 0.5_f64.powf(age / self.choice.forget_half.as_secs_f64());
-        1.0 + (target.slowness - 1.0) * fade
+        1.0 + (target.slowness - 1.0) * self.fade(now, target.sampled_at)
+    }
+
+    /// Failure rate that fades in the same way.
+    fn failure_rate(&self, now: Time, target: &Target) -> f64 {
+        target.failure_rate * self.fade(now, target.failure_at)
+    }
+
+    /// What is left of something that was learned at this time, 0 to 1.
+    fn fade(&self, now: Time, learned_at: Time) -> f64 {
+        let age = now.since(learned_at).as_secs_f64();
+        0.5_f64.powf(age / self.choice.forget_half.as_secs_f64())
+    }
+
+    fn sample_failure(&mut self, now: Time, id: TargetId, failed: bool) {
+        let weight = self.choice.failure_sample;
+        let Some(target) = self.get(id) else { return };
+        let before = self.failure_rate(now, target);
+        let sample = if failed { 1.0 } else { 0.0 };
+        let Some(target) = self.get_mut(id) else { return };
+        target.failure_rate = before + weight * (sample - before);
+        target.failure_at = now;
     }
 
     fn is_stalled(
@@ -427,7 +491,8 @@
     }
 
     /// Notes a good answer.
-    pub fn succeeded(&mut self, id: TargetId) {
+    pub fn succeeded(&mut self, now: Time, id: TargetId) {
+        self.sample_failure(now, id, false);
         if let Some(target) = self.get_mut(id) {
             target.failures = 0;
             target.paused_until = Time::ZERO;
@@ -436,7 +501,15 @@
 
     /// Notes a failed or refused request. Returns the pause if the target is
     /// passed over for a while.
-    pub fn failed(&mut self, now: Time, id: TargetId) -> Option<Duration> {
+    pub fn failed(
+        &mut self,
+        now: Time,
+        id: TargetId,
+        failure: Failure,
+    ) -> Option<Duration> {
+        if failure == Failure::Answered {
+            self.sample_failure(now, id, true);
+        }
         let (first, max) = (self.choice.pause_first, self.choice.pause_max);
         let target = self.get_mut(id)?;
         target.failures += 1;
@@ -444,6 +517,7 @@
         let doubled = target.failures.checked_sub(2)?;
         let pause = (first * 2_u32.pow(doubled.min(8))).min(max);
         target.paused_until = now + pause;
+        target.paused_for = failure;
         Some(pause)
     }
 
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -322,6 +322,55 @@
     assert_eq!(site.sent().len(), 1);
 }
 
+// Many searchers lose a part of their answers (`answer_lost`, `srv_grey`).
+// Guards against a shard that asks the one that fails most as often as the
+// others.
+#[test]
+fn a_searcher_that_fails_often_is_asked_less() {
+    let forwarding = table(vec![route("one", one())]);
+    let mut site = Site::new(&forwarding, 3);
+    let mut asked = [0; 3];
+    for round in 0..60 {
+        site.submit("one");
+        let send = site.sent().remove(0);
+        let target = usize::from(send.name.ends_with("/1"))
+            + 2 * usize::from(send.name.ends_with("/2"));
+        asked[target] += 1;
+        // Target 0 fails every other time, so never twice in a row.
+        let fails = target == 0 && asked[0] % 2 == 1;
+        let outcome = if fails { Outcome::Failure } else { Outcome::Success };
+        site.pass(ms(10));
+        site.end(send.attempt, outcome);
+        site.pass(ms(20 + round % 3));
+        for send in site.sent() {
+            site.end(send.attempt, Outcome::Success);
+        }
+    }
+    // Target 1 is in another zone.
+    assert!(asked[0] * 3 < asked[2], "{asked:?}");
+}
+
+// Every searcher of a shard fails a part of its requests. Guards against
+// requests that are refused although each searcher would serve most of them.
+#[test]
+fn a_shard_whose_searchers_all_fail_sometimes_is_still_asked() {
+    let forwarding = table(vec![route("one", one())]);
+    let mut site = Site::new(&forwarding, 2);
+    for _ in 0..2 {
+        site.submit("one");
+        for _ in 0..4 {
+            for send in site.sent() {
+                site.end(send.attempt, Outcome::Broken);
+            }
+            site.pass(ms(10));
+        }
+    }
+    site.effects.clear();
+    site.submit("one");
+    assert_eq!(site.sent().len(), 1);
+    assert_eq!(site.responses(), Vec::new());
+}
+
 // Guards against more connections to a target than its part for this
 // instance, whatever the load.
 #[test]
