Count forwarded requests, their latencies and attempts

Cause: the metrics page had nothing on the forwarding path but the number of log lines, so an engineer on call could not tell refusals, late responses and failing targets apart without the logs.

Change: counters of requests by route, result and verdict, of missing shards, of requests to targets by outcome and of extra ones; histograms of both latencies; gauges of what is in flight, of listed targets and of the age of the list.

--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -73,6 +73,20 @@
     Broken,
 }
 
+impl Outcome {
+    /// The name used in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Outcome::Success => "success",
+            Outcome::Failure => "failure",
+            Outcome::Refused => "refused",
+            Outcome::Replaced => "replaced",
+            Outcome::Unreachable => "unreachable",
+            Outcome::Broken => "broken",
+        }
+    }
+}
+
 /// Input of the reducer.
 #[derive(Debug)]
 pub enum ForwardEvent {
@@ -183,6 +197,8 @@
     pub budget: Duration,
     /// Whether the request may run more than once.
     pub repeatable: bool,
+    /// Whether another target was asked before.
+    pub extra: bool,
 }
 
 /// Output of the reducer.
--- a/crates/core/src/forward/reducer.rs
+++ b/crates/core/src/forward/reducer.rs
@@ -107,6 +107,11 @@
         self.reader.has_reading()
     }
 
+    /// Age of the reading of the platform's list that is in use.
+    pub fn directory_age(&self, now: Time) -> Option<Duration> {
+        self.reader.age(now)
+    }
+
     /// A token under which the content of a task is kept.
     pub fn adopt(&mut self) -> Token {
         self.adopted_token()
--- a/crates/core/src/forward/send.rs
+++ b/crates/core/src/forward/send.rs
@@ -291,6 +291,7 @@
             address,
             budget,
             repeatable,
+            extra,
         }));
         true
     }
--- /dev/null
+++ b/src/daemon/forward_metrics.rs
@@ -0,0 +1,150 @@
+//! Metrics of the forwarding path.
+
+use std::time::Duration;
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram, Meter},
+};
+use primrosemast_core::{
+    forward::{Forwarder, Outcome, Response},
+    time::Time,
+};
+
+/// Bounds of the buckets of latencies, in seconds.
+const SECONDS: [f64; 14] = [
+    0.005, 0.01, 0.02, 0.035, 0.05, 0.06, 0.08, 0.1, 0.12, 0.2, 0.5, 1.0, 2.0,
+    5.0,
+];
+
+/// Instruments of the forwarding path. Their labels are routes, results and
+/// outcomes; the SDK folds what exceeds its limit of series into one.
+#[derive(Clone, Debug)]
+pub(crate) struct ForwardMetrics {
+    requests: Counter<u64>,
+    request_seconds: Histogram<f64>,
+    shards: Counter<u64>,
+    sent: Counter<u64>,
+    attempts: Counter<u64>,
+    attempt_seconds: Histogram<f64>,
+    in_flight: Gauge<u64>,
+    open_attempts: Gauge<u64>,
+    targets: Gauge<u64>,
+    list_age: Gauge<f64>,
+}
+
+impl ForwardMetrics {
+    pub(super) fn new(meter: &Meter) -> ForwardMetrics {
+        let counter = |name: &'static str, text: &'static str| {
+            meter.u64_counter(name).with_description(text).build()
+        };
+        let gauge = |name: &'static str, text: &'static str| {
+            meter.u64_gauge(name).with_description(text).build()
+        };
+        let seconds = |name: &'static str, text: &'static str| {
+            meter
+                .f64_histogram(name)
+                .with_description(text)
+                .with_boundaries(SECONDS.to_vec())
+                .build()
+        };
+        ForwardMetrics {
+            requests: counter(
+                "primrosemast_forward_requests",
+                "Forwarded requests by route, result and verdict",
+            ),
+            request_seconds: seconds(
+                "primrosemast_forward_request_seconds",
+                "Time from a forwarded request to its response, by route",
+            ),
+            shards: counter(
+                "primrosemast_forward_missing_shards",
+                "Shards that merged responses left out, by route",
+            ),
+            sent: counter(
+                "primrosemast_forward_sent",
+                "Requests sent to targets; extra ones are hedges and retries",
+            ),
+            attempts: counter(
+                "primrosemast_forward_attempts",
+                "Ended requests to targets by outcome",
+            ),
+            attempt_seconds: seconds(
+                "primrosemast_forward_attempt_seconds",
+                "Time from a request to a target to its end, by outcome",
+            ),
+            in_flight: gauge(
+                "primrosemast_forward_in_flight",
+                "Forwarded requests and tasks of other instances in progress",
+            ),
+            open_attempts: gauge(
+                "primrosemast_forward_open_attempts",
+                "Requests to targets that have not ended",
+            ),
+            targets: gauge(
+                "primrosemast_forward_targets",
+                "Targets on the last reading of the platform's list",
+            ),
+            list_age: meter
+                .f64_gauge("primrosemast_forward_list_age_seconds")
+                .with_description("Age of the reading that is in use")
+                .build(),
+        }
+    }
+
+    /// A caller got its response.
+    pub(crate) fn responded(
+        &self,
+        route: &str,
+        response: &Response,
+        took: Duration,
+    ) {
+        let route = KeyValue::new("route", route.to_owned());
+        let (result, verdict) = match response {
+            Response::Relay(_) => ("answered", "ran"),
+            Response::Merge { missing: 0, .. } => ("answered", "ran"),
+            Response::Merge { missing, .. } => {
+                self.shards.add(*missing as u64, std::slice::from_ref(&route));
+                ("in_part", "ran")
+            }
+            Response::Reject { reason, verdict, .. } => {
+                (reason.as_str(), verdict.as_str())
+            }
+        };
+        let labels = [
+            route.clone(),
+            KeyValue::new("result", result),
+            KeyValue::new("verdict", verdict),
+        ];
+        self.requests.add(1, &labels);
+        self.request_seconds.record(took.as_secs_f64(), &[route]);
+    }
+
+    /// A request went to a target.
+    pub(crate) fn sent(&self, extra: bool) {
+        self.sent.add(1, &[KeyValue::new("extra", extra)]);
+    }
+
+    /// A request to a target has ended by itself.
+    pub(crate) fn ended(&self, outcome: Outcome, took: Duration) {
+        let outcome = [KeyValue::new("outcome", outcome.as_str())];
+        self.attempts.add(1, &outcome);
+        self.attempt_seconds.record(took.as_secs_f64(), &outcome);
+    }
+
+    /// A request to a target was cancelled.
+    pub(crate) fn cancelled(&self) {
+        self.attempts.add(1, &[KeyValue::new("outcome", "cancelled")]);
+    }
+
+    /// The present state.
+    pub(super) fn state(&self, now: Time, forwarder: &Forwarder) {
+        self.in_flight.record(forwarder.in_flight() as u64, &[]);
+        self.open_attempts.record(forwarder.open_attempts() as u64, &[]);
+        let targets = forwarder.targets().targets().len();
+        self.targets.record(targets as u64, &[]);
+        if let Some(age) = forwarder.directory_age(now) {
+            self.list_age.record(age.as_secs_f64(), &[]);
+        }
+    }
+}
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -13,6 +13,8 @@
 };
 use prometheus::{Encoder, Registry, TextEncoder};
 
+use super::forward_metrics::ForwardMetrics;
+
 /// All instruments of a daemon.
 #[derive(Clone, Debug)]
 pub(crate) struct Metrics {
@@ -30,6 +32,7 @@
     version: Gauge<u64>,
     serving: Gauge<u64>,
     in_flight: Gauge<u64>,
+    forward: ForwardMetrics,
 }
 
 impl Metrics {
@@ -99,11 +102,17 @@
                 "primrosemast_queries_in_flight",
                 "Callers' requests in progress",
             ),
+            forward: ForwardMetrics::new(&meter),
             registry,
             _provider: provider,
         })
     }
 
+    /// Instruments of the forwarding path.
+    pub(crate) fn forward(&self) -> &ForwardMetrics {
+        &self.forward
+    }
+
     /// The metrics page.
     pub(crate) fn render(&self) -> String {
         let mut buf = Vec::new();
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -8,6 +8,7 @@
 
 mod clock;
 mod effects;
+mod forward_metrics;
 mod handle;
 mod metrics;
 mod options;
@@ -38,6 +39,7 @@
 };
 use volo_http::server::Server;
 
+pub(crate) use self::forward_metrics::ForwardMetrics;
 pub use self::handle::{Handle, Ordered};
 pub(crate) use self::handle::{Input, Query, View};
 use self::{
@@ -135,7 +137,8 @@
     }
     start(&handle)?;
 
-    let forwarding = Forwarding::new(protocol, handle.clone());
+    let forwarding =
+        Forwarding::new(protocol, handle.clone(), metrics.forward());
     let mut daemon =
         Daemon::new(settings, &addresses, handle, metrics, forwarding)?;
     spawn_local(peer::serve(daemon.me, peers, daemon.handle.clone()));
@@ -416,7 +419,8 @@
                 let _ = response.send(configuration.map(|c| c.1.clone()));
             }
             Input::Forward { token, submission, req, response } => {
-                self.forwarding.add(token, req, response);
+                let route = &submission.route.route.name;
+                self.forwarding.add(token, route, req, response);
                 let event = ForwardEvent::Submit(token, submission);
                 self.step(Event::Forward(event), effects);
             }
@@ -462,6 +466,8 @@
         if now >= self.close_idle_at {
             self.close_idle_at = now + CLOSE_IDLE_INTERVAL;
             self.forwarding.close_idle();
+            let forwarder = self.node.forwarder();
+            self.metrics.forward().state(self.now(), forwarder);
         }
         // Members that were replaced leave connections behind.
         let members = self.node.members();
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -12,7 +12,7 @@
 mod protocol;
 mod shared;
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Instant};
 
 use bytes::Bytes;
 use http::HeaderValue;
@@ -35,14 +35,28 @@
     Protocol, Rejection, TargetAnswer, message_headers, read_caller_head,
 };
 pub(crate) use self::{ingress::serve, native::Native};
-use crate::daemon::{Handle, Input};
+use crate::daemon::{ForwardMetrics, Handle, Input};
 
 /// A caller that waits for its response.
 struct Exchange {
     token: Token,
     req: Arc<CallerRequest>,
     /// `None` for a task of another instance.
-    response: Option<oneshot::Sender<CallerResponse>>,
+    caller: Option<Caller>,
+}
+
+/// Who waits for a response.
+struct Caller {
+    route: String,
+    since: Instant,
+    response: oneshot::Sender<CallerResponse>,
+}
+
+/// A request to a target that has not ended.
+struct Running {
+    attempt: AttemptId,
+    token: Token,
+    since: Instant,
 }
 
 /// Callers in flight and what targets have answered them.
@@ -54,19 +68,25 @@
     exchanges: Vec<Exchange>,
     /// Sorted by attempt.
     answers: Vec<(AttemptId, Token, TargetAnswer)>,
-    /// Requests of the running attempts, sorted by attempt.
-    requests: Vec<(AttemptId, Token)>,
+    /// Sorted by attempt.
+    running: Vec<Running>,
+    metrics: ForwardMetrics,
 }
 
 impl<P: Protocol> Forwarding<P> {
-    pub(crate) fn new(protocol: P, handle: Handle) -> Forwarding<P> {
+    pub(crate) fn new(
+        protocol: P,
+        handle: Handle,
+        metrics: &ForwardMetrics,
+    ) -> Forwarding<P> {
         Forwarding {
             connections: Connections::new(protocol.clone()),
             protocol,
             handle,
             exchanges: Vec::new(),
             answers: Vec::new(),
-            requests: Vec::new(),
+            running: Vec::new(),
+            metrics: metrics.clone(),
         }
     }
 
@@ -74,10 +94,13 @@
     pub(crate) fn add(
         &mut self,
         token: Token,
+        route: &str,
         req: Arc<CallerRequest>,
         response: oneshot::Sender<CallerResponse>,
     ) {
-        self.insert(Exchange { token, req, response: Some(response) });
+        let route = route.to_owned();
+        let caller = Caller { route, since: Instant::now(), response };
+        self.insert(Exchange { token, req, caller: Some(caller) });
     }
 
     fn insert(&mut self, exchange: Exchange) {
@@ -96,7 +119,9 @@
     pub(crate) fn ended(&mut self, id: AttemptId, ended: Ended) -> Outcome {
         self.connections.ended(id);
         let (outcome, answer) = ended;
-        let Some(token) = self.forget(id) else { return outcome };
+        let Some(running) = self.forget(id) else { return outcome };
+        self.metrics.ended(outcome, running.since.elapsed());
+        let token = running.token;
         if let Some(answer) = answer
             && self.position(token).is_ok()
         {
@@ -151,14 +176,21 @@
             ForwardEffect::Send(send) => {
                 let Ok(i) = self.position(send.token) else { return };
                 let req = Arc::clone(&self.exchanges[i].req);
-                self.requests.push((send.attempt, send.token));
+                self.metrics.sent(send.extra);
+                self.running.push(Running {
+                    attempt: send.attempt,
+                    token: send.token,
+                    since: Instant::now(),
+                });
                 let handle = self.handle.clone();
                 self.connections.send(send, req, move |id, ended| {
                     handle.input(Input::ForwardEnded(id, ended));
                 });
             }
             ForwardEffect::Cancel(id) => {
-                self.forget(id);
+                if self.forget(id).is_some() {
+                    self.metrics.cancelled();
+                }
                 self.connections.cancel(id);
             }
             ForwardEffect::Respond(token, response) => {
@@ -169,7 +201,7 @@
                 match shared::request(content) {
                     Ok(req) => {
                         let req = Arc::new(req);
-                        self.insert(Exchange { token, req, response: None });
+                        self.insert(Exchange { token, req, caller: None });
                     }
                     Err(e) => log::warn!("a task cannot be read: {e:#}"),
                 }
@@ -209,28 +241,30 @@
     }
 
     fn respond(&mut self, token: Token, response: Response) {
-        let response = self.build(response);
-        let waiting = self.take(token).and_then(|e| e.response);
-        if let Some(waiting) = waiting {
-            // A caller that has just left needs no response.
-            let _ = waiting.send(response);
-        }
+        let built = self.build(&response);
+        let Some(caller) = self.take(token).and_then(|e| e.caller) else {
+            return;
+        };
+        let took = caller.since.elapsed();
+        self.metrics.responded(&caller.route, &response, took);
+        // A caller that has just left needs no response.
+        let _ = caller.response.send(built);
     }
 
-    fn build(&self, response: Response) -> CallerResponse {
+    fn build(&self, response: &Response) -> CallerResponse {
         match response {
-            Response::Relay(id) => match self.answer(id) {
+            Response::Relay(id) => match self.answer(*id) {
                 Some(answer) => relay(answer),
                 None => self.reject_lost(),
             },
             Response::Merge { parts, missing, top } => {
-                let Some(answers) = self.answers(&parts) else {
+                let Some(answers) = self.answers(parts) else {
                     return self.reject_lost();
                 };
-                let (signatures, records) = merge(&answers, top);
-                self.protocol.merged(&signatures, missing, records)
+                let (signatures, records) = merge(&answers, *top);
+                self.protocol.merged(&signatures, *missing, records)
             }
-            Response::Reject { reason, verdict, retry_after } => {
+            &Response::Reject { reason, verdict, retry_after } => {
                 let rejection = Rejection { reason, verdict, retry_after };
                 self.protocol.rejection(rejection)
             }
@@ -267,9 +301,9 @@
         Some(self.exchanges.remove(i))
     }
 
-    fn forget(&mut self, id: AttemptId) -> Option<Token> {
-        let i = self.requests.binary_search_by_key(&id, |r| r.0).ok()?;
-        Some(self.requests.remove(i).1)
+    fn forget(&mut self, id: AttemptId) -> Option<Running> {
+        let i = self.running.binary_search_by_key(&id, |r| r.attempt).ok()?;
+        Some(self.running.remove(i))
     }
 }
 
