Write logs on the platform as JSON; explain requests from log files

Cause: lines were text with pairs inside, which a collector has to parse by itself, and `explain` could only ask an instance that still runs and still remembers.

Change: `primrosemast-platform` writes one JSON object a line, with the pairs of a numbered event as fields; identifiers stay text. The line on a silent delegate names the caller's request instead of a token that only one process knows.

Measured: `an_event_becomes_a_json_object`, `explain_reads_the_logs_of_several_instances`.

--- a/crates/core/src/event/mod.rs
+++ b/crates/core/src/event/mod.rs
@@ -57,6 +57,45 @@
     }
 }
 
+/// The pairs of a line's particulars, in their order. A value in quotes may
+/// hold spaces; words without `=` are left out.
+pub fn fields(detail: &str) -> impl Iterator<Item = (&str, &str)> {
+    let mut rest = detail;
+    std::iter::from_fn(move || {
+        loop {
+            rest = rest.trim_start();
+            if rest.is_empty() {
+                return None;
+            }
+            let (word, after) = next_word(rest);
+            rest = after;
+            if let Some((key, value)) = word.split_once('=') {
+                return Some((key, unquoted(value)));
+            }
+        }
+    })
+}
+
+/// Splits at the first space outside of quotes.
+fn next_word(text: &str) -> (&str, &str) {
+    let (mut quoted, mut escaped) = (false, false);
+    for (i, c) in text.char_indices() {
+        match c {
+            _ if escaped => escaped = false,
+            '\\' if quoted => escaped = true,
+            '"' => quoted = !quoted,
+            ' ' if !quoted => return text.split_at(i),
+            _ => {}
+        }
+    }
+    (text, "")
+}
+
+fn unquoted(value: &str) -> &str {
+    let inner = value.strip_prefix('"').and_then(|v| v.strip_suffix('"'));
+    inner.unwrap_or(value)
+}
+
 /// Declares the event kinds of an area and its catalogue.
 macro_rules! event_kinds {
     ($($name:ident = ($code:literal, $level:ident, $meaning:literal);)*) => {
--- a/crates/core/src/forward/delegate.rs
+++ b/crates/core/src/forward/delegate.rs
@@ -299,6 +299,7 @@
     /// Takes the shards of silent delegates back.
     pub(super) fn check_delegates(&mut self, now: Time, token: Token) {
         let Some(request) = self.request(token) else { return };
+        let request_id = Arc::clone(&request.id);
         let silent: Vec<InstanceId> = request
             .delegations
             .iter()
@@ -310,7 +311,7 @@
             self.avoided.push((to, until));
             self.log(
                 &kinds::DELEGATE_SILENT,
-                format!("delegate={to} request={token}"),
+                format!("request={request_id} delegate={to}"),
             );
             // Its attempts are made again, so they must not run on.
             self.tell_cancel(token, to, true);
--- a/src/bin/primrosemastd.rs
+++ b/src/bin/primrosemastd.rs
@@ -33,7 +33,11 @@
             return ExitCode::from(EXIT_SETTINGS);
         }
     };
-    log_output::init(&settings.log, std::io::stderr());
+    log_output::init(
+        &settings.log,
+        log_output::Format::Text,
+        std::io::stderr(),
+    );
     match daemon::run(&settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -83,7 +83,21 @@
             Command::new("explain")
                 .about("Show the decisions on a caller's request")
                 .arg(Arg::new("request_id").required(true))
-                .after_help("Example:\n  primrosemast explain order-17"),
+                .arg(
+                    Arg::new("log")
+                        .long("log")
+                        .value_name("FILE")
+                        .action(ArgAction::Append)
+                        .value_parser(value_parser!(PathBuf))
+                        .help(
+                            "Read log files of instances instead of asking \
+                             them; - for standard input",
+                        ),
+                )
+                .after_help(
+                    "Examples:\n  primrosemast explain order-17\n  \
+                     primrosemast explain 6f4a441b --log a.log --log b.log",
+                ),
         )
         .subcommand(query())
         .subcommand(replica())
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -11,6 +11,7 @@
 mod client;
 mod output;
 mod replica;
+mod story;
 mod view;
 
 use std::{
--- a/src/cli/view.rs
+++ b/src/cli/view.rs
@@ -1,6 +1,6 @@
 //! Commands that show something or send a single query.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, path::PathBuf};
 
 use clap::ArgMatches;
 use primrosemast_core::membership::MemberState;
@@ -11,6 +11,7 @@
     client::{self, Call, Reply},
     operators,
     output::{row, table},
+    story,
 };
 use crate::api::{ExplainResponse, MemberView, StatusResponse, TargetView};
 
@@ -131,6 +132,9 @@
 
 pub(super) async fn explain(args: &ArgMatches) -> Step<Report> {
     let id: &String = args.get_one("request_id").expect("required by clap");
+    if let Some(files) = args.get_many::<PathBuf>("log") {
+        return story::explain(id, files.map(PathBuf::as_path));
+    }
     let operators = operators(args)?;
     let path = format!("/v1/explain/{}", encode(id));
     let decisions: ExplainResponse =
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -49,15 +49,13 @@
 use crate::{
     forward::{self, Forwarding, Native, Protocol},
     http::{caller_router, operator_router},
+    log_output::EVENT_TARGET,
     peer::{self, Peers, Received},
     settings::{InstanceSettings, Role},
     storage::{Storage, StorageErrorKind, StorageThread},
     target_client::{self, Connections},
 };
 
-/// Target of the numbered events in the log filter.
-const EVENT_TARGET: &str = "primrosemast::event";
-
 /// Events handled before the effects of a batch are carried out.
 const MAX_BATCH: usize = 256;
 
--- a/src/daemon/options.rs
+++ b/src/daemon/options.rs
@@ -14,8 +14,10 @@
     target::TargetOptions,
 };
 
-use super::EVENT_TARGET;
-use crate::settings::{Dispatch, InstanceSettings};
+use crate::{
+    log_output::EVENT_TARGET,
+    settings::{Dispatch, InstanceSettings},
+};
 
 pub(super) fn options(settings: &InstanceSettings) -> NodeOptions {
     let timing = &settings.timing;
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -659,3 +659,44 @@
     let output = tool(&["explain", "order/17"], &[stand_in.address]);
     assert_eq!(stdout(&output), "planned\nanswered\n");
 }
+
+// Guards against a failed request whose cause needs a running instance, or
+// whose lines are told in the order of the files.
+#[test]
+fn explain_reads_the_logs_of_several_instances() {
+    let folder = tempfile::TempDir::new().expect("a folder");
+    let write = |name: &str, lines: &[Value]| {
+        let path = folder.path().join(name);
+        let lines: Vec<String> =
+            lines.iter().map(|line| format!("front-a-1 {line}\n")).collect();
+        std::fs::write(&path, lines.concat()).expect("a file");
+        path.display().to_string()
+    };
+    let line = |time: &str, code: &str, event: &str, request: &str| {
+        json!({ "time": time, "level": "info", "code": code, "event": event,
+                "request": request, "took_ms": 17 })
+    };
+    let root = write(
+        "root.log",
+        &[
+            line("10:00:00.300000Z", "PM0703", "request_failed", "r1"),
+            line("10:00:00.100000Z", "PM0706", "delegated", "r1"),
+            line("10:00:00.100000Z", "PM0704", "request_refused", "r2"),
+        ],
+    );
+    let delegate = write(
+        "delegate.log",
+        &[line("10:00:00.200000Z", "PM0705", "attempt_sent", "r1")],
+    );
+    std::fs::write(folder.path().join("torn"), "{\"time\":\"1").expect("it");
+    let torn = folder.path().join("torn").display().to_string();
+    let logs = ["--log", &root, "--log", &delegate, "--log", &torn];
+    let output = tool(&[&["explain", "r1"], &logs[..]].concat(), &[]);
+    assert_eq!(code(&output), 0, "{}", stderr(&output));
+    let text =
+        stdout(&output).replace(&folder.path().display().to_string(), "");
+    insta::assert_snapshot!("explain_logs", text);
+    let output = tool(&["explain", "r3", "--log", &root], &[]);
+    assert_eq!(code(&output), 1);
+    assert!(stderr(&output).contains("no line"), "{}", stderr(&output));
+}
--- a/tests/log_output.rs
+++ b/tests/log_output.rs
@@ -6,7 +6,8 @@
     time::{Duration, Instant},
 };
 
-use primrosemast::log_output::Output;
+use primrosemast::log_output::{Format, Output, json};
+use serde_json::json as value;
 
 #[derive(Default)]
 struct State {
@@ -53,7 +54,7 @@
 fn a_stopped_reader_holds_nobody_up() {
     let reader = Reader::default();
     reader.set_stopped(true);
-    let mut output = Output::new(reader.clone());
+    let mut output = Output::new(Format::Text, reader.clone());
     // Far more lines than the queue holds; a blocked write never returns.
     for i in 0..20_000 {
         let line = format!("line {i}\n");
@@ -69,3 +70,26 @@
     assert!(reader.text().starts_with("line 0\n"));
     assert!(reader.text().contains("\nline 1\nline 2\n"));
 }
+
+/// Guards against lines that a program cannot read, and against identifiers
+/// that become numbers.
+#[test]
+fn an_event_becomes_a_json_object() {
+    let text = "PM0703 request_failed request=0123456789 route=r-1 \
+                took_ms=17 error=\"no \\\"answer\\\" yet\" unanswered=Failed/a \
+                unanswered=Waiting/- serving=true";
+    let line = json("t", "INFO", "primrosemast::event", text);
+    let expected = value!({
+        "time": "t", "level": "info", "code": "PM0703",
+        "event": "request_failed", "request": "0123456789", "route": "r-1",
+        "took_ms": 17, "error": "no \"answer\" yet",
+        "unanswered": ["Failed/a", "Waiting/-"], "serving": true,
+    });
+    assert_eq!(line, expected);
+    let line = json("t", "WARN", "primrosemast::peer", "a text=1 of ours");
+    let expected = value!({
+        "time": "t", "level": "warn", "target": "primrosemast::peer",
+        "message": "a text=1 of ours",
+    });
+    assert_eq!(line, expected);
+}
