--- a/crates/core/src/forward/targets.rs
+++ b/crates/core/src/forward/targets.rs
@@ -70,10 +70,6 @@
     }
 }
 
-/// How often the wait for a target that refuses connections is doubled: up to
-/// four times the lag of the list, within which a crashed target leaves it.
-const CONFIRM_DOUBLINGS: u32 = 2;
-
 /// A latency above this many typical ones is that of a slow or paused
 /// target.
 const SLOW_SAMPLE: f64 = 1.5;
@@ -126,8 +122,6 @@
     /// It refused a connection: a reading of the list that began after this
     /// has to confirm it, because it may come back cold.
     confirm_after: Option<Time>,
-    /// Connections that it refused since its last good answer.
-    refusals: u32,
 }
 
 impl Target {
@@ -253,7 +247,6 @@
             paused_until: Time::ZERO,
             paused_for: Failure::Answered,
             confirm_after: None,
-            refusals: 0,
         });
         target.leaving = listed.leaving;
         if listed.cold_ms > 0 {
@@ -502,7 +495,6 @@
         self.sample_failure(now, id, false);
         if let Some(target) = self.get_mut(id) {
             target.failures = 0;
-            target.refusals = 0;
             target.paused_until = Time::ZERO;
         }
     }
@@ -530,16 +522,12 @@
     }
 
     /// Notes that a target accepts no connection. It may come back cold, so
-    /// a later reading of the list has to confirm it. The list goes on naming
-    /// a target for seconds after it has crashed, so each further refusal
-    /// doubles the wait.
+    /// a later reading of the list has to confirm it.
     pub fn refused_connection(&mut self, now: Time, id: TargetId) {
-        let lag = self.lag;
+        let confirm = now + self.lag;
         if let Some(target) = self.get_mut(id) {
-            let doubled = target.refusals.min(CONFIRM_DOUBLINGS);
             target.failures += 1;
-            target.refusals += 1;
-            target.confirm_after = Some(now + lag * 2_u32.pow(doubled));
+            target.confirm_after = Some(confirm);
         }
     }
 
