Check forwarding tables wherever a configuration is checked

Cause: `primrosemast check`, `apply` and `POST /v1/changes` did not look at the forwarding table, so a route that names an unknown service was accepted and only reported by each instance as PM0731 when it did not come into force.

Change: the checks of a document and of a configuration include `Forwarding::problems`, as the platform's adapter already does.

Measured: `a_broken_forwarding_table_is_a_problem` finds the service; the checks found nothing before.

--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -7,7 +7,11 @@
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
-use primrosemast_core::config::{AnswerPolicy, Configuration, ZoneState};
+use primrosemast_core::{
+    config::{AnswerPolicy, Configuration, ZoneState},
+    forward::table::Forwarding,
+};
+use serde::Deserialize;
 use serde_json::Value;
 
 use super::{
@@ -44,6 +48,8 @@
     services: Vec<ServiceView<'a>>,
     routes: Vec<RouteView<'a>>,
     limits: Vec<(&'static str, u64)>,
+    /// What is wrong with the forwarding table.
+    forwarding: Vec<String>,
 }
 
 struct ZoneView<'a> {
@@ -82,6 +88,7 @@
     fn of(configuration: &'a Configuration) -> View<'a> {
         let limits = &configuration.limits;
         View {
+            forwarding: configuration.forwarding.problems(),
             zones: configuration
                 .availability_zones
                 .iter()
@@ -177,7 +184,10 @@
             "max_in_flight",
             "bundle_size",
         ];
+        // What is no table at all is reported by the schema.
+        let table = Forwarding::deserialize(&document["forwarding"]);
         View {
+            forwarding: table.map_or(Vec::new(), |t| t.problems()),
             zones: items(document, "availability_zones")
                 .map(|z| ZoneView {
                     name: z["name"].as_str(),
@@ -206,6 +216,10 @@
         self.check_searchers(&mut out);
         self.check_routes(&mut out);
         self.check_limits(&mut out);
+        out.extend(self.forwarding.iter().map(|problem| {
+            let path = segments!["forwarding"];
+            Finding::error(path, problem, "a table that can be in force")
+        }));
         out
     }
 
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -398,3 +398,16 @@
     let error = load_instance(&path).unwrap_err();
     insta::assert_snapshot!(without_folder(&error.to_string()));
 }
+
+// Guards against a forwarding table that is accepted and then not in force.
+#[test]
+fn a_broken_forwarding_table_is_a_problem() {
+    let overlay = r#"{ "forwarding": { "revision": 2, "routes": [
+        { "name": "one", "host": "h.example", "path_prefix": "/one/",
+          "repeatable": true, "timeout_ms": 100, "objective_ms": 50,
+          "priority": 1, "max_attempts": 1,
+          "destination": { "service": "nowhere" } } ] } }"#;
+    let text = problems(BASE, overlay);
+    assert!(text.contains("unknown service"), "{text}");
+    assert!(text.contains("forwarding"), "{text}");
+}
