Split the choice of a target from what each target can do now

Cause: `choose` had grown to sixty lines with four reasons to pass a target over, which a reader had to tell apart by the order of its `continue`s.

Change: `candidate` says how a target can serve a request; `choose` compares.

--- a/crates/core/src/forward/targets.rs
+++ b/crates/core/src/forward/targets.rs
@@ -131,6 +131,19 @@
     }
 }
 
+/// How a target can serve a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Candidate {
+    /// It can take the request.
+    Usable,
+    /// It is paused because it fails a part of its requests.
+    Failing,
+    /// All connections to it are taken.
+    Full,
+    /// It must not be asked before this time.
+    Excluded(Time),
+}
+
 /// Why no target can take a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Unavailable {
@@ -326,37 +339,23 @@
         let mut busy = false;
         let mut until = now + self.choice.pause_max;
         let mut turn = random;
-        for target in self.of_service(service) {
-            if tried.contains(&target.id) {
-                continue;
-            }
-            if let Some(at) = self.excluded_until(now, target) {
-                until = until.min(at);
-                continue;
-            }
-            if self.is_silent(now, target, typical) {
-                until = until.min(now + self.choice.pause_first);
-                continue;
-            }
-            let full = target.open.len() >= self.share(target, connections);
-            if target.paused_until > now {
-                until = until.min(target.paused_until);
-                let usable = target.paused_for == Failure::Answered && !full;
-                let pause = (target.paused_until, target.id);
-                if usable && failing.is_none_or(|f| pause < f) {
-                    failing = Some(pause);
+        let targets = self.of_service(service);
+        for target in targets.filter(|t| !tried.contains(&t.id)) {
+            match self.candidate(now, target, connections, typical) {
+                Candidate::Usable => {
+                    // A different small number for each target.
+                    turn = (turn + 0.618) % 1.0;
+                    let score = self.score(now, target, typical) + 0.2 * turn;
+                    if best.is_none_or(|(s, _)| score < s) {
+                        best = Some((score, target.id));
+                    }
                 }
-                continue;
-            }
-            if full {
-                busy = true;
-                continue;
-            }
-            // A different small number for each target.
-            turn = (turn + 0.618) % 1.0;
-            let score = self.score(now, target, typical) + 0.2 * turn;
-            if best.is_none_or(|(s, _)| score < s) {
-                best = Some((score, target.id));
+                Candidate::Failing => {
+                    let pause = (target.paused_until, target.id);
+                    failing = failing.min(Some(pause)).or(Some(pause));
+                }
+                Candidate::Full => busy = true,
+                Candidate::Excluded(at) => until = until.min(at),
             }
         }
         match best {
@@ -366,6 +365,32 @@
         }
     }
 
+    /// How a target can serve a request now.
+    fn candidate(
+        &self,
+        now: Time,
+        target: &Target,
+        connections: u32,
+        typical: Duration,
+    ) -> Candidate {
+        if let Some(at) = self.excluded_until(now, target) {
+            return Candidate::Excluded(at);
+        }
+        if self.is_silent(now, target, typical) {
+            return Candidate::Excluded(now + self.choice.pause_first);
+        }
+        let full = target.open.len() >= self.share(target, connections);
+        let paused = target.paused_until > now;
+        match (paused, full) {
+            (false, false) => Candidate::Usable,
+            (false, true) => Candidate::Full,
+            (true, false) if target.paused_for == Failure::Answered => {
+                Candidate::Failing
+            }
+            (true, _) => Candidate::Excluded(target.paused_until),
+        }
+    }
+
     /// When a target that is not used now may be used again.
     fn unusable_until(&self, now: Time, target: &Target) -> Option<Time> {
         let paused = target.paused_until > now;
--- a/src/daemon/forward_metrics.rs
+++ b/src/daemon/forward_metrics.rs
@@ -101,8 +101,9 @@
     ) {
         let route = KeyValue::new("route", route.to_owned());
         let (result, verdict) = match response {
-            Response::Relay(_) => ("answered", "ran"),
-            Response::Merge { missing: 0, .. } => ("answered", "ran"),
+            Response::Relay(_) | Response::Merge { missing: 0, .. } => {
+                ("answered", "ran")
+            }
             Response::Merge { missing, .. } => {
                 self.shards.add(*missing as u64, std::slice::from_ref(&route));
                 ("in_part", "ran")
