Say of a request id only what its claim proves

Change: on a route that is not repeatable, all sends of an id are one request. The verdict speaks of the id, so it is may_have_run until a claim is granted. The new field this_send says whether this send may have run. This also holds for refusals at the HTTP layer. Fleets of tests keep the daemons' logs when a test fails.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -246,6 +246,12 @@
         Some(&self.routes[i])
     }
 
+    /// Returns whether a route is known and its requests may run more than
+    /// once.
+    pub fn is_repeatable(&self, route: &str) -> bool {
+        self.route(route).is_some_and(|r| r.repeatable)
+    }
+
     /// Finds a service by name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         let i = self
--- a/crates/core/src/query/api.rs
+++ b/crates/core/src/query/api.rs
@@ -184,8 +184,12 @@
 pub struct Failure {
     /// The caller's request id, or the query id in hex.
     pub request_id: String,
-    /// Whether the request may have run.
+    /// Whether the request may have run. On a route that is not repeatable,
+    /// every send of a request id is the same request, so this also covers
+    /// earlier sends of the id.
     pub verdict: Verdict,
+    /// Whether the request may have run because of this send.
+    pub this_send: Verdict,
     /// Reason, as a code for programs.
     pub reason: FailureReason,
     /// Reason, as a text for people.
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -126,7 +126,9 @@
     }
 }
 
-/// A running fleet; its processes are killed when it is dropped.
+/// A running fleet; its processes are killed when it is dropped. If a test
+/// fails, the logs of the daemons are kept in `failed-fleets`, beside the
+/// folder of the test program.
 #[derive(Debug)]
 pub struct Fleet {
     folder: TempDir,
@@ -143,10 +145,33 @@
                 let _ = child.wait();
             }
         }
+        if std::thread::panicking() {
+            match self.keep_logs() {
+                Ok(folder) => eprintln!("logs kept in {}", folder.display()),
+                Err(e) => eprintln!("the logs could not be kept: {e}"),
+            }
+        }
     }
 }
 
 impl Fleet {
+    /// Copies the logs of the daemons to a folder that outlives the fleet.
+    fn keep_logs(&self) -> io::Result<PathBuf> {
+        let program = std::env::current_exe()?;
+        let build = program.ancestors().nth(2).unwrap_or(Path::new("."));
+        let thread = std::thread::current();
+        let test = thread.name().unwrap_or("unnamed").replace("::", "-");
+        let folder = build
+            .join("failed-fleets")
+            .join(format!("{test}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        for instance in &self.instances {
+            let name = format!("{}.log", instance.name);
+            std::fs::copy(&instance.log, folder.join(name))?;
+        }
+        Ok(folder)
+    }
+
     /// Starts a fleet. `command` is the program of the daemon and its first
     /// arguments; `--settings FILE` is appended.
     ///
--- a/src/daemon/handle.rs
+++ b/src/daemon/handle.rs
@@ -103,6 +103,7 @@
     pub(crate) serving: bool,
     pub(crate) draining: bool,
     pub(crate) version: ConfigVersion,
+    pub(crate) configuration: Option<Arc<Configuration>>,
     pub(crate) table: Arc<CompiledTable>,
 }
 
@@ -189,6 +190,15 @@
         self.read_published(|p| p.draining)
     }
 
+    /// Returns whether a route is known and its requests may run more than
+    /// once.
+    pub(crate) fn is_repeatable(&self, route: &str) -> bool {
+        self.read_published(|p| {
+            let cfg = p.configuration.as_deref();
+            cfg.is_some_and(|c| c.is_repeatable(route))
+        })
+    }
+
     /// Returns the version of the configuration in force.
     pub fn version(&self) -> ConfigVersion {
         self.read_published(|p| p.version)
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -474,6 +474,7 @@
             serving: self.node.serving(),
             draining: self.node.draining(),
             version: ConfigVersion(version),
+            configuration: self.node.configuration().map(|c| c.1.clone()),
             table: self.node.forwarding_table().clone(),
         });
         let now = Instant::now();
--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -74,6 +74,7 @@
         None => failure_response(&Failure {
             request_id: String::new(),
             verdict: Verdict::MayHaveRun,
+            this_send: Verdict::MayHaveRun,
             reason: FailureReason::NotServing,
             message: "the instance stopped".into(),
         }),
@@ -81,7 +82,8 @@
 }
 
 /// Validates the form of a request. Nothing has been sent to a target yet, so
-/// the verdict of every failure is "not run".
+/// this send did not run. An earlier send of the same id may have, if the
+/// route is not known to be repeatable.
 async fn parse_request(
     handle: &Handle,
     route: String,
@@ -89,9 +91,15 @@
     body: Body,
 ) -> Result<CallerRequest, Failure> {
     let request_id = parse_id_header(headers, "x-request-id")?;
+    let may_be_resend = request_id.is_some() && !handle.is_repeatable(&route);
     let fail = |reason, message: &str| Failure {
         request_id: request_id.clone().unwrap_or_default(),
-        verdict: Verdict::NotRun,
+        verdict: if may_be_resend {
+            Verdict::MayHaveRun
+        } else {
+            Verdict::NotRun
+        },
+        this_send: Verdict::NotRun,
         reason,
         message: message.into(),
     };
@@ -147,6 +155,7 @@
         _ => Err(Failure {
             request_id: String::new(),
             verdict: Verdict::NotRun,
+            this_send: Verdict::NotRun,
             reason: FailureReason::BadRequest,
             message: format!(
                 "{name} must be 1 to {MAX_ID_BYTES} visible ASCII characters"
