Let only one instance send to a cold target around a hand-over

Cause: while a home acknowledges late, roots ask its standby, which sends up to half of the slots, and at least one request.

Change: a standby sends only while the home allows it, which the home does for ready targets. A home that finds a target cold revokes the permission, and sends nothing to it until the standby has confirmed that it has no request there, or for the lease of 2 s. Notices are numbered and permissions carry a token of the standby, so late, repeated and lost messages and restarts are safe. A standby that takes over without the permission waits for the takeover hold. Roots do not ask the standby of a target that is not ready.

--- a/crates/core/benches/target_cost.rs
+++ b/crates/core/benches/target_cost.rs
@@ -81,6 +81,7 @@
                 slots: 2,
                 connections: 25,
                 role: HomeRole::Home,
+                peer: None,
             })
             .collect();
         fleet.step(TargetEvent::Configure(specs));
--- a/crates/core/src/event/target.rs
+++ b/crates/core/src/event/target.rs
@@ -11,4 +11,5 @@
     CONNECTION_CAP = (206, Warn, "A target refused a connection because it has too many. The number of connections to it is reduced for some time.");
     CONNECT_FAILED = (207, Info, "A connection to a target could not be opened, or failed before its first answer. The next attempt is delayed.");
     ROLE_TAKEN = (208, Info, "The role of this instance for a target changed.");
+    REVOKE_UNCONFIRMED = (209, Warn, "The standby of a cold target did not confirm in time that it sends nothing to the target. The home sends again.");
 }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -389,6 +389,16 @@
                     }
                 }
                 TargetEffect::Report(report) => self.queue_report(now, report),
+                TargetEffect::NotifyStandby { to, target, notice } => {
+                    let message =
+                        query::Message::SharingNotice(target, notice);
+                    self.send_query(to, message, out);
+                }
+                TargetEffect::ConfirmSharing { to, target, notice } => {
+                    let message =
+                        query::Message::SharingConfirmed(target, notice);
+                    self.send_query(to, message, out);
+                }
                 TargetEffect::Log(event) => out.extend([Effect::Log(event)]),
                 effect => out.extend([Effect::Target(effect)]),
             }
@@ -424,6 +434,15 @@
                     self.push(Internal::Target(TargetEvent::Cancel(job)));
                 }
             }
+            query::Message::SharingNotice(target, notice) => {
+                let event = TargetEvent::SharingNoticed(target, from, notice);
+                self.push(Internal::Target(event));
+            }
+            query::Message::SharingConfirmed(target, notice) => {
+                let event =
+                    TargetEvent::SharingConfirmed(target, from, notice);
+                self.push(Internal::Target(event));
+            }
             query::Message::Accepted { .. }
             | query::Message::Reply(_)
             | query::Message::Reports(_) => {
--- a/crates/core/src/node/roles.rs
+++ b/crates/core/src/node/roles.rs
@@ -123,7 +123,7 @@
         for BundledSearcher { searcher, zone, bundle, .. } in
             placement::bundled_searchers(&configuration)
         {
-            let role = self.home_role(bundle);
+            let (role, peer) = self.home_role(bundle);
             if role == HomeRole::None {
                 continue;
             }
@@ -137,6 +137,7 @@
                 slots: searcher.slots,
                 connections: searcher.connections,
                 role,
+                peer,
             });
         }
         specs.sort_by_key(|s| s.id);
@@ -173,19 +174,24 @@
         ))]);
     }
 
-    /// Returns this instance's role for a bundle.
-    fn home_role(&self, bundle: BundleKey) -> HomeRole {
+    /// Returns this instance's role for a bundle, and the instance with the
+    /// other role.
+    fn home_role(&self, bundle: BundleKey) -> (HomeRole, Option<InstanceId>) {
         if !self.entry_active() {
-            return HomeRole::None;
+            return (HomeRole::None, None);
         }
         if self.options.query.mode == DispatchMode::Direct {
-            return HomeRole::Home;
+            return (HomeRole::Home, None);
         }
         let own_id = Some(self.own_member.id);
         match self.placement.get(bundle) {
-            Some(placed) if placed.home == own_id => HomeRole::Home,
-            Some(placed) if placed.standby == own_id => HomeRole::Standby,
-            _ => HomeRole::None,
+            Some(placed) if placed.home == own_id => {
+                (HomeRole::Home, placed.standby)
+            }
+            Some(placed) if placed.standby == own_id => {
+                (HomeRole::Standby, placed.home)
+            }
+            _ => (HomeRole::None, None),
         }
     }
 
--- a/crates/core/src/query/api.rs
+++ b/crates/core/src/query/api.rs
@@ -13,7 +13,7 @@
     id::{InstanceId, QueryId, RouteId, TargetId, Token},
     placement::Candidate,
     snapshot::Snapshot,
-    target::{JobOutcome, TargetReport},
+    target::{JobOutcome, SharingNotice, TargetReport},
     verdict::Verdict,
 };
 
@@ -49,6 +49,10 @@
         /// Attempt and shard of each request.
         shards: Vec<(u32, u32)>,
     },
+    /// Home to standby: whether the standby may send to a target.
+    SharingNotice(TargetId, SharingNotice),
+    /// Standby to home: confirms a notice.
+    SharingConfirmed(TargetId, SharingNotice),
 }
 
 /// A request for some shards of a query, all at one home.
--- a/crates/core/src/query/root.rs
+++ b/crates/core/src/query/root.rs
@@ -431,7 +431,9 @@
             // These messages are handled by homes.
             Message::Request(_)
             | Message::Cancel { .. }
-            | Message::CancelShards { .. } => {}
+            | Message::CancelShards { .. }
+            | Message::SharingNotice(..)
+            | Message::SharingConfirmed(..) => {}
         }
     }
 
--- a/crates/core/src/query/standby.rs
+++ b/crates/core/src/query/standby.rs
@@ -104,6 +104,11 @@
             let Some(other) = other.filter(|&x| x != d.home) else {
                 continue;
             };
+            if Some(other) == standby && !self.table.is_ready(t.slot) {
+                // Only the home may send to a target that is not ready. A
+                // hedge asks another replica if the home stays silent.
+                continue;
+            }
             let position = t.shard as usize;
             if plan.tries_of(position).count() >= MAX_TRIES {
                 continue;
--- a/crates/core/src/query/table.rs
+++ b/crates/core/src/query/table.rs
@@ -141,6 +141,11 @@
         Some(i as u32)
     }
 
+    /// Returns whether the newest report says that a target is ready.
+    pub(crate) fn is_ready(&self, slot: u32) -> bool {
+        self.targets[slot as usize].state == Some(TargetState::Ready)
+    }
+
     /// Returns the newest report of a target, if there is one.
     pub(crate) fn newest_report(&self, id: TargetId) -> Option<TargetReport> {
         let slot = self.find(id)? as usize;
--- a/crates/core/src/target/entry.rs
+++ b/crates/core/src/target/entry.rs
@@ -12,6 +12,7 @@
     HomeRole, Job, JobOutcome, RequestId, TargetEffect, TargetOptions,
     TargetReport, TargetSpec, TargetState,
     conn::{Conn, ConnState, SentRequest, conn_id},
+    handover::Sharing,
     latency::Latency,
     queue::JobQueue,
 };
@@ -91,6 +92,8 @@
     pub(crate) leaving_by_platform: bool,
     /// End of the takeover hold of a new home.
     pub(crate) hold_until: Option<Time>,
+    /// Agreement with the standby, or with the home, on who may send.
+    pub(crate) sharing: Sharing,
     /// Boot identifier in the last answer that had one.
     pub(crate) answer_boot: Option<u64>,
     /// Boot identifier in the last health report.
@@ -155,6 +158,7 @@
             leaving_by_health: false,
             leaving_by_platform: false,
             hold_until: None,
+            sharing: Sharing::default(),
             answer_boot: None,
             health_boot: None,
             refuted_boot: None,
@@ -215,6 +219,10 @@
             self.shed(cx, job.id, "no_new_work");
             return;
         }
+        if self.is_forbidden() {
+            self.shed(cx, job.id, "home_only");
+            return;
+        }
         // The queue is bounded by the number of jobs that can be served
         // before the latest deadline in it.
         let horizon = self
@@ -268,6 +276,9 @@
                 self.shed(cx, job.id, "no_new_work");
             }
         }
+        if self.awaits_handover() {
+            return;
+        }
         let limit = self.effective_limit();
         loop {
             let available = limit.saturating_sub(self.running()) as usize;
--- a/crates/core/src/target/mod.rs
+++ b/crates/core/src/target/mod.rs
@@ -21,6 +21,7 @@
 mod conn;
 mod entry;
 mod exchange;
+mod handover;
 mod health;
 mod latency;
 mod options;
@@ -30,6 +31,7 @@
 mod types;
 
 pub use answer::RequestId;
+pub use handover::SharingNotice;
 pub use options::TargetOptions;
 pub use reducer::Targets;
 pub use types::*;
--- a/crates/core/src/target/options.rs
+++ b/crates/core/src/target/options.rs
@@ -13,6 +13,10 @@
     /// How long a new home is restricted to the limit of a standby, because
     /// the former home may not know of the change yet.
     pub takeover_hold: Duration,
+    /// How long a home sends nothing to a cold target whose standby has not
+    /// confirmed that it sends nothing either. At least the lease after which
+    /// an instance that is cut off stops serving.
+    pub revoke_timeout: Duration,
     /// Number of good answers that raise the limit by one.
     pub ramp_answers: u32,
     /// Multiple of the base latency up to which an answer is good.
@@ -82,6 +86,7 @@
         TargetOptions {
             fleet_is_new: false,
             takeover_hold: Duration::from_secs(1),
+            revoke_timeout: Duration::from_secs(2),
             ramp_answers: 8,
             good_factor: 3,
             slow_factor: 8,
--- a/crates/core/src/target/reducer.rs
+++ b/crates/core/src/target/reducer.rs
@@ -12,14 +12,14 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::{
-    HomeRole, Job, JobOutcome, TargetEffect, TargetEvent, TargetOptions,
-    TargetReport, TargetSpec, TargetState,
+    HomeRole, Job, JobOutcome, SharingNotice, TargetEffect, TargetEvent,
+    TargetOptions, TargetReport, TargetSpec, TargetState,
     conn::slab_key_of,
     entry::{Cx, Target},
 };
 use crate::{
     event,
-    id::{JobId, TargetId},
+    id::{InstanceId, JobId, TargetId},
     time::Time,
 };
 
@@ -91,6 +91,16 @@
                     t.connect_failed(cx, conn);
                 });
             }
+            TargetEvent::SharingNoticed(target, from, notice) => {
+                self.sharing_noticed(now, target, from, notice, out);
+            }
+            TargetEvent::SharingConfirmed(target, from, notice) => {
+                if let Some(key) = self.key_of(target) {
+                    self.apply(now, key, out, |t, _| {
+                        t.sharing_confirmed(from, notice);
+                    });
+                }
+            }
             TargetEvent::Cancelled(target, request) => {
                 if let Some(key) = self.key_of(target) {
                     self.apply(now, key, out, |t, _| t.cancelled(request));
@@ -167,6 +177,27 @@
         self.apply(now, key, out, |t, cx| t.submit(cx, job));
     }
 
+    fn sharing_noticed(
+        &mut self,
+        now: Time,
+        target: TargetId,
+        from: InstanceId,
+        notice: SharingNotice,
+        out: &mut impl Extend<TargetEffect>,
+    ) {
+        if let Some(key) = self.key_of(target) {
+            self.apply(now, key, out, |t, cx| {
+                t.sharing_noticed(cx, from, notice);
+            });
+        } else {
+            // Nothing is sent to a target that is not served here.
+            let notice = SharingNotice { allowed: false, ..notice };
+            let effect =
+                TargetEffect::ConfirmSharing { to: from, target, notice };
+            out.extend([effect]);
+        }
+    }
+
     fn tick(&mut self, now: Time, out: &mut impl Extend<TargetEffect>) {
         let due: Vec<u32> = self
             .timers
@@ -199,15 +230,13 @@
         for key in removed {
             self.apply(now, key, out, |t, cx| {
                 t.removed = true;
-                let spec =
-                    TargetSpec { role: HomeRole::None, ..t.spec.clone() };
+                let spec = t.spec.without_role();
                 t.configure(cx, spec, needs_hold);
             });
         }
         for spec in specs {
             let key = self.key_of(spec.id).unwrap_or_else(|| {
-                let without_role =
-                    TargetSpec { role: HomeRole::None, ..spec.clone() };
+                let without_role = spec.without_role();
                 self.insert(now, without_role)
             });
             self.apply(now, key, out, |t, cx| {
@@ -253,6 +282,8 @@
         };
         target.expire(&cx);
         f(target, &mut cx);
+        target.notify_standby(&mut cx);
+        target.confirm_revocation(&mut cx);
         target.dispatch(&mut cx);
         target.publish_report(&mut cx);
         let due = target.next_deadline(&self.options);
@@ -341,6 +372,7 @@
             self.queue.next_deadline(),
             self.pending_cancels.iter().map(|c| c.until).min(),
             self.hold_until,
+            self.sharing.next_deadline(),
             self.report_due,
             self.retry_at.filter(|_| awaits_conn),
             probe,
@@ -374,6 +406,9 @@
             self.hold_until = (role == HomeRole::Home && needs_hold)
                 .then(|| cx.now + cx.options.takeover_hold);
         }
+        if old.role != role || old.peer != self.spec.peer {
+            self.role_changed(cx, old.role);
+        }
         let newly_served =
             old.role == HomeRole::None && role != HomeRole::None;
         if address_changed {
--- a/crates/core/src/target/types.rs
+++ b/crates/core/src/target/types.rs
@@ -7,11 +7,11 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use super::RequestId;
+use super::{RequestId, SharingNotice};
 use crate::{
     config::Priority,
     event::LogEvent,
-    id::{ConnId, JobId, QueryId, TargetId, ZoneId},
+    id::{ConnId, InstanceId, JobId, QueryId, TargetId, ZoneId},
     snapshot::{Holding, Snapshot},
     time::Time,
     verdict::Verdict,
@@ -36,6 +36,16 @@
     pub connections: u32,
     /// Role of this instance for the target.
     pub role: HomeRole,
+    /// The instance with the other role: the standby if this one is the home,
+    /// the home if it is the standby.
+    pub peer: Option<InstanceId>,
+}
+
+impl TargetSpec {
+    /// Returns the same target without a role of this instance.
+    pub(crate) fn without_role(&self) -> TargetSpec {
+        TargetSpec { role: HomeRole::None, peer: None, ..self.clone() }
+    }
 }
 
 /// Role of an instance for a target.
@@ -217,6 +227,10 @@
     Health(TargetId, Option<HealthReport>),
     /// Whether the platform's list names the target as leaving.
     PlatformLeaving(TargetId, bool),
+    /// The home of a target allows this instance to send to it, or no longer.
+    SharingNoticed(TargetId, InstanceId, SharingNotice),
+    /// The standby of a target confirmed a notice.
+    SharingConfirmed(TargetId, InstanceId, SharingNotice),
     /// The target confirmed that it no longer runs a cancelled request.
     Cancelled(TargetId, RequestId),
     /// The deadline returned by `Targets::next_deadline` has passed.
@@ -277,6 +291,24 @@
         /// Address of its HTTP server.
         address: SocketAddr,
     },
+    /// Tell the standby whether it may send to a target.
+    NotifyStandby {
+        /// The standby.
+        to: InstanceId,
+        /// The target.
+        target: TargetId,
+        /// The notice.
+        notice: SharingNotice,
+    },
+    /// Confirm a notice to the home of a target.
+    ConfirmSharing {
+        /// The home.
+        to: InstanceId,
+        /// The target.
+        target: TargetId,
+        /// What is confirmed.
+        notice: SharingNotice,
+    },
     /// Report the outcome of a job; each submitted job ends exactly once.
     Done(JobId, JobOutcome),
     /// Publish a report to the other instances.
--- a/crates/core/tests/target_support/mod.rs
+++ b/crates/core/tests/target_support/mod.rs
@@ -30,6 +30,7 @@
         slots,
         connections: 25,
         role: HomeRole::Home,
+        peer: None,
     }
 }
 
