--- a/src/daemon/effects.rs
+++ b/src/daemon/effects.rs
@@ -102,6 +102,8 @@
             }
             TargetEffect::Done(..)
             | TargetEffect::Report(_)
+            | TargetEffect::NotifyStandby { .. }
+            | TargetEffect::ConfirmSharing { .. }
             | TargetEffect::Log(_) => {
                 unreachable!("the node handles these itself")
             }
