Ask a standby once the home of a cold target is silent

A shed request had made the target warming, at which the standby may still send.

Change: reports say whether the standby may send. A root skips the standby only if it may not, and only while it has heard of the home within the last second.

--- a/crates/core/benches/query_cost.rs
+++ b/crates/core/benches/query_cost.rs
@@ -138,6 +138,7 @@
                 shard: i as u32 % shards,
                 shard_count: shards,
             }],
+            shared: true,
         })
         .collect();
     for n in 0..INSTANCES {
--- a/crates/core/src/query/root.rs
+++ b/crates/core/src/query/root.rs
@@ -59,6 +59,8 @@
     pub(super) rng: Pcg64Mcg,
     pub(super) table: RoutingTable,
     pub(super) ack_time: AckTimeEstimator,
+    /// When a message from each instance arrived last, sorted by instance.
+    pub(super) heard: Vec<(InstanceId, Time)>,
     serving: bool,
     /// Sorted by query; `None` while the query is taken out.
     active: Vec<(QueryId, Option<Box<ActiveQuery>>)>,
@@ -85,6 +87,7 @@
             rng: Pcg64Mcg::seed_from_u64(seed),
             table: RoutingTable::new(zone),
             ack_time: AckTimeEstimator::default(),
+            heard: Vec::new(),
             serving: false,
             active: Vec::new(),
             tokens: Vec::new(),
@@ -111,6 +114,8 @@
                 self.refresh_target_slots();
             }
             QueryEvent::Candidates(candidates) => {
+                self.heard
+                    .retain(|h| candidates.iter().any(|c| c.instance == h.0));
                 self.table.set_candidates(candidates, &self.options);
                 self.reroute_from_lost_homes(now);
             }
@@ -408,6 +413,10 @@
         from: InstanceId,
         message: Message,
     ) {
+        match self.heard.binary_search_by_key(&from, |h| h.0) {
+            Ok(i) => self.heard[i].1 = now,
+            Err(i) => self.heard.insert(i, (from, now)),
+        }
         match message {
             Message::Reports(reports) => {
                 for report in reports {
--- a/crates/core/src/query/standby.rs
+++ b/crates/core/src/query/standby.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     event::query as events,
+    id::InstanceId,
     query::{
         active::{
             ActiveQuery, MAX_TRIES, NEVER, NO_POSITION, TryKind, TryState,
@@ -23,6 +24,10 @@
 /// work.
 const LATE_TIMER_THRESHOLD: Duration = Duration::from_millis(5);
 
+/// Time without a message from a home after which its reports are taken for
+/// outdated.
+const HOME_SILENCE: Duration = Duration::from_secs(1);
+
 impl Queries {
     /// Moves requests to the standby if their home has not acknowledged them
     /// in time.
@@ -104,9 +109,12 @@
             let Some(other) = other.filter(|&x| x != d.home) else {
                 continue;
             };
-            if Some(other) == standby && !self.table.is_ready(t.slot) {
-                // Only the home may send to a target that is not ready. A
-                // hedge asks another replica if the home stays silent.
+            if Some(other) == standby
+                && !self.table.is_shared(t.slot)
+                && self.was_heard(now, d.home)
+            {
+                // The standby would refuse, and the home is only late. A
+                // hedge asks another replica meanwhile.
                 continue;
             }
             let position = t.shard as usize;
@@ -159,6 +167,13 @@
         }
     }
 
+    /// Returns whether a message from an instance arrived recently, so that
+    /// what it reported of its targets is up to date.
+    fn was_heard(&self, now: Time, from: InstanceId) -> bool {
+        let found = self.heard.binary_search_by_key(&from, |h| h.0);
+        found.is_ok_and(|i| now.since(self.heard[i].1) < HOME_SILENCE)
+    }
+
     /// Returns whether a target that was chosen before may still get new
     /// requests: its zone is in, and it has not been leaving for
     /// `leaving_grace` or longer.
--- a/crates/core/src/query/table.rs
+++ b/crates/core/src/query/table.rs
@@ -47,6 +47,8 @@
     /// Value of `pending` when the newest report came. The report includes
     /// these requests.
     reported_pending: u32,
+    /// Whether the standby may send to it.
+    shared: bool,
     /// Time of the first report of the state `Leaving`.
     leaving_since: Option<Time>,
 }
@@ -141,9 +143,10 @@
         Some(i as u32)
     }
 
-    /// Returns whether the newest report says that a target is ready.
-    pub(crate) fn is_ready(&self, slot: u32) -> bool {
-        self.targets[slot as usize].state == Some(TargetState::Ready)
+    /// Returns whether the newest report says that the standby of a target
+    /// may send to it.
+    pub(crate) fn is_shared(&self, slot: u32) -> bool {
+        self.targets[slot as usize].shared
     }
 
     /// Returns the newest report of a target, if there is one.
@@ -158,6 +161,7 @@
             queued: t.queued,
             latency_us: t.latency_us,
             holds: self.holdings[slot].clone(),
+            shared: t.shared,
         })
     }
 
@@ -251,6 +255,7 @@
                 running: 0,
                 pending: 0,
                 reported_pending: 0,
+                shared: false,
                 leaving_since: None,
             });
         }
@@ -281,6 +286,7 @@
                 *holds = std::mem::take(&mut old_holdings[i]);
                 t.pending = x.pending;
                 t.reported_pending = x.reported_pending;
+                t.shared = x.shared;
                 t.leaving_since = x.leaving_since;
             }
         }
@@ -461,6 +467,7 @@
         t.state = Some(state);
         t.limit = limit;
         t.latency_us = report.latency_us;
+        t.shared = report.shared;
         t.running = running.min(1 << 20);
         t.queued = queued.min(1 << 20);
         t.reported_pending = t.pending;
--- a/crates/core/src/target/entry.rs
+++ b/crates/core/src/target/entry.rs
@@ -64,6 +64,7 @@
     pub(crate) running: u32,
     pub(crate) queued: u32,
     pub(crate) latency_us: u32,
+    pub(crate) shared: bool,
 }
 
 /// State that this instance keeps for one target.
@@ -388,6 +389,7 @@
             running: self.running(),
             queued: self.queue.len() as u32,
             latency_us: u32::try_from(latency.as_micros()).unwrap_or(u32::MAX),
+            shared: self.is_shared(),
         }
     }
 
@@ -405,6 +407,7 @@
             queued: summary.queued,
             latency_us: summary.latency_us,
             holds: self.holds.clone(),
+            shared: self.is_shared(),
         })
     }
 
@@ -435,7 +438,9 @@
         }
         let immediate = self.holds_changed
             || self.last_report.is_none_or(|last| {
-                last.state != summary.state || last.limit != summary.limit
+                last.state != summary.state
+                    || last.limit != summary.limit
+                    || last.shared != summary.shared
             });
         let due = self.last_report_at + cx.options.report_interval;
         if !immediate && cx.now < due {
--- a/crates/core/src/target/handover.rs
+++ b/crates/core/src/target/handover.rs
@@ -86,6 +86,11 @@
         self.state == TargetState::Cold || self.maybe_restarted
     }
 
+    /// Home: whether the standby may send.
+    pub(crate) fn is_shared(&self) -> bool {
+        self.sharing.confirmed == Some(true)
+    }
+
     /// Whether another instance may have requests at a target that bears only
     /// one, so that nothing may be sent to it.
     pub(crate) fn awaits_handover(&self) -> bool {
--- a/crates/core/src/target/types.rs
+++ b/crates/core/src/target/types.rs
@@ -125,6 +125,9 @@
     pub latency_us: u32,
     /// Snapshots and shards that it can serve.
     pub holds: Vec<Holding>,
+    /// Whether the standby may send to it.
+    #[serde(default)]
+    pub shared: bool,
 }
 
 /// How a job ended.
--- a/crates/core/tests/query.rs
+++ b/crates/core/tests/query.rs
@@ -373,6 +373,27 @@
     assert_eq!(answered(root.response()).coverage.answered, 2);
 }
 
+/// Guards against a standby that is asked for a target that only its home may
+/// send to, and against waiting for a home that has fallen silent.
+#[test]
+fn the_standby_of_a_cold_target_is_asked_once_its_home_is_silent() {
+    let mut root = root_with_reports(two_zones());
+    for (name, shard) in [("a0", 0), ("a1", 1), ("b0", 0), ("b1", 1)] {
+        let mut cold = report(name, vec![holding(1, shard, 2)]);
+        cold.shared = false;
+        root.report(cold);
+    }
+    let asked = |root: &mut Root| {
+        root.submit_with(None, |r| r.deadline_us = Some(2_000_000));
+        root.advance(25 * MS);
+        let sent = root.requests();
+        sent.iter().filter(|x| x.1.as_standby).count()
+    };
+    assert_eq!(asked(&mut root), 0);
+    root.advance(1_000 * MS);
+    assert!(asked(&mut root) > 0);
+}
+
 /// Guards against waiting for the acknowledgement of a home that has left the
 /// membership.
 #[test]
--- a/crates/core/tests/query_support/mod.rs
+++ b/crates/core/tests/query_support/mod.rs
@@ -47,6 +47,7 @@
         queued: 0,
         latency_us: 1_000,
         holds,
+        shared: true,
     }
 }
 
