Bound what a target sends, and give late answers to nobody

Found with raw TCP targets (platform/tests/hostile_targets.rs), each failing before its mend: - A late refusal of the request before, on a connection in use again, was taken for the refusal of the next request: the identifier was checked only after the refusal. A request that must not be repeated ran 3 times. - A late answer without an identifier reached the next caller on the connection. Such an answer counts now only on a connection that has carried no other request. - Interim responses without end kept the instance busy: other requests were answered after 4.9 s, bound 2.5 s. What is read before a head is complete is limited to 128 KiB. Answers that break off were not passed on before either.

Change: http_exchange has the limits of heads and the memory that the bodies of answers share, of which an answer holds at most as much as is still free. The targets of both paths and the platform's list use it. The list is limited as a whole, to 32 MiB.

Shown: 48 requests at targets without end are answered within 2.5 s, gathered ones without the part of that target, with at most 94 MB of memory (of 160); the connections are closed.

--- a/src/forward/connections.rs
+++ b/src/forward/connections.rs
@@ -14,14 +14,8 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
 use http::{HeaderMap, Response, header};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::{
-    body::Incoming,
-    client::conn::http1::{self, SendRequest},
-};
-use hyper_util::rt::TokioIo;
+use hyper::body::Incoming;
 use primrosemast_core::{
     forward::{Outcome, TargetRequest},
     id::AttemptId,
@@ -33,14 +27,12 @@
 };
 
 use super::protocol::{CallerRequest, Protocol, TargetAnswer};
+use crate::http_exchange::{self, AnswerMemory, Sender};
 
 /// Timeout for opening a connection. Covers a few round trips and a pause of
 /// the target of 150 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Largest body that is accepted from a target, in bytes.
-const MAX_ANSWER_BYTES: usize = 16 << 20;
-
 /// Longest idle time of a connection, also if the target keeps it longer or
 /// does not send how long it keeps it.
 const MAX_IDLE: Duration = Duration::from_secs(10);
@@ -56,7 +48,7 @@
 /// A connection; closed when it is dropped.
 #[derive(Debug)]
 struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: Sender,
     driver: AbortHandle,
 }
 
@@ -77,11 +69,18 @@
 /// Idle connections, sorted by address.
 type Pool = Rc<RefCell<Vec<(SocketAddr, Vec<IdleConnection>)>>>;
 
+/// What all attempts share.
+struct Shared {
+    pool: Pool,
+    memory: AnswerMemory,
+}
+
 /// Running attempts and idle connections.
 #[derive(Debug)]
 pub(crate) struct Connections<P> {
     protocol: P,
     pool: Pool,
+    memory: AnswerMemory,
     /// Sorted by attempt: each new attempt has a higher identifier.
     running: Vec<(AttemptId, AbortHandle)>,
 }
@@ -91,7 +90,12 @@
 
 impl<P: Protocol> Connections<P> {
     pub(crate) fn new(protocol: P) -> Connections<P> {
-        Connections { protocol, pool: Pool::default(), running: Vec::new() }
+        Connections {
+            protocol,
+            pool: Pool::default(),
+            memory: AnswerMemory::default(),
+            running: Vec::new(),
+        }
     }
 
     /// Starts an attempt. `report` is called with its result, unless the
@@ -104,10 +108,13 @@
     ) {
         let id = target_request.attempt;
         let protocol = self.protocol.clone();
-        let pool = Rc::clone(&self.pool);
+        let cx = Shared {
+            pool: Rc::clone(&self.pool),
+            memory: self.memory.clone(),
+        };
         let task = spawn_local(async move {
             let result =
-                run_attempt(&protocol, &pool, &target_request, &req).await;
+                run_attempt(&protocol, &cx, &target_request, &req).await;
             report(target_request.attempt, result);
         });
         self.running.push((id, task.abort_handle()));
@@ -192,8 +199,7 @@
     // Without it, Nagle's algorithm may delay a request until the previous
     // one is acknowledged.
     let _ = stream.set_nodelay(true);
-    let (sender, connection) =
-        http1::handshake(TokioIo::new(stream)).await.ok()?;
+    let (sender, connection) = http_exchange::handshake(stream).await.ok()?;
     let driver = spawn_local(async move {
         // The attempt receives the error from its own request.
         let _ = connection.await;
@@ -203,12 +209,12 @@
 
 async fn run_attempt(
     protocol: &impl Protocol,
-    pool: &Pool,
+    cx: &Shared,
     target_request: &TargetRequest,
     req: &CallerRequest,
 ) -> AttemptResult {
     let mut reused =
-        take_idle(pool, target_request.address, target_request.repeatable);
+        take_idle(&cx.pool, target_request.address, target_request.repeatable);
     loop {
         let fresh = reused.is_none();
         let connection = match reused.take() {
@@ -226,7 +232,7 @@
             continue;
         }
         let http_req = protocol.target_request(req, target_request);
-        let response = match connection.sender.send_request(http_req).await {
+        let response = match connection.sender.send(http_req).await {
             Ok(response) => response,
             // hyper reports `canceled` only if it never took the request.
             Err(e) if e.is_canceled() && !fresh => continue,
@@ -235,42 +241,54 @@
         };
         return read_answer(
             protocol,
-            pool,
+            cx,
             target_request,
             req,
-            connection,
-            response,
+            Exchange { connection, fresh, response },
         )
         .await;
     }
 }
 
+/// A request that was sent, and the head of its answer.
+struct Exchange {
+    connection: Connection,
+    /// Whether the connection has carried no other request.
+    fresh: bool,
+    response: Response<Incoming>,
+}
+
 /// Reads an answer, and returns the connection to the pool if it can be
 /// reused.
 async fn read_answer(
     protocol: &impl Protocol,
-    pool: &Pool,
+    cx: &Shared,
     target_request: &TargetRequest,
     req: &CallerRequest,
-    connection: Connection,
-    response: Response<Incoming>,
+    exchange: Exchange,
 ) -> AttemptResult {
+    let Exchange { connection, fresh, response } = exchange;
     let (parts, body) = response.into_parts();
     let id = &req.head.request_id;
     let head = protocol.answer_head(id, parts.status, &parts.headers);
-    // This is the answer to another request, so requests and answers on the
-    // connection no longer match.
-    let Some(head) = head else { return (Outcome::Broken, None) };
-    let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-    let Ok(body) = body else { return (Outcome::Broken, None) };
+    // Otherwise this is, or may be, the answer to another request, so requests
+    // and answers on the connection no longer match.
+    let Some(head) = head.filter(|h| h.names_request || fresh) else {
+        return (Outcome::Broken, None);
+    };
+    let Some((body, memory)) = cx.memory.read(body).await else {
+        return (Outcome::Broken, None);
+    };
     if is_reusable(&parts.headers) {
-        put_idle(pool, target_request.address, connection, head.keep_alive);
+        let address = target_request.address;
+        put_idle(&cx.pool, address, connection, head.keep_alive);
     }
     let answer = TargetAnswer {
         status: parts.status,
         headers: parts.headers,
         signatures: head.signature.into_iter().collect(),
-        body: body.to_bytes(),
+        body,
+        memory: Some(Arc::new(memory)),
     };
     (head.outcome, Some(answer))
 }
--- a/src/forward/native.rs
+++ b/src/forward/native.rs
@@ -93,7 +93,12 @@
             }
             None => Outcome::Failure,
         };
-        Some(AnswerHead { outcome, signature, keep_alive: None })
+        Some(AnswerHead {
+            outcome,
+            signature,
+            keep_alive: None,
+            names_request: true,
+        })
     }
 
     fn merged_response(
--- a/src/forward/protocol.rs
+++ b/src/forward/protocol.rs
@@ -13,6 +13,8 @@
     verdict::Verdict,
 };
 
+use crate::http_exchange::Reservation;
+
 /// A response to a caller.
 pub type CallerResponse = http::Response<Full<Bytes>>;
 
@@ -51,6 +53,9 @@
     /// Time for which the target keeps the connection open when it is idle;
     /// `None` if it does not send one.
     pub keep_alive: Option<Duration>,
+    /// Whether the answer carries the identifier of its request. One that
+    /// does not may belong to an earlier request on its connection.
+    pub names_request: bool,
 }
 
 /// A target's complete answer.
@@ -65,6 +70,9 @@
     pub signatures: Vec<HeaderValue>,
     /// The complete body.
     pub body: Bytes,
+    /// The memory that the body holds; `None` if it came from a delegate.
+    #[expect(dead_code, reason = "releases the memory when it is dropped")]
+    pub(crate) memory: Option<Arc<Reservation>>,
 }
 
 /// The rejection of a caller's request.
@@ -102,7 +110,7 @@
     ) -> http::Request<Full<Bytes>>;
 
     /// Parses the metadata of a target's answer. Returns `None` if the answer
-    /// does not carry this request identifier.
+    /// carries another request identifier.
     fn answer_head(
         &self,
         request_id: &str,
--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -68,5 +68,6 @@
         headers: HeaderMap::new(),
         signatures,
         body: records,
+        memory: None,
     }
 }
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -6,16 +6,16 @@
 use bytes::Bytes;
 use http::{Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
+use crate::http_exchange::{self, Sender};
+
 /// A connection for sequential requests; closed when dropped.
 #[derive(Debug)]
 pub struct Client {
     address: SocketAddr,
     limit: Duration,
-    sender: SendRequest<Full<Bytes>>,
+    sender: Sender,
     driver: AbortHandle,
 }
 
@@ -40,8 +40,7 @@
             .with_context(|| format!("connecting to {address} timed out"))?
             .with_context(|| format!("cannot connect to {address}"))?;
         stream.set_nodelay(true)?;
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await?;
+        let (sender, connection) = http_exchange::handshake(stream).await?;
         let driver = tokio::spawn(async move {
             // The future of the request returns the error.
             let _ = connection.await;
@@ -67,7 +66,7 @@
             .body(Full::new(Bytes::new()))?;
         let exchange = async {
             self.sender.ready().await?;
-            let response = self.sender.send_request(req).await?;
+            let response = self.sender.send(req).await?;
             let status = response.status();
             anyhow::ensure!(
                 status == StatusCode::OK,
--- /dev/null
+++ b/src/http_exchange.rs
@@ -0,0 +1,280 @@
+/*!
+HTTP exchanges with servers that may be in trouble.
+
+A server may send bytes without end, in a head or a body, until its client
+closes the connection. Heads, with the interim responses before them, are
+limited for each exchange. The bodies of answers share a limited amount of
+memory: an answer may hold at most as much as is still free, so that a few
+long ones cannot displace the others (dynamic thresholds; Choudhury and Hahne,
+1998).
+*/
+
+use std::{
+    io,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    task::{Context, Poll, ready},
+};
+
+use bytes::{Bytes, BytesMut};
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+
+/// Size of the buffer from which hyper parses a head, in bytes. A longer head
+/// is an error.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+
+/// Bytes that are read until a head is complete: the interim responses, the
+/// head, and what the last read holds of the body.
+const MAX_HEAD_BYTES: usize = 2 * MAX_BUFFER_BYTES;
+
+/// Memory for the bodies of answers, in bytes: a fifth of the memory of the
+/// smallest instances, 160 MB.
+const ANSWER_MEMORY_BYTES: usize = 32 << 20;
+
+/// Largest body of one answer, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// The driver of a connection, which runs as a task of its own.
+pub(crate) type Driver = http1::Connection<TokioIo<Stream>, Full<Bytes>>;
+
+/// Starts HTTP/1.1 on a connection.
+///
+/// # Errors
+///
+/// Fails if the connection breaks.
+pub(crate) async fn handshake(
+    stream: TcpStream,
+) -> hyper::Result<(Sender, Driver)> {
+    let head = HeadLimit::default();
+    let stream = Stream { stream, head: head.clone() };
+    let (sender, driver) = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await?;
+    Ok((Sender { sender, head }, driver))
+}
+
+/// The sending side of a connection.
+#[derive(Debug)]
+pub(crate) struct Sender {
+    sender: SendRequest<Full<Bytes>>,
+    head: HeadLimit,
+}
+
+impl Sender {
+    /// Waits until the connection takes a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection is closed.
+    pub(crate) async fn ready(&mut self) -> hyper::Result<()> {
+        self.sender.ready().await
+    }
+
+    pub(crate) fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    pub(crate) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Sends a request and reads the head of its response.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks, or if what arrives is not the head of
+    /// a response or is too long for one.
+    pub(crate) async fn send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> hyper::Result<Response<Incoming>> {
+        let _limited = self.head.limit();
+        self.sender.send_request(req).await
+    }
+}
+
+/// Number of bytes that may be read before a head is complete;
+/// `usize::MAX` while no head is awaited.
+#[derive(Clone, Debug)]
+struct HeadLimit(Arc<AtomicUsize>);
+
+impl Default for HeadLimit {
+    fn default() -> HeadLimit {
+        HeadLimit(Arc::new(AtomicUsize::new(usize::MAX)))
+    }
+}
+
+impl HeadLimit {
+    /// Limits reads until the guard is dropped.
+    fn limit(&self) -> HeadGuard {
+        self.0.store(MAX_HEAD_BYTES, Ordering::Relaxed);
+        HeadGuard(self.clone())
+    }
+
+    /// Counts bytes that were read. Returns false if they are too many.
+    fn take(&self, count: usize) -> bool {
+        let left = self.0.load(Ordering::Relaxed);
+        if left == usize::MAX {
+            return true;
+        }
+        self.0.store(left.saturating_sub(count), Ordering::Relaxed);
+        left >= count
+    }
+}
+
+/// Ends the limit when it is dropped.
+#[derive(Debug)]
+struct HeadGuard(HeadLimit);
+
+impl Drop for HeadGuard {
+    fn drop(&mut self) {
+        self.0.0.store(usize::MAX, Ordering::Relaxed);
+    }
+}
+
+/// A connection whose reads are limited while a head is awaited.
+#[derive(Debug)]
+pub(crate) struct Stream {
+    stream: TcpStream,
+    head: HeadLimit,
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        let count = buf.filled().len() - before;
+        Poll::Ready(if self.head.take(count) {
+            Ok(())
+        } else {
+            Err(io::Error::other("the head of the response has no end"))
+        })
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+/// Memory that the bodies of answers share.
+#[derive(Clone, Debug)]
+pub(crate) struct AnswerMemory(Arc<AtomicUsize>);
+
+impl Default for AnswerMemory {
+    fn default() -> AnswerMemory {
+        AnswerMemory(Arc::new(AtomicUsize::new(ANSWER_MEMORY_BYTES)))
+    }
+}
+
+impl AnswerMemory {
+    /// Reads the complete body of an answer. Returns `None` if it breaks off
+    /// or is too long. The memory is released with the reservation.
+    pub(crate) async fn read(
+        &self,
+        mut body: Incoming,
+    ) -> Option<(Bytes, Reservation)> {
+        let mut reservation = Reservation { memory: self.clone(), bytes: 0 };
+        let mut first = Bytes::new();
+        let mut buf = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.ok()?.into_data() else { continue };
+            if !reservation.grow(data.len()) {
+                return None;
+            }
+            if first.is_empty() && buf.is_empty() {
+                // Most bodies arrive in one piece, which needs no copy.
+                first = data;
+            } else {
+                if buf.is_empty() {
+                    buf.extend_from_slice(&std::mem::take(&mut first));
+                }
+                buf.extend_from_slice(&data);
+            }
+        }
+        let body = if buf.is_empty() { first } else { buf.freeze() };
+        Some((body, reservation))
+    }
+}
+
+/// Memory that an answer holds; released when it is dropped.
+#[derive(Debug)]
+pub(crate) struct Reservation {
+    memory: AnswerMemory,
+    bytes: usize,
+}
+
+impl Reservation {
+    /// Reserves further bytes. Returns false if the answer would hold more
+    /// than is left to the others.
+    fn grow(&mut self, count: usize) -> bool {
+        let bytes = self.bytes + count;
+        if bytes > MAX_ANSWER_BYTES {
+            return false;
+        }
+        let reserved = self.memory.0.fetch_update(
+            Ordering::Relaxed,
+            Ordering::Relaxed,
+            |free| free.checked_sub(count).filter(|&rest| bytes <= rest),
+        );
+        if reserved.is_ok() {
+            self.bytes = bytes;
+        }
+        reserved.is_ok()
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.memory.0.fetch_add(self.bytes, Ordering::Relaxed);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod storage;
 
 mod http;
+mod http_exchange;
 mod peer;
 mod target_client;
--- a/src/target_client.rs
+++ b/src/target_client.rs
@@ -11,11 +11,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, header};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{
-    body::Incoming,
-    client::conn::http1::{self, SendRequest},
-};
-use hyper_util::rt::TokioIo;
+use hyper::body::Incoming;
 use primrosemast_core::{
     id::{ConnId, TargetId},
     snapshot::{Holding, Snapshot},
@@ -33,6 +29,8 @@
     time::timeout,
 };
 
+use crate::http_exchange::{self, AnswerMemory, Sender};
+
 /// Timeout for opening a connection. A target that takes longer is treated
 /// like one that refuses connections.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -43,8 +41,9 @@
 /// Timeout for delivering a cancellation, which is best effort.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Largest body that is accepted from a target, in bytes.
-const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// Largest body of a health report, in bytes. It lists every shard that the
+/// target holds, of at most 4,096.
+const MAX_HEALTH_BYTES: usize = 256 << 10;
 
 /// Receiver of the events of connection tasks.
 pub(crate) trait EventSink: Clone + 'static {
@@ -65,6 +64,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Connections {
     open: Vec<Connection>,
+    memory: AnswerMemory,
 }
 
 #[derive(Debug)]
@@ -89,8 +89,10 @@
         events: impl EventSink,
     ) {
         let (tx, rx) = mpsc::unbounded_channel();
-        let task = spawn_local(run_connection(id, address, rx, events))
-            .abort_handle();
+        let memory = self.memory.clone();
+        let task =
+            spawn_local(run_connection(id, address, rx, memory, events))
+                .abort_handle();
         let connection = Connection { id, requests: tx, task };
         match self.position(id) {
             Ok(i) => self.open[i] = connection,
@@ -124,6 +126,7 @@
     id: ConnId,
     address: SocketAddr,
     mut requests: mpsc::UnboundedReceiver<Outgoing>,
+    memory: AnswerMemory,
     events: impl EventSink,
 ) {
     let Some((mut sender, mut closed)) = connect(address).await else {
@@ -142,8 +145,8 @@
         };
         let Some(Outgoing { job, budget }) = outgoing else { return };
         let job_id = job.id;
-        let result =
-            exchange(id, &mut sender, address, job, budget, &events).await;
+        let req = build_request(address, job, budget);
+        let result = exchange(id, &mut sender, &memory, req, &events).await;
         match result {
             Ok(answer) => {
                 events.report(TargetEvent::Answer(id, job_id, answer));
@@ -156,19 +159,16 @@
     }
 }
 
-type RequestSender = SendRequest<Full<Bytes>>;
-
 /// Opens a connection. The receiver resolves when the connection has closed.
 async fn connect(
     address: SocketAddr,
-) -> Option<(RequestSender, oneshot::Receiver<()>)> {
+) -> Option<(Sender, oneshot::Receiver<()>)> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
         .ok()?
         .ok()?;
     let _ = stream.set_nodelay(true);
-    let (sender, connection) =
-        http1::handshake(TokioIo::new(stream)).await.ok()?;
+    let (sender, connection) = http_exchange::handshake(stream).await.ok()?;
     let (tx, rx) = oneshot::channel();
     // The connection task ends when the sender is dropped.
     spawn_local(async move {
@@ -182,17 +182,15 @@
 /// connection can no longer be used.
 async fn exchange(
     id: ConnId,
-    sender: &mut RequestSender,
-    address: SocketAddr,
-    job: Job,
-    budget: Duration,
+    sender: &mut Sender,
+    memory: &AnswerMemory,
+    req: Request<Full<Bytes>>,
     events: &impl EventSink,
 ) -> Result<TargetAnswer, CloseReason> {
-    let req = build_request(address, job, budget);
     if sender.ready().await.is_err() {
         return Err(CloseReason::NothingSent);
     }
-    let response = sender.send_request(req).await.map_err(|e| {
+    let response = sender.send(req).await.map_err(|e| {
         // hyper reports `canceled` only if it never took the request.
         if e.is_canceled() {
             CloseReason::NothingSent
@@ -202,11 +200,8 @@
     })?;
     events.report(TargetEvent::Received(id));
     let (parts, body) = response.into_parts();
-    let body = Limited::new(body, MAX_ANSWER_BYTES)
-        .collect()
-        .await
-        .map_err(|_| CloseReason::MayHaveSent)?
-        .to_bytes();
+    let body = memory.read(body).await;
+    let (body, _memory) = body.ok_or(CloseReason::MayHaveSent)?;
     Ok(parse_answer(parts.status.as_u16(), &parts.headers, body))
 }
 
@@ -328,7 +323,7 @@
         .body(Full::new(Bytes::new()))
         .expect("valid request");
     let response = send_once(address, req).await?;
-    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+    let body = Limited::new(response.into_body(), MAX_HEALTH_BYTES);
     let body = body.collect().await.ok()?.to_bytes();
     let health: Health = serde_json::from_slice(&body).ok()?;
     Some(HealthReport {
@@ -367,5 +362,5 @@
     req: Request<Full<Bytes>>,
 ) -> Option<Response<Incoming>> {
     let (mut sender, _closed) = connect(address).await?;
-    sender.send_request(req).await.ok()
+    sender.send(req).await.ok()
 }
