Ask a target again that shed a standby's request

The logs show: the root cannot reach the home of a shard's only target, and asks its standby. Home and standby together exceed the slots, and the target sheds the standby's request. The shard was given up at once, since the request through the home had been cancelled and counted as a try of that target.

Change: of the tries at a target, the newest counts. Extra requests are bounded as before, by tokens and four tries.

Shown: a_target_that_shed_a_standbys_request_is_asked_again fails without the change (no third request) and passes.

--- a/crates/core/src/query/dispatch.rs
+++ b/crates/core/src/query/dispatch.rs
@@ -260,11 +260,16 @@
         // again: the failure may be that of its connection, and all replicas
         // can lose their connections at the same moment. A target that shed
         // gets a lower limit, so that the next request waits in its queue.
+        // Requests that were cancelled because their home was silent do not
+        // count once another instance has asked the same target.
         let not_retryable = |slot: u32| {
-            plan.tries_of(position).any(|i| {
-                let t = &plan.tries[i];
-                t.slot == slot
-                    && !matches!(t.state, TryState::Failed(_) | TryState::Shed)
+            let newest =
+                plan.tries_of(position).find(|&i| plan.tries[i].slot == slot);
+            newest.is_some_and(|i| {
+                !matches!(
+                    plan.tries[i].state,
+                    TryState::Failed(_) | TryState::Shed
+                )
             })
         };
         let choice = match purpose {
--- a/crates/core/tests/query.rs
+++ b/crates/core/tests/query.rs
@@ -373,6 +373,31 @@
     assert_eq!(answered(root.response()).coverage.answered, 2);
 }
 
+/// Guards against a shard that is given up after the first refusal of its only
+/// target, because the request through its silent home was cancelled before.
+/// Pattern: a root that cannot reach a home for long, while both the home and
+/// the standby send to the target.
+#[test]
+fn a_target_that_shed_a_standbys_request_is_asked_again() {
+    let cfg = config(&[("a0", "a")], &[("a", 100)]);
+    let options = QueryOptions {
+        min_ack_timeout: Duration::from_millis(20),
+        ..QueryOptions::default()
+    };
+    let mut root = Root::new(cfg, options, 7);
+    root.report(report("a0", vec![holding(1, 0, 1)]));
+    root.submit_with(None, |r| r.deadline_us = Some(500_000));
+    let first = root.requests();
+    root.advance(20 * MS);
+    let second = root.requests();
+    assert!(second[0].1.as_standby, "{second:?}");
+    root.reply_all(&second, shed);
+    let third = root.requests();
+    assert_eq!((first.len(), third.len()), (1, 1), "{third:?}");
+    root.reply_all(&third, |req, shard| answer(req, shard, 1));
+    assert_eq!(answered(root.response()).coverage.answered, 1);
+}
+
 /// Guards against a standby that is asked for a target that only its home may
 /// send to, and against waiting for a home that has fallen silent.
 #[test]
