--- a/crates/core/tests/forward_parts.rs
+++ b/crates/core/tests/forward_parts.rs
@@ -1,14 +1,14 @@
 //! Tests of single parts of the forwarding path: the merge of records, the
 //! budget for extra requests and the reader of the target list.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use primrosemast_core::{
     forward::{
         budget::{Budget, BudgetOptions},
         directory::{
             Directory, DirectoryEffect, DirectoryOptions, DirectoryReader,
-            Message,
+            ListedTarget, Message,
         },
         merge::{RECORD_BYTES, merge_top},
     },
@@ -16,6 +16,8 @@
     time::Time,
 };
 use proptest::{collection::vec, prelude::*};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
 
 proptest! {
     // Guards against a merge that drops duplicate records, keeps a trailing
@@ -210,3 +212,249 @@
     reader.handle_message(late, InstanceId(1), reply, &mut out);
     assert_eq!(out, []);
 }
+
+/// A large fleet whose reader has a link and a platform with limits, and that
+/// loses messages.
+struct LargeFleet {
+    readers: Vec<DirectoryReader>,
+    now: Time,
+    rng: Pcg32,
+    /// Time, recipient, sender and message of each message on its way.
+    messages: BTreeMap<(Time, u64), (usize, usize, Message)>,
+    /// End of each fetch with its instance and result.
+    fetches: BTreeMap<(Time, u64), (usize, Option<Directory>)>,
+    next_id: u64,
+    /// Time until which the outgoing link of each instance is busy.
+    link_busy: Vec<Time>,
+    /// Times of the page calls of the last seconds that were not refused.
+    calls: Vec<Time>,
+    call_count: usize,
+    /// Time until which the platform refuses all calls.
+    refuses_until: Time,
+    listed: u32,
+    revision: u32,
+    alive: Vec<bool>,
+}
+
+/// Age up to which a list keeps requests from targets that leave: they get none
+/// later than 5 s after the platform knows it, and its list lags by 0.8 s.
+const MAX_LIST_AGE: Duration = Duration::from_millis(4_200);
+
+/// Calls that the platform accepts within a second, from all instances.
+const CALL_RATE: usize = 46;
+
+/// Bytes that an instance sends within a millisecond: 60 Mbit/s.
+const LINK_BYTES_PER_MS: u64 = 7_500;
+
+impl LargeFleet {
+    fn new(count: usize, listed: u32) -> LargeFleet {
+        let start = Time::from_millis(10_000);
+        let ids: Vec<u64> = (1..=count as u64).collect();
+        let reader_of = |&id: &u64| {
+            let others: Vec<u64> =
+                ids.iter().copied().filter(|&x| x != id).collect();
+            reader(id, &others)
+        };
+        LargeFleet {
+            readers: ids.iter().map(reader_of).collect(),
+            now: start,
+            rng: Pcg32::seed_from_u64(300),
+            messages: BTreeMap::new(),
+            fetches: BTreeMap::new(),
+            next_id: 0,
+            link_busy: vec![start; count],
+            calls: Vec::new(),
+            call_count: 0,
+            refuses_until: start,
+            listed,
+            revision: 0,
+            alive: vec![true; count],
+        }
+    }
+
+    /// Returns the list. A twentieth of its targets are cold, so their entries
+    /// differ in each reading.
+    fn list(&mut self) -> Directory {
+        self.revision += 1;
+        let target = |n: u32| ListedTarget {
+            name: format!("i-{n:08x}"),
+            service: format!("service-{}", n / 3),
+            address: ([10, 0, (n >> 8) as u8, n as u8], 8_080).into(),
+            availability_zone: "zone".into(),
+            slots: 3,
+            leaving: false,
+            cold_ms: if n.is_multiple_of(20) { self.revision } else { 0 },
+        };
+        Directory { targets: (0..self.listed).map(target).collect() }
+    }
+
+    /// Starts a fetch of all pages, which take 8 ms each. A page that the
+    /// platform refuses is read again after 150 ms, and the fetch fails after
+    /// 2.5 s.
+    fn fetch(&mut self, i: usize) {
+        let mut left = self.listed.div_ceil(50);
+        let mut at = self.now;
+        let timeout = self.now + Duration::from_millis(2_500);
+        let recent = self.now - Duration::from_secs(1);
+        self.calls.retain(|c| *c > recent);
+        while left > 0 && at < timeout {
+            at += Duration::from_millis(8);
+            let second = at - Duration::from_secs(1);
+            let recent = self
+                .calls
+                .iter()
+                .filter(|c| **c > second && **c <= at)
+                .count();
+            self.call_count += 1;
+            if recent < CALL_RATE && at > self.refuses_until {
+                self.calls.push(at);
+                left -= 1;
+            } else {
+                at += Duration::from_millis(150);
+            }
+        }
+        let complete = left == 0;
+        let list = complete.then(|| self.list());
+        self.next_id += 1;
+        self.fetches.insert((at, self.next_id), (i, list));
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message) {
+        let size = rmp_serde::to_vec(&message).expect("plain data").len();
+        let busy = self.link_busy[from].max(self.now);
+        // Messages are compressed to a third of their size.
+        let micros = size as u64 / 3 * 1_000 / LINK_BYTES_PER_MS;
+        self.link_busy[from] = busy + Duration::from_micros(micros);
+        if self.rng.random_ratio(1, 50) || !self.alive[to] {
+            return;
+        }
+        self.next_id += 1;
+        let at = self.link_busy[from] + Duration::from_millis(1);
+        self.messages.insert((at, self.next_id), (to, from, message));
+    }
+
+    fn handle(&mut self, i: usize, effects: Vec<DirectoryEffect>) {
+        for effect in effects {
+            match effect {
+                DirectoryEffect::Read => self.fetch(i),
+                DirectoryEffect::Send(to, message) => {
+                    self.send(i, to.0 as usize - 1, message);
+                }
+                DirectoryEffect::Install { .. } => {}
+            }
+        }
+    }
+
+    fn advance(&mut self, millis: u64) {
+        for _ in 0..millis / 10 {
+            self.now += Duration::from_millis(10);
+            let now = self.now;
+            while let Some(entry) = self.fetches.first_entry()
+                && entry.key().0 <= now
+            {
+                let (i, list) = entry.remove();
+                let mut out = Vec::new();
+                self.readers[i].read_finished(now, list, &mut out);
+                self.handle(i, out);
+            }
+            while let Some(entry) = self.messages.first_entry()
+                && entry.key().0 <= now
+            {
+                let (to, from, message) = entry.remove();
+                let mut out = Vec::new();
+                let from = InstanceId(from as u64 + 1);
+                self.readers[to].handle_message(now, from, message, &mut out);
+                self.handle(to, out);
+            }
+            for i in 0..self.readers.len() {
+                if self.alive[i] {
+                    let mut out = Vec::new();
+                    self.readers[i].tick(now, &mut out);
+                    self.handle(i, out);
+                }
+            }
+        }
+    }
+
+    /// Returns the greatest age of the list among the instances alive.
+    fn oldest(&self) -> Duration {
+        let alive = self.readers.iter().zip(&self.alive).filter(|r| *r.1);
+        let ages = alive.map(|r| r.0.age(self.now).expect("a list"));
+        ages.max().expect("an instance")
+    }
+
+    /// Removes the lost instances from the membership of the others.
+    fn remove_lost(&mut self) {
+        let alive = &self.alive;
+        let ids: Vec<InstanceId> = (0..alive.len())
+            .filter(|&i| alive[i])
+            .map(|i| InstanceId(i as u64 + 1))
+            .collect();
+        for (i, reader) in self.readers.iter_mut().enumerate() {
+            let own = InstanceId(i as u64 + 1);
+            let others = ids.iter().copied().filter(|&id| id != own);
+            reader.set_peers(others.collect());
+        }
+    }
+}
+
+// Guards against a fallback that feeds itself. Pattern: the list grows to
+// 1,360 targets while the fleet has 300 instances. The replies of the reader
+// took its whole link, so the lists of the others became old, all of them
+// called the platform, which refused calls beyond its rate, and no instance
+// got a complete list any more.
+#[test]
+fn a_growing_list_does_not_make_every_instance_call_the_platform() {
+    let mut fleet = LargeFleet::new(300, 552);
+    fleet.advance(5_000);
+    assert!(fleet.oldest() < Duration::from_secs(3), "{:?}", fleet.oldest());
+    fleet.listed = 1_360;
+    let before = fleet.call_count;
+    for second in 0..10 {
+        fleet.advance(1_000);
+        let oldest = fleet.oldest();
+        assert!(oldest < MAX_LIST_AGE, "{second}: {oldest:?}");
+    }
+    let calls = fleet.call_count - before;
+    assert!(calls <= 10 * CALL_RATE, "{calls} calls");
+}
+
+// Guards against a fleet that never gets a list again. Pattern: the platform
+// refuses all calls for a while, so that the list is too old everywhere, and
+// the reader and its first successor are lost at the same moment.
+#[test]
+fn a_large_fleet_gets_a_new_list_after_a_platform_outage() {
+    let mut fleet = LargeFleet::new(300, 1_360);
+    fleet.advance(5_000);
+    let before = fleet.call_count;
+    fleet.refuses_until = fleet.now + Duration::from_secs(8);
+    fleet.alive[0] = false;
+    fleet.alive[1] = false;
+    fleet.advance(8_000);
+    let calls = fleet.call_count - before;
+    assert!(calls <= 8 * CALL_RATE, "{calls} calls during the outage");
+    // The lost instances are removed from the membership by then, and within
+    // the recovery time of 15 s all others have new lists.
+    fleet.remove_lost();
+    fleet.advance(15_000);
+    for second in 0..5 {
+        fleet.advance(1_000);
+        let oldest = fleet.oldest();
+        assert!(oldest < MAX_LIST_AGE, "{second}: {oldest:?}");
+    }
+}
+
+// Guards against differences that lead to another list than the reader's.
+#[test]
+fn differences_lead_to_the_list_of_the_reader() {
+    let mut fleet = LargeFleet::new(40, 400);
+    for listed in [400, 380, 390, 120, 500] {
+        fleet.listed = listed;
+        fleet.advance(4_000);
+        let newest = fleet.readers[0].directory().targets.len();
+        for reader in &fleet.readers {
+            assert_eq!(reader.directory().targets.len(), newest);
+        }
+        assert_eq!(newest, listed as usize);
+    }
+}
