--- a/crates/core/src/forward/directory.rs
+++ b/crates/core/src/forward/directory.rs
@@ -343,9 +343,9 @@
         if self.pending.is_some() {
             self.next_source();
         }
-        if self.unanswered == 0
-            && self.last_request.is_multiple_of(PREFERRED_INTERVAL)
-        {
+        // In a small fleet, the preferred source is the reader itself.
+        let interval = if self.is_large() { PREFERRED_INTERVAL } else { 1 };
+        if self.unanswered == 0 && self.last_request.is_multiple_of(interval) {
             self.turn = 0;
         }
         let Some(to) = self.source() else { return };
@@ -364,9 +364,16 @@
         self.turn = self.turn.wrapping_add(1);
     }
 
+    /// Whether the fleet is so large that requests of all instances at the same
+    /// time would be too many for one of them.
+    fn is_large(&self) -> bool {
+        self.peers.len() > MAX_DIRECT_REQUESTERS
+    }
+
     /// Returns the pause before a request or a call is repeated.
     fn retry_pause(&self, doublings: u32) -> Duration {
-        let factor = 1 << doublings.min(MAX_RETRY_DOUBLINGS);
+        let most = if self.is_large() { MAX_RETRY_DOUBLINGS } else { 0 };
+        let factor = 1 << doublings.min(most);
         (self.options.retry_after * factor).min(self.options.interval)
     }
 
@@ -387,7 +394,7 @@
     /// Returns the number of relays: the instances after the designated reader
     /// that request the list from it, while the others request it from them.
     fn relay_count(&self) -> usize {
-        if self.peers.len() <= MAX_DIRECT_REQUESTERS {
+        if !self.is_large() {
             return self.peers.len();
         }
         self.peers.len().isqrt().max(CANDIDATE_READERS)
@@ -396,8 +403,7 @@
     /// Whether other instances request the list from this one, so that it
     /// needs the newest one sooner.
     fn is_relay(&self) -> bool {
-        self.peers.len() > MAX_DIRECT_REQUESTERS
-            && self.rank() <= self.relay_count()
+        self.is_large() && self.rank() <= self.relay_count()
     }
 
     /// Returns the number of instances with a smaller identifier.
@@ -467,7 +473,8 @@
             return;
         };
         self.failed_calls = 0;
-        self.acts_as_reader = !self.is_designated_reader();
+        self.acts_as_reader = !self.is_designated_reader()
+            && self.reader_heard_at.is_none_or(|at| at < read_at);
         directory.targets.sort_by(|a, b| a.name.cmp(&b.name));
         directory.targets.dedup_by(|a, b| a.name == b.name);
         let directory = Arc::new(directory);
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -1,6 +1,6 @@
 //! A small HTTP client with one connection per client.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{fmt, net::SocketAddr, time::Duration};
 
 use anyhow::Context;
 use bytes::Bytes;
@@ -25,6 +25,24 @@
     }
 }
 
+/// A response with another status than 200.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnexpectedStatus {
+    /// Address of the server.
+    pub address: SocketAddr,
+    /// The status.
+    pub status: StatusCode,
+}
+
+impl fmt::Display for UnexpectedStatus {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let UnexpectedStatus { address, status } = self;
+        write!(f, "{address} responded with status {status}")
+    }
+}
+
+impl std::error::Error for UnexpectedStatus {}
+
 impl Client {
     /// Opens a connection. `limit` is the timeout of this and of each request.
     ///
@@ -68,10 +86,9 @@
             self.sender.ready().await?;
             let response = self.sender.send(req).await?;
             let status = response.status();
-            anyhow::ensure!(
-                status == StatusCode::OK,
-                "{address} responded with status {status}"
-            );
+            if status != StatusCode::OK {
+                return Err(UnexpectedStatus { address, status }.into());
+            }
             let body = Limited::new(response.into_body(), max_bytes);
             let body = body.collect().await.map_err(|e| {
                 anyhow::anyhow!("cannot read the response of {address}: {e}")
