--- a/tests/control_group.rs
+++ b/tests/control_group.rs
@@ -200,7 +200,7 @@
     // The change proposed by the isolated instance is not applied later.
     cluster.expect_accepted(i, "after", 3).await;
     cluster.wait_version(4).await;
-    monitor.check(&cluster).await;
+    monitor.check(cluster).await;
 }
 
 /// Guards against a follower that continues to serve an old configuration
