Wait for the repaired group at every instance in a test

The kept logs show that the leader was killed in the moment in which it proposed the last promotion: its status lists a voter before the others have the change, so two voters remained and one of them was killed. The repair was not done, as the test assumes.

Change: the test waits until the other two list the voter as well.

--- a/tests/control_group.rs
+++ b/tests/control_group.rs
@@ -129,16 +129,17 @@
     cluster.expect_accepted(1, "meanwhile", 6).await;
     monitor.reset(2);
     cluster.fleet.restart(2).expect("restart");
-    let repaired = cluster
-        .wait_status(
-            0,
-            "the group has three voters without the old one",
-            |s| {
-                let now = voters(s);
-                now.len() == 3 && !now.contains(&old_id)
-            },
-        )
-        .await;
+    let is_repaired = |s: &Value| {
+        let now = voters(s);
+        now.len() == 3 && !now.contains(&old_id)
+    };
+    let description = "the group has three voters without the old one";
+    let repaired = cluster.wait_status(0, description, is_repaired).await;
+    // The leader lists a voter before the others have the change. Until then,
+    // two voters remain, and the loss of one of them stops the group.
+    for i in [1, 2] {
+        cluster.wait_status(i, description, is_repaired).await;
+    }
     assert!(replicas(&repaired, false).is_empty());
     let kept = voters(&repaired);
     assert_eq!(kept.iter().filter(|v| old_voters.contains(v)).count(), 2);
