--- a/crates/core/src/forward/directory.rs
+++ b/crates/core/src/forward/directory.rs
@@ -50,7 +50,7 @@
 
 /// Maximum number of doublings of the pause before a request or a call is
 /// repeated.
-const MAX_RETRY_DOUBLINGS: u32 = 3;
+const MAX_RETRY_DOUBLINGS: u32 = 1;
 
 /// An entry of the platform's target list.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -372,7 +372,9 @@
 
     /// Returns the pause before a request or a call is repeated.
     fn retry_pause(&self, doublings: u32) -> Duration {
-        let most = if self.is_large() { MAX_RETRY_DOUBLINGS } else { 0 };
+        // After a loss of power, no instance has a list and all wait for it.
+        let backs_off = self.is_large() && self.read_at.is_some();
+        let most = if backs_off { MAX_RETRY_DOUBLINGS } else { 0 };
         let factor = 1 << doublings.min(most);
         (self.options.retry_after * factor).min(self.options.interval)
     }
--- a/crates/core/tests/forward_parts.rs
+++ b/crates/core/tests/forward_parts.rs
@@ -458,3 +458,20 @@
         assert_eq!(newest, listed as usize);
     }
 }
+
+// Guards against instances of a large fleet that wait longer and longer for
+// their first list. Pattern: after a loss of power, no instance has one, and
+// requests were repeated after up to 0.8 s.
+#[test]
+fn requests_for_a_first_list_are_not_delayed() {
+    let others: Vec<u64> = (1..=86).collect();
+    let mut reader = reader(87, &others);
+    let mut out = Vec::new();
+    for step in 0..100 {
+        let now = Time::from_millis(10_000 + 10 * step);
+        reader.tick(now, &mut out);
+    }
+    let requests =
+        out.iter().filter(|e| matches!(e, DirectoryEffect::Send(..))).count();
+    assert_eq!(requests, 10);
+}
