--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
 [ -x target/review/standin ] || exit 2
-exec target/review/standin restarted-root "$here/record.txt"
+exec target/review/standin copied-refusal "$here/record.txt"
