Carry a refused request again on another connection only

Cause: a refused request is sent again with the same identifier, and may go to the same target on the connection that its refusal has just freed. A late copy of the refusal arrives there before the second answer and passes as the second refusal, since answers are matched by the identifier alone.

Change: a connection remembers the requests that it answered without success and carries none of them again; after 16 it is closed. No answer to an earlier attempt can arrive on the connection of the next one, whatever is copied.

--- a/src/forward/connections.rs
+++ b/src/forward/connections.rs
@@ -4,6 +4,10 @@
 Each attempt is a task that takes an idle connection or opens one, sends the
 request and reads the complete answer. A connection returns to the pool only
 after a complete answer to its own request; in every other case it is closed.
+
+A target may send an answer a second time, where the next one is expected. The
+request identifier tells answers to different requests apart, but not those to
+two attempts of one request, so a connection carries each request only once.
 */
 
 use std::{
@@ -45,11 +49,26 @@
 /// not run twice: the target may have dropped the connection without notice.
 const MAX_IDLE_NON_REPEATABLE: Duration = Duration::from_secs(1);
 
+/// Number of unsuccessful requests after which a connection is closed, so that
+/// their identifiers take little memory.
+const MAX_UNSUCCESSFUL: usize = 16;
+
 /// A connection; closed when it is dropped.
 #[derive(Debug)]
 struct Connection {
     sender: Sender,
     driver: AbortHandle,
+    /// Identifiers of the requests that were answered without success and may
+    /// be sent again.
+    unsuccessful: Vec<Arc<str>>,
+}
+
+impl Connection {
+    /// Returns whether an answer to this request may still arrive, although
+    /// one has been read.
+    fn has_carried(&self, request_id: &str) -> bool {
+        self.unsuccessful.iter().any(|id| **id == *request_id)
+    }
 }
 
 impl Drop for Connection {
@@ -150,18 +169,24 @@
     }
 }
 
-/// Takes the most recently used idle connection to an address, and drops those
-/// that may no longer be reused until it finds one that may.
+/// Takes the most recently used idle connection to an address that has not
+/// carried the request, and drops those that may no longer be reused until it
+/// finds one that may.
 fn take_idle(
     pool: &Pool,
-    address: SocketAddr,
-    repeatable: bool,
+    target_request: &TargetRequest,
+    request_id: &str,
 ) -> Option<Connection> {
     let mut pool = pool.borrow_mut();
+    let address = target_request.address;
     let i = pool.binary_search_by_key(&address, |p| p.0).ok()?;
-    while let Some(idle) = pool[i].1.pop() {
+    let connections = &mut pool[i].1;
+    let unused =
+        |idle: &IdleConnection| !idle.connection.has_carried(request_id);
+    while let Some(last) = connections.iter().rposition(unused) {
+        let idle = connections.remove(last);
         let mut max_idle = idle.max_idle;
-        if !repeatable {
+        if !target_request.repeatable {
             max_idle = max_idle.min(MAX_IDLE_NON_REPEATABLE);
         }
         let usable = idle.since.elapsed() < max_idle
@@ -204,7 +229,8 @@
         // The attempt receives the error from its own request.
         let _ = connection.await;
     });
-    Some(Connection { sender, driver: driver.abort_handle() })
+    let driver = driver.abort_handle();
+    Some(Connection { sender, driver, unsuccessful: Vec::new() })
 }
 
 async fn run_attempt(
@@ -213,8 +239,7 @@
     target_request: &TargetRequest,
     req: &CallerRequest,
 ) -> AttemptResult {
-    let mut reused =
-        take_idle(&cx.pool, target_request.address, target_request.repeatable);
+    let mut reused = take_idle(&cx.pool, target_request, &req.head.request_id);
     loop {
         let fresh = reused.is_none();
         let connection = match reused.take() {
@@ -267,7 +292,7 @@
     req: &CallerRequest,
     exchange: Exchange,
 ) -> AttemptResult {
-    let Exchange { connection, fresh, response } = exchange;
+    let Exchange { mut connection, fresh, response } = exchange;
     let (parts, body) = response.into_parts();
     let id = &req.head.request_id;
     let head = protocol.answer_head(id, parts.status, &parts.headers);
@@ -279,7 +304,11 @@
     let Some((body, memory)) = cx.memory.read(body).await else {
         return (Outcome::Broken, None);
     };
-    if is_reusable(&parts.headers) {
+    if head.outcome != Outcome::Success {
+        connection.unsuccessful.push(Arc::clone(id));
+    }
+    let full = connection.unsuccessful.len() >= MAX_UNSUCCESSFUL;
+    if is_reusable(&parts.headers) && !full {
         let address = target_request.address;
         put_idle(&cx.pool, address, connection, head.keep_alive);
     }
