Bind the zones of a route's shards to the route that they were made from

Cause: the assignment of a route's shards to zones is cached for 250 ms under the route's name. A request after the change got the indices of the earlier table, beyond its own shards. With more shards, the new ones were in no zone.

Change: a plan is used for requests with the very compiled route that it was made from. Requests that took their route before a change are covered as well.

--- a/crates/core/src/forward/delegate.rs
+++ b/crates/core/src/forward/delegate.rs
@@ -105,10 +105,19 @@
 /// Cached assignment of a route's shards to the zones that handle them.
 #[derive(Clone, Debug)]
 pub(super) struct ZonePlan {
+    /// The route whose services the indices in `zones` refer to. Another
+    /// table may give the same route other services.
+    route: Arc<CompiledRoute>,
     zones: Vec<(ZoneId, Vec<usize>)>,
     expires_at: Time,
 }
 
+impl ZonePlan {
+    fn is_valid(&self, now: Time, route: &Arc<CompiledRoute>) -> bool {
+        now < self.expires_at && Arc::ptr_eq(&self.route, route)
+    }
+}
+
 /// Shards of a request and the instance that handles them.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Assignment {
@@ -124,7 +133,7 @@
     pub(super) fn assign(
         &mut self,
         now: Time,
-        route: &CompiledRoute,
+        route: &Arc<CompiledRoute>,
     ) -> Vec<Assignment> {
         if !route.is_sharded() {
             return vec![Assignment { to: None, shards: vec![0] }];
@@ -194,17 +203,20 @@
     fn zone_plan(
         &mut self,
         now: Time,
-        route: &CompiledRoute,
+        route: &Arc<CompiledRoute>,
     ) -> Vec<(ZoneId, Vec<usize>)> {
         let found = self.zone_plans.binary_search_by_key(&route.id, |z| z.0);
         if let Ok(i) = found
-            && now < self.zone_plans[i].1.expires_at
+            && self.zone_plans[i].1.is_valid(now, route)
         {
             return self.zone_plans[i].1.zones.clone();
         }
         let zones = self.cover_zones(now, route);
-        let expires_at = now + ZONE_PLAN_TTL;
-        let plan = ZonePlan { zones: zones.clone(), expires_at };
+        let plan = ZonePlan {
+            route: Arc::clone(route),
+            zones: zones.clone(),
+            expires_at: now + ZONE_PLAN_TTL,
+        };
         match found {
             Ok(i) => self.zone_plans[i].1 = plan,
             Err(i) => self.zone_plans.insert(i, (route.id, plan)),
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -443,6 +443,58 @@
     })
 }
 
+/// Returns the indices of the shards of a request that were sent to targets or
+/// delegated, without hedges.
+fn assigned_shards(harness: &mut Harness, token: Token) -> Vec<u16> {
+    let sent = harness.take_sent();
+    let mut shards: Vec<u16> = sent
+        .iter()
+        .filter(|s| s.token == token && !s.extra)
+        .map(|s| {
+            let service = s.name.split('/').next().expect("a service");
+            let index = service.strip_prefix("shard-").expect("a shard");
+            index.parse().expect("an index")
+        })
+        .collect();
+    let tasks = take_tasks(harness).into_iter().map(|t| t.1);
+    shards
+        .extend(tasks.filter(|t| t.number == token.0).flat_map(|t| t.shards));
+    shards.sort_unstable();
+    shards
+}
+
+// Guards against the cached zones of a route's shards that outlive the table
+// they were made from: with fewer shards in the new table the process ended by
+// an index out of bounds, and with more the new ones were not sent at once.
+#[test]
+fn a_new_set_of_shards_is_assigned_anew() {
+    for (before, after) in [(6, 4), (4, 6), (6, 1)] {
+        let tables = [before, after].map(|count| {
+            Arc::new(CompiledTable::new(&table(vec![route(
+                "q",
+                shards(count, 0.5),
+            )])))
+        });
+        let mut harness = harness_with_remote_shards();
+        // Two requests of each table in turn: a request that took its route
+        // before a change may be submitted after it.
+        for (i, table) in tables.iter().cycle().take(4).enumerate() {
+            harness.table = Arc::clone(table);
+            if i < 2 {
+                let table = Arc::clone(table);
+                let zones_out = Vec::new();
+                harness.step(ForwardEvent::Configure { table, zones_out });
+            }
+            harness.advance(ms(10));
+            let token = harness.submit("q");
+            let count = [before, after][i % 2] as u16;
+            let expected: Vec<u16> = (0..count).collect();
+            let assigned = assigned_shards(&mut harness, token);
+            assert_eq!(assigned, expected, "{before} to {after}, {i}");
+        }
+    }
+}
+
 // Guards against sending the answers of remote shards between zones one by
 // one.
 #[test]
