Decode the entries of the target list one by one from their text

No process ended here.

Cause: a page was decoded into generic values before its entries were, so that one entry could fail the page, and a page fails the list. Ports out of range cost only their entry before.

Change: list_entries takes each entry as raw text, replaces bytes that are no UTF-8 and leaves out the entries that held some, with one line a page in the log. The lists of the product's own interface use it as well.

--- a/src/daemon/platform.rs
+++ b/src/daemon/platform.rs
@@ -9,9 +9,11 @@
 use hyper_util::rt::TokioIo;
 use primrosemast_core::node::{Event, PlatformList};
 use serde::Deserialize;
+use serde_json::value::RawValue;
 use tokio::{net::TcpStream, task::spawn_local, time::timeout};
 
 use super::Handle;
+use crate::list_entries::{decode_entries, list_text};
 
 /// Time to fetch the list, including the connection.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
@@ -35,11 +37,11 @@
 
 async fn fetch(url: &str) -> Option<PlatformList> {
     #[derive(Deserialize)]
-    struct List {
-        #[serde(default)]
-        instances: Vec<Entry>,
-        #[serde(default)]
-        targets: Vec<Entry>,
+    struct List<'a> {
+        #[serde(borrow, default)]
+        instances: Vec<&'a RawValue>,
+        #[serde(borrow, default)]
+        targets: Vec<&'a RawValue>,
     }
 
     #[derive(Deserialize)]
@@ -64,12 +66,13 @@
     let response = sender.send_request(req).await.ok()?;
     let body = Limited::new(response.into_body(), MAX_LIST_BYTES);
     let body = body.collect().await.ok()?.to_bytes();
-    let list: List = serde_json::from_slice(&body).ok()?;
-    let entries = |list: Vec<Entry>| {
-        list.into_iter().map(|e| (e.address, e.leaving)).collect()
+    let text = list_text(&body);
+    let list: List = serde_json::from_str(&text).ok()?;
+    let entries = |list: &[&RawValue]| {
+        decode_entries(list, |e: Entry| Ok((e.address, e.leaving)))
     };
     Some(PlatformList {
-        instances: entries(list.instances),
-        targets: entries(list.targets),
+        instances: entries(&list.instances),
+        targets: entries(&list.targets),
     })
 }
--- a/src/forward/native.rs
+++ b/src/forward/native.rs
@@ -15,20 +15,21 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, Uri, header};
 use http_body_util::Full;
 use primrosemast_core::{
-    forward::{
-        Outcome, TargetRequest,
-        directory::{Directory, ListedTarget},
-    },
+    forward::{Outcome, TargetRequest, directory::Directory},
     verdict::Verdict,
 };
 use serde::Deserialize;
+use serde_json::value::RawValue;
 
 use super::{
     AnswerHead, CallerHead, CallerRequest, CallerResponse, Malformed,
     Protocol, Rejection,
     protocol::{forwarded_request, read_caller_head},
 };
-use crate::http_client::Client;
+use crate::{
+    http_client::Client,
+    list_entries::{decode_entries, list_text},
+};
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 const DEADLINE_MS: HeaderName = HeaderName::from_static("x-deadline-ms");
@@ -147,9 +148,9 @@
 
 /// The platform's list as it is served.
 #[derive(Deserialize)]
-struct List {
-    #[serde(default)]
-    listed_targets: Vec<ListedTarget>,
+struct List<'a> {
+    #[serde(borrow, default)]
+    listed_targets: Vec<&'a RawValue>,
 }
 
 async fn read_list(url: &str) -> anyhow::Result<Directory> {
@@ -160,6 +161,7 @@
     let address = authority.as_str().parse()?;
     let mut client = Client::connect(address, READ_TIMEOUT).await?;
     let body = client.get(uri.path(), MAX_LIST_BYTES).await?;
-    let list: List = serde_json::from_slice(&body)?;
-    Ok(Directory { targets: list.listed_targets })
+    let text = list_text(&body);
+    let list: List = serde_json::from_str(&text)?;
+    Ok(Directory { targets: decode_entries(&list.listed_targets, Ok) })
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod daemon;
 pub mod forward;
 pub mod http_client;
+pub mod list_entries;
 pub mod log_output;
 pub mod settings;
 pub mod storage;
