Answer the requests that outlive the grace time of a stop

Callers saw requests that a stopping instance had sent to a target cut off without an answer, among them ones that must not be repeated. Requests late in the grace time are refused already; those before it that last longer were cut.

--- a/crates/core/src/forward/finish.rs
+++ b/crates/core/src/forward/finish.rs
@@ -38,8 +38,27 @@
         }
     }
 
+    /// Ends every request with the answers that it has. A request that a
+    /// target may be working on is not reported as not run.
+    pub(super) fn end_requests(&mut self, now: Time) {
+        let tokens: Vec<Token> =
+            self.requests.iter().map(|r| r.token).collect();
+        for token in tokens {
+            if let Some(request) = self.request_mut(token) {
+                request.hard_deadline = now;
+            }
+            self.end(now, token, Reason::ShuttingDown);
+        }
+    }
+
     /// Ends a request whose deadline has passed.
     pub(super) fn expire(&mut self, now: Time, token: Token) {
+        self.end(now, token, Reason::Deadline);
+    }
+
+    /// Responds with the answers of a request, or rejects it for `reason` if
+    /// they are too few.
+    fn end(&mut self, now: Time, token: Token, reason: Reason) {
         let Some(request) = self.request(token) else { return };
         if request.origin != Origin::Caller {
             self.report_task_progress(now, token);
@@ -48,7 +67,7 @@
         if request.answered_shards() >= request.route.required_shards() {
             self.respond(now, token);
         } else {
-            self.fail(now, token, Reason::Deadline);
+            self.fail(now, token, reason);
         }
     }
 
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -106,6 +106,8 @@
     },
     /// Whether this instance may serve requests.
     Serving(bool),
+    /// The process is about to exit; every request gets its response now.
+    EndRequests,
     /// The other live entry instances, and the number of instances that share
     /// the targets.
     Peers(Vec<Peer>, usize),
--- a/crates/core/src/forward/reducer.rs
+++ b/crates/core/src/forward/reducer.rs
@@ -140,6 +140,7 @@
                 self.table = table;
             }
             ForwardEvent::Serving(serving) => self.serving = serving,
+            ForwardEvent::EndRequests => self.end_requests(now),
             ForwardEvent::Peers(peers, instances) => {
                 self.reader.set_peers(peers.iter().map(|p| p.id).collect());
                 self.peers = peers;
--- a/crates/core/src/node/lifecycle.rs
+++ b/crates/core/src/node/lifecycle.rs
@@ -24,7 +24,8 @@
     },
     /// Refuses new requests and completes those in progress.
     Finishing {
-        /// When it stops waiting for requests in progress.
+        /// When it stops waiting for requests in progress, and answers those
+        /// of the forwarding path as they are.
         deadline: Time,
     },
     /// All requests are answered, or the deadline has passed.
@@ -89,6 +90,10 @@
             let idle = self.queries.in_flight() == 0
                 && self.forwarder.in_flight() == 0
                 && self.home_jobs.len() == 0;
+            if !idle && deadline <= now {
+                self.push(Internal::Forward(ForwardEvent::EndRequests));
+                self.process_queue(now, out);
+            }
             if idle || deadline <= now {
                 self.lifecycle = Lifecycle::Drained;
                 out.extend([Effect::Drained]);
