Let a late order for a zone not undo a newer one

Cause: an order for a zone has no number. An operator that gets no reply within a second turns to another instance. The first one, frozen or cut off, carried the order out later and undid the orders that had been acknowledged meanwhile.

Change: the instance reads the number of orders for the zone from the control group, during which a closed connection ends the order, and sends the order with that number. The state machine leaves out an order if another one for the zone was applied since, and acknowledges a resend of the last one.

--- a/crates/core/src/control/service.rs
+++ b/crates/core/src/control/service.rs
@@ -2,7 +2,9 @@
 
 use bytes::Bytes;
 
-use super::{Applied, Command, ControlReply, ControlRequest, Message};
+use super::{
+    Applied, Command, ControlReply, ControlRequest, Message, ZoneStateChange,
+};
 use crate::{
     consensus::{MemberChange, ProposeError, Status},
     event::{EventKind, LogEvent, control as kinds},
@@ -14,6 +16,10 @@
 /// so this limit bounds its size.
 pub const MAX_ID_BYTES: usize = 256;
 
+/// Reply to an order for a zone that came too late.
+const OUTDATED_ORDER: &str =
+    "another order for this zone came first; nothing was changed";
+
 /// Largest number of requests without an outcome at one replica.
 const MAX_PENDING_REQUESTS: usize = 10_000;
 
@@ -183,6 +189,9 @@
             ControlRequest::Barrier => {
                 (ReplyKind::Version, propose(token, &Command::Barrier))
             }
+            ControlRequest::ReadZone(zone) => {
+                (ReplyKind::Version, propose(token, &Command::ReadZone(zone)))
+            }
             ControlRequest::Join(replica) => {
                 let change = MemberChange::AddLearner(replica);
                 (ReplyKind::Done, ServiceEffect::ChangeMembers(token, change))
@@ -217,7 +226,16 @@
             Applied::Version { version, changed: true } => {
                 (&kinds::CHANGE_ACCEPTED, format!("version={version}"))
             }
-            Applied::Version { changed: false, .. } => return,
+            Applied::Zone { change, version, .. } => (
+                &kinds::ZONE_ORDERED,
+                format!("{} version={version}", describe(change)),
+            ),
+            Applied::OutdatedZone { change, orders } => (
+                &kinds::ZONE_ORDER_OUTDATED,
+                format!("{} orders={orders}", describe(change)),
+            ),
+            Applied::Version { changed: false, .. }
+            | Applied::ZoneOrders(_) => return,
             Applied::Claim(result) => {
                 (&kinds::CLAIM_DECIDED, format!("result={result:?}"))
             }
@@ -248,10 +266,16 @@
                     {
                         ControlReply::Change(outcome)
                     }
-                    Some((i, Applied::Version { version, .. }))
-                        if i == index =>
-                    {
-                        ControlReply::Version(version)
+                    Some((
+                        i,
+                        Applied::Version { version, .. }
+                        | Applied::Zone { version, .. },
+                    )) if i == index => ControlReply::Version(version),
+                    Some((i, Applied::OutdatedZone { .. })) if i == index => {
+                        ControlReply::Refused(OUTDATED_ORDER.into())
+                    }
+                    Some((i, Applied::ZoneOrders(orders))) if i == index => {
+                        ControlReply::ZoneOrders(orders)
                     }
                     Some((i, Applied::Claim(result))) if i == index => {
                         ControlReply::Claim(result)
@@ -285,6 +309,12 @@
     }
 }
 
+fn describe(change: &ZoneStateChange) -> String {
+    let ZoneStateChange { zone, state, after } = change;
+    let after = after.map_or(-1, |after| after as i64);
+    format!("zone={zone:?} state={state:?} after={after}")
+}
+
 fn propose(token: Token, command: &Command) -> ServiceEffect {
     ServiceEffect::Propose(token, command.encode())
 }
--- a/crates/core/src/control/state.rs
+++ b/crates/core/src/control/state.rs
@@ -51,10 +51,38 @@
     /// The verdict of a claim was processed; it has no effect on a claim
     /// that is missing, already settled or owned by another query.
     Settled,
+    /// The state of a zone was applied.
+    Zone {
+        /// The order.
+        change: ZoneStateChange,
+        /// Version of the configuration after the order.
+        version: ConfigVersion,
+        /// Whether the order changed the configuration.
+        changed: bool,
+    },
+    /// An order for a zone had no effect, because others came before it.
+    OutdatedZone {
+        /// The order.
+        change: ZoneStateChange,
+        /// Number of orders for the zone so far.
+        orders: u64,
+    },
+    /// Number of orders for a zone.
+    ZoneOrders(u64),
     /// The command cannot be decoded and has no effect.
     Malformed,
 }
 
+/// The orders for an availability zone.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct ZoneOrders {
+    zone: String,
+    /// Number of orders.
+    count: u64,
+    /// The last order, which may be sent again.
+    last: ZoneStateChange,
+}
+
 /// A claim that has not expired.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct ClaimRecord {
@@ -84,6 +112,9 @@
     /// and an earlier time must not change the order of expiry.
     clock_ms: u64,
     next_claim: u64,
+    /// Orders for availability zones, sorted by zone.
+    #[serde(default)]
+    zone_orders: Vec<ZoneOrders>,
 }
 
 impl Command {
@@ -106,7 +137,10 @@
         match Command::decode(command) {
             Some(Command::Change(change)) => self.change(change),
             Some(Command::Revise(revision)) => self.revise(&revision),
-            Some(Command::SetZone(change)) => self.set_zone(&change),
+            Some(Command::SetZone(change)) => self.set_zone(change),
+            Some(Command::ReadZone(zone)) => {
+                Applied::ZoneOrders(self.zone_order_count(&zone))
+            }
             Some(Command::Barrier) => {
                 Applied::Version { version: self.version(), changed: false }
             }
@@ -229,7 +263,51 @@
         })
     }
 
-    fn set_zone(&mut self, change: &ZoneStateChange) -> Applied {
+    /// Applies an order for a zone, unless another one came since the order
+    /// was sent.
+    fn set_zone(&mut self, change: ZoneStateChange) -> Applied {
+        let found = self.zone_orders_position(&change.zone);
+        let orders = found.map_or(0, |i| self.zone_orders[i].count);
+        if change.after.is_some_and(|after| after != orders) {
+            // The instance sends an order again if its reply is lost.
+            return match found {
+                Ok(i) if self.zone_orders[i].last == change => {
+                    let version = self.version();
+                    Applied::Zone { change, version, changed: false }
+                }
+                _ => Applied::OutdatedZone { change, orders },
+            };
+        }
+        let count = orders + 1;
+        let last = change.clone();
+        match found {
+            Ok(i) => {
+                self.zone_orders[i].count = count;
+                self.zone_orders[i].last = last;
+            }
+            Err(i) => {
+                let zone = change.zone.clone();
+                self.zone_orders.insert(i, ZoneOrders { zone, count, last });
+            }
+        }
+        match self.set_zone_state(&change) {
+            Applied::Version { version, changed } => {
+                Applied::Zone { change, version, changed }
+            }
+            applied => applied,
+        }
+    }
+
+    fn zone_orders_position(&self, zone: &str) -> Result<usize, usize> {
+        self.zone_orders.binary_search_by(|o| o.zone.as_str().cmp(zone))
+    }
+
+    fn zone_order_count(&self, zone: &str) -> u64 {
+        let found = self.zone_orders_position(zone);
+        found.map_or(0, |i| self.zone_orders[i].count)
+    }
+
+    fn set_zone_state(&mut self, change: &ZoneStateChange) -> Applied {
         self.edit_configuration(|configuration| {
             let zones = &mut configuration.availability_zones;
             let name = change.zone.as_str();
--- a/crates/core/src/control/types.rs
+++ b/crates/core/src/control/types.rs
@@ -28,6 +28,9 @@
     /// Changes nothing; its reply holds the version in force at its position
     /// in the log.
     Barrier,
+    /// Changes nothing; its reply holds the number of orders for this
+    /// availability zone before its position in the log.
+    ReadZone(String),
 }
 
 /// A change of the configuration.
@@ -57,6 +60,11 @@
     pub zone: String,
     /// The new state.
     pub state: ZoneState,
+    /// Number of orders for the zone that came before this one. The order has
+    /// no effect if another one came since, so that one that is late cannot
+    /// undo it. `None` if a release without this field sent the order.
+    #[serde(default)]
+    pub after: Option<u64>,
 }
 
 /// A claim of a caller's request id.
@@ -127,6 +135,8 @@
     SetZone(ZoneStateChange),
     /// Reads the newest version.
     Barrier,
+    /// Reads the number of orders for an availability zone.
+    ReadZone(String),
     /// Adds this replica to the group, as a learner first.
     Join(Replica),
     /// Removes a replica from the group.
@@ -143,6 +153,8 @@
     /// Version after the command. No change accepted before it has a higher
     /// version.
     Version(ConfigVersion),
+    /// Number of orders for an availability zone.
+    ZoneOrders(u64),
     /// The request took effect and has no other result.
     Done,
     /// The receiver is not the leader; holds the leader's instance if known.
--- a/crates/core/src/event/control.rs
+++ b/crates/core/src/event/control.rs
@@ -29,5 +29,7 @@
     REPAIR_STEP = (426, Info, "The leader is repairing the control group by changing its members.");
     REPAIR_FAILED = (427, Warn, "A step in the repair of the control group failed. It will be retried.");
     STORAGE_FULL = (429, Warn, "The disk of the control replica is full. The replica acknowledges nothing until disk space is freed.");
+    ZONE_ORDERED = (430, Info, "An order for an availability zone was accepted.");
+    ZONE_ORDER_OUTDATED = (431, Info, "An order for an availability zone had no effect, because another one came after its sender had read the number of orders.");
     COMMAND_MALFORMED = (428, Error, "A committed command cannot be decoded and has no effect. The replicas run different releases; update the older ones.");
 }
--- a/crates/core/src/node/group.rs
+++ b/crates/core/src/node/group.rs
@@ -64,6 +64,7 @@
                 ControlRequest::Revise(revision)
             }
             OperatorRequest::SetZone(order) => ControlRequest::SetZone(order),
+            OperatorRequest::ReadZone(zone) => ControlRequest::ReadZone(zone),
             OperatorRequest::Barrier => ControlRequest::Barrier,
             OperatorRequest::Remove(id) => ControlRequest::Remove(id),
         };
--- a/crates/core/src/node/replica.rs
+++ b/crates/core/src/node/replica.rs
@@ -417,6 +417,7 @@
                 repeated: false,
                 ..
             } | Applied::Version { changed: true, .. }
+                | Applied::Zone { changed: true, .. }
         );
         if accepted {
             let record = replica.state.record();
--- a/crates/core/src/node/types.rs
+++ b/crates/core/src/node/types.rs
@@ -138,6 +138,8 @@
     Revise(TableRevision),
     /// Take a zone out of service or return it to service.
     SetZone(ZoneStateChange),
+    /// Reads the number of orders for an availability zone.
+    ReadZone(String),
     /// Obtain the newest committed version of the configuration.
     Barrier,
     /// Bootstrap a control group with this instance as its only voter.
--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -411,7 +411,8 @@
     fn changed(state: &mut ControlState, command: &Command) -> bool {
         let index = state.index() + 1;
         match state.apply(index, &command.encode()) {
-            Applied::Version { changed, .. } => changed,
+            Applied::Version { changed, .. }
+            | Applied::Zone { changed, .. } => changed,
             other => panic!("{other:?}"),
         }
     }
@@ -441,7 +442,7 @@
         let mut state = ControlState::default();
         let set_zone = |zone: &str, state| {
             let zone = zone.into();
-            Command::SetZone(ZoneStateChange { zone, state })
+            Command::SetZone(ZoneStateChange { zone, state, after: None })
         };
         assert!(revise(&mut state, 1, "one"));
         assert!(changed(&mut state, &set_zone("b", ZoneState::Out)));
@@ -456,6 +457,56 @@
         assert!(!configuration(&restored).zone_is_out("b"));
     }
 
+    // Guards against an order for a zone that is late, or that is sent twice,
+    // and undoes one that came after it; also once the state was restored.
+    #[test]
+    fn a_late_order_does_not_undo_a_newer_one() {
+        let mut state = ControlState::default();
+        let order = |zone_state, after| ZoneStateChange {
+            zone: "b".into(),
+            state: zone_state,
+            after: Some(after),
+        };
+        let apply = |state: &mut ControlState, command: Command| {
+            let index = state.index() + 1;
+            state.apply(index, &command.encode())
+        };
+        let read = |state: &mut ControlState| match apply(
+            state,
+            Command::ReadZone("b".into()),
+        ) {
+            Applied::ZoneOrders(orders) => orders,
+            other => panic!("{other:?}"),
+        };
+        assert!(revise(&mut state, 1, "one"));
+        // Two instances get the same order, and one of them is slow.
+        let (first, late) = (read(&mut state), read(&mut state));
+        let late = order(ZoneState::In, late);
+        for (zone_state, after) in
+            [(ZoneState::In, first), (ZoneState::Out, first + 1)]
+        {
+            let change = order(zone_state, after);
+            let applied = apply(&mut state, Command::SetZone(change));
+            assert!(matches!(applied, Applied::Zone { .. }), "{applied:?}");
+        }
+        let mut restored = ControlState::default();
+        restored.restore(&state.snapshot()).expect("a snapshot");
+        for state in [&mut state, &mut restored] {
+            let applied = apply(state, Command::SetZone(late.clone()));
+            let change = late.clone();
+            assert_eq!(applied, Applied::OutdatedZone { change, orders: 2 });
+            assert!(configuration(state).zone_is_out("b"));
+            // The last order may be sent again, and changes nothing.
+            let resent = order(ZoneState::Out, first + 1);
+            let applied = apply(state, Command::SetZone(resent));
+            assert!(
+                matches!(applied, Applied::Zone { changed: false, .. }),
+                "{applied:?}"
+            );
+            assert_eq!(read(state), 2);
+        }
+    }
+
     // Guards against a barrier that reports a version lower than those
     // accepted before it, and against unapplied commands that are left out of
     // `logged_version`.
@@ -472,6 +523,7 @@
             Command::SetZone(ZoneStateChange {
                 zone: "c".into(),
                 state: ZoneState::Out,
+                after: None,
             })
             .encode(),
         ];
--- a/src/daemon/handle.rs
+++ b/src/daemon/handle.rs
@@ -10,7 +10,7 @@
 };
 
 use primrosemast_core::{
-    config::Configuration,
+    config::{Configuration, ZoneState},
     control::{ControlReply, TableRevision, ZoneStateChange},
     forward::{
         Outcome, Submission,
@@ -233,7 +233,24 @@
     }
 
     /// Takes a zone out of service or returns it to service.
-    pub async fn set_zone(&self, change: ZoneStateChange) -> Decision {
+    ///
+    /// If the future is dropped because the operator has closed its
+    /// connection, or if another order for the zone is accepted meanwhile,
+    /// the order has no effect. Otherwise one that is delayed, here or on its
+    /// way to the control leader, could undo an order that came after it.
+    pub async fn set_zone(&self, zone: &str, state: ZoneState) -> Decision {
+        let read = OperatorRequest::ReadZone(zone.to_owned());
+        let orders = match self.submit_operator_request(read).await {
+            Some(OperatorReply::Control(ControlReply::ZoneOrders(orders))) => {
+                orders
+            }
+            reply => return decision(reply),
+        };
+        let change = ZoneStateChange {
+            zone: zone.to_owned(),
+            state,
+            after: Some(orders),
+        };
         self.submit_control_request(OperatorRequest::SetZone(change)).await
     }
 
@@ -282,17 +299,7 @@
     }
 
     async fn submit_control_request(&self, req: OperatorRequest) -> Decision {
-        match self.submit_operator_request(req).await {
-            Some(OperatorReply::Control(ControlReply::Version(version))) => {
-                Decision::Accepted(version)
-            }
-            Some(OperatorReply::Control(
-                ControlReply::NotReady(reason) | ControlReply::Refused(reason),
-            ))
-            | Some(OperatorReply::Refused(reason)) => Decision::NotNow(reason),
-            Some(_) => Decision::NotNow("the outcome is not known".into()),
-            None => Decision::NotNow("this instance is stopping".into()),
-        }
+        decision(self.submit_operator_request(req).await)
     }
 
     /// Sets the addresses that are contacted to join the fleet.
@@ -358,6 +365,21 @@
     }
 }
 
+/// Returns what the reply to an operator's request means for the operator.
+fn decision(reply: Option<OperatorReply>) -> Decision {
+    match reply {
+        Some(OperatorReply::Control(ControlReply::Version(version))) => {
+            Decision::Accepted(version)
+        }
+        Some(OperatorReply::Control(
+            ControlReply::NotReady(reason) | ControlReply::Refused(reason),
+        ))
+        | Some(OperatorReply::Refused(reason)) => Decision::NotNow(reason),
+        Some(_) => Decision::NotNow("the outcome is not known".into()),
+        None => Decision::NotNow("this instance is stopping".into()),
+    }
+}
+
 /// Sends an input when a caller's future is dropped before its response.
 struct DisconnectGuard<'a> {
     handle: &'a Handle,
--- a/src/http/operator.rs
+++ b/src/http/operator.rs
@@ -232,6 +232,7 @@
         ControlReply::Unknown
         | ControlReply::Claim(_)
         | ControlReply::Version(_)
+        | ControlReply::ZoneOrders(_)
         | ControlReply::Done => change_response(
             Outcome::Unknown,
             None,
