Name the table of a request in its tasks

Cause: shards were delegated as indices of the table that the request had taken its route from, under the revision that was in force when it was submitted. A delegate with the newer table looked the indices up there.

Change: a compiled route holds the revision of its table, and tasks name it.

Test: forward::a_task_names_the_table_of_its_request; before 'left: 2, right: 1', now it passes.

--- a/crates/core/src/forward/delegate.rs
+++ b/crates/core/src/forward/delegate.rs
@@ -285,7 +285,6 @@
         shards: &[usize],
     ) {
         let options = self.options.delegate.clone();
-        let revision = self.table.revision;
         let Some(request) = self.request_mut(token) else { return };
         for &shard in shards {
             request.shards[shard].progress = Progress::Delegated(to);
@@ -304,7 +303,7 @@
         let task = Task {
             number: token.0,
             request_id: Arc::clone(&request.id),
-            revision,
+            revision: request.route.revision,
             route: request.route.id,
             shards: shards.iter().map(|&s| s as u16).collect(),
             remaining_us: remaining_us(request.hard_deadline),
@@ -509,9 +508,7 @@
             .table
             .routes()
             .iter()
-            .find(|r| {
-                r.id == task.route && task.revision == self.table.revision
-            })
+            .find(|r| r.id == task.route && r.revision == task.revision)
             .cloned();
         let services = route.as_ref().and_then(|route| {
             let service =
--- a/crates/core/src/forward/shared.rs
+++ b/crates/core/src/forward/shared.rs
@@ -30,7 +30,8 @@
     pub number: u64,
     /// Request identifier from the caller.
     pub request_id: Arc<str>,
-    /// Revision of the forwarding table that the root uses.
+    /// Revision of the forwarding table that the request's route belongs to,
+    /// in which the root looked the shards up.
     pub revision: u64,
     /// The route.
     pub route: RouteId,
--- a/crates/core/src/forward/table.rs
+++ b/crates/core/src/forward/table.rs
@@ -197,6 +197,8 @@
     pub route: ForwardRoute,
     /// Identifier of the route.
     pub id: RouteId,
+    /// Revision of the table that the route belongs to.
+    pub revision: u64,
     /// Identifiers of the services, in the order of the configuration.
     pub services: Vec<ServiceId>,
 }
@@ -258,7 +260,8 @@
                     .map(ServiceId::from_name)
                     .collect();
                 let id = RouteId::from_name(&route.name);
-                Arc::new(CompiledRoute { route, id, services })
+                let revision = table.revision;
+                Arc::new(CompiledRoute { route, id, revision, services })
             })
             .collect();
         routes.sort_by(|a, b| sort_key(a).cmp(&sort_key(b)));
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -495,6 +495,36 @@
     }
 }
 
+// Guards against the indices of one set of shards that a delegate looks up in
+// another: a request that took its route before a change and is submitted
+// after it got parts of two versions.
+#[test]
+fn a_task_names_the_table_of_its_request() {
+    let mut harness = harness_with_remote_shards();
+    let mut newer = table(vec![route("q", shards(6, 0.6))]);
+    newer.revision = 2;
+    let newer = Arc::new(CompiledTable::new(&newer));
+    let zones_out = Vec::new();
+    let configure =
+        ForwardEvent::Configure { table: Arc::clone(&newer), zones_out };
+    harness.step(configure);
+    harness.submit("q");
+    let tasks = take_tasks(&mut harness);
+    assert_eq!(tasks[0].1.revision, 1, "{tasks:?}");
+    // A delegate that has the newer table declines the task.
+    let task = tasks[0].1.clone();
+    let token = harness.forwarder.next_task_token();
+    harness.receive_shared(9, IncomingMessage::Task(token, task));
+    let declined = |e: &ForwardEffect| {
+        matches!(e, ForwardEffect::SendShared(_, Message::Declined(_)))
+    };
+    assert!(harness.effects.iter().any(declined), "{:?}", harness.effects);
+    harness.table = newer;
+    harness.submit("q");
+    let tasks = take_tasks(&mut harness);
+    assert_eq!(tasks[0].1.revision, 2, "{tasks:?}");
+}
+
 // Guards against sending the answers of remote shards between zones one by
 // one.
 #[test]
