Number tasks and requests for the list from a random start

Cause: tasks carried the tokens of requests as numbers, which start at 1 in each process, and delegates know a root by its name. Requests for the target list were numbered from 1 too: a late reply could give a list a wrong age.

Change: both numbers start at a random number in each process. Identifiers of queries, control requests, confirmation rounds, probes and hand-overs did so already.

Tests: forward::a_part_from_before_a_restart_is_not_used (before: 'left: [StoreAnswer ...]'), forward::requests_for_the_list_are_numbered_from_a_random_start (before: '[1, 1]').

--- a/crates/core/src/forward/delegate.rs
+++ b/crates/core/src/forward/delegate.rs
@@ -285,6 +285,7 @@
         shards: &[usize],
     ) {
         let options = self.options.delegate.clone();
+        let number = self.task_number(token);
         let Some(request) = self.request_mut(token) else { return };
         for &shard in shards {
             request.shards[shard].progress = Progress::Delegated(to);
@@ -301,7 +302,7 @@
                 as u64
         };
         let task = Task {
-            number: token.0,
+            number,
             request_id: Arc::clone(&request.id),
             revision: request.route.revision,
             route: request.route.id,
@@ -421,7 +422,7 @@
 
     /// Sends a delegate the cancellation of its task.
     fn send_cancel(&mut self, token: Token, to: InstanceId, gone: bool) {
-        let number = token.0;
+        let number = self.task_number(token);
         let message = Message::Cancel { number, caller_gone: gone };
         self.out.push(ForwardEffect::SendShared(to, message));
     }
@@ -439,7 +440,8 @@
                 self.accept_task(now, from, token, task);
             }
             IncomingMessage::Accepted(number) => {
-                if self.record_acknowledgement(Token(number), from) {
+                let token = self.task_request(number);
+                if self.record_acknowledgement(token, from) {
                     let message = Message::Confirm(number);
                     self.out.push(ForwardEffect::SendShared(from, message));
                 }
@@ -455,8 +457,9 @@
                 }
             }
             IncomingMessage::Declined(number) => {
-                self.reclaim_shards(now, Token(number), from, false);
-                self.try_complete(now, Token(number));
+                let token = self.task_request(number);
+                self.reclaim_shards(now, token, from, false);
+                self.try_complete(now, token);
             }
             IncomingMessage::Part(part) => self.handle_part(now, from, part),
             IncomingMessage::Cancel { number, caller_gone } => {
@@ -595,7 +598,7 @@
         from: InstanceId,
         part: PartialResult,
     ) {
-        let token = Token(part.number);
+        let token = self.task_request(part.number);
         if self.position(token).is_none() {
             return;
         }
--- a/crates/core/src/forward/directory.rs
+++ b/crates/core/src/forward/directory.rs
@@ -281,6 +281,13 @@
         }
     }
 
+    /// Numbers requests from a random start, so that a late reply to a request
+    /// from before a restart matches none. It would give a list a wrong age.
+    pub fn with_first_request(mut self, number: u64) -> DirectoryReader {
+        self.last_request = number;
+        self
+    }
+
     /// Sets the other entry instances that are alive.
     pub fn set_peers(&mut self, mut peers: Vec<InstanceId>) {
         peers.sort_unstable();
--- a/crates/core/src/forward/reducer.rs
+++ b/crates/core/src/forward/reducer.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use rand::SeedableRng;
+use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 
 use super::{
@@ -54,6 +54,10 @@
     pub(super) zone: ZoneId,
     /// Number of the last token from `allocate_task_token`.
     pub(super) last_task: u64,
+    /// Random number added to the tokens of requests in the numbers of their
+    /// tasks. Tokens start anew in each process, so that a delegate's answer
+    /// to a request from before a restart would match one after it.
+    task_offset: u64,
     serving: bool,
     /// Effects of the current step.
     pub(super) out: Vec<ForwardEffect>,
@@ -68,11 +72,15 @@
         seed: u64,
     ) -> Forwarder {
         let lag = options.directory.lag;
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let task_offset = rng.random();
+        let first_request = rng.random::<u32>().into();
         Forwarder {
-            rng: Pcg32::seed_from_u64(seed),
+            rng,
             table: Arc::default(),
             targets: TargetTable::new(options.selection.clone(), zone, lag),
-            reader: DirectoryReader::new(own_id, options.directory.clone()),
+            reader: DirectoryReader::new(own_id, options.directory.clone())
+                .with_first_request(first_request),
             requests: Vec::new(),
             attempts: Attempts::default(),
             budgets: Vec::new(),
@@ -84,6 +92,7 @@
             own_id,
             zone,
             last_task: 0,
+            task_offset,
             serving: false,
             out: Vec::new(),
             options,
@@ -120,6 +129,16 @@
         self.allocate_task_token()
     }
 
+    /// Returns the number of the tasks of a request.
+    pub fn task_number(&self, token: Token) -> u64 {
+        token.0.wrapping_add(self.task_offset)
+    }
+
+    /// Returns the token of the request whose tasks have this number.
+    pub(super) fn task_request(&self, number: u64) -> Token {
+        Token(number.wrapping_sub(self.task_offset))
+    }
+
     /// Handles one event and appends its effects to `out`.
     pub fn step(
         &mut self,
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -9,7 +9,8 @@
 use forward_support::*;
 use primrosemast_core::{
     forward::{
-        ForwardEffect, ForwardEvent, Outcome, Reason, Response,
+        ForwardEffect, ForwardEvent, ForwardOptions, Outcome, Reason,
+        Response, directory,
         shared::{IncomingMessage, Message, PartialResult, Task},
         table::{CompiledTable, Destination},
     },
@@ -456,9 +457,9 @@
             index.parse().expect("an index")
         })
         .collect();
+    let number = harness.forwarder.task_number(token);
     let tasks = take_tasks(harness).into_iter().map(|t| t.1);
-    shards
-        .extend(tasks.filter(|t| t.number == token.0).flat_map(|t| t.shards));
+    shards.extend(tasks.filter(|t| t.number == number).flat_map(|t| t.shards));
     shards.sort_unstable();
     shards
 }
@@ -495,6 +496,61 @@
     }
 }
 
+// Guards against parts of a request from before a restart that pass as parts of
+// one after it, because both processes number their tasks alike.
+#[test]
+fn a_part_from_before_a_restart_is_not_used() {
+    let forwarding = table(vec![route("q", shards(6, 0.5))]);
+    let mut numbers: Vec<u64> = Vec::new();
+    for seed in [7, 8] {
+        let options = ForwardOptions::default();
+        let mut harness = Harness::with_seed(&forwarding, 2, options, seed);
+        let remote = ["shard-1/0", "shard-3/0", "shard-5/0"];
+        harness
+            .directory
+            .targets
+            .retain(|t| !remote.contains(&t.name.as_str()));
+        harness.advance(directory_refresh());
+        harness.set_peers(&[9]);
+        harness.effects.clear();
+        harness.submit("q");
+        let tasks = take_tasks(&mut harness);
+        let number = tasks[0].1.number;
+        for &earlier in &numbers {
+            harness.effects.clear();
+            harness.receive_shared(9, partial_result(earlier, &[1, 3], true));
+            harness.receive_shared(9, IncomingMessage::Accepted(earlier));
+            assert_eq!(harness.effects, Vec::new());
+        }
+        numbers.push(number);
+    }
+    assert!(numbers[0].abs_diff(numbers[1]) > 1 << 20, "{numbers:?}");
+}
+
+// Guards against a reply with the target list to a request from before a
+// restart that is matched to one after it and gives the list a wrong age.
+#[test]
+fn requests_for_the_list_are_numbered_from_a_random_start() {
+    let forwarding = table(vec![route("q", shards(6, 0.5))]);
+    let mut numbers = Vec::new();
+    for seed in [7, 8] {
+        let options = ForwardOptions::default();
+        let mut harness = Harness::with_seed(&forwarding, 2, options, seed);
+        // The instance with the smallest identifier fetches the list.
+        harness.set_peers(&[0]);
+        harness.advance(directory_refresh());
+        let number = harness.effects.iter().find_map(|e| match e {
+            ForwardEffect::SendDirectory(
+                _,
+                directory::Message::Wanted { number, .. },
+            ) => Some(*number),
+            _ => None,
+        });
+        numbers.push(number.expect("a request for the list"));
+    }
+    assert!(numbers[0].abs_diff(numbers[1]) > 1 << 10, "{numbers:?}");
+}
+
 // Guards against the indices of one set of shards that a delegate looks up in
 // another: a request that took its route before a change and is submitted
 // after it got parts of two versions.
@@ -531,6 +587,7 @@
 fn shards_of_another_zone_go_to_one_instance_there() {
     let mut harness = harness_with_remote_shards();
     let token = harness.submit("q");
+    let number = harness.forwarder.task_number(token);
     let sent = harness.take_sent();
     assert_eq!(sent.len(), 3);
     let tasks = take_tasks(&mut harness);
@@ -541,8 +598,8 @@
         harness.end_attempt(send.attempt, Outcome::Success);
     }
     assert_eq!(harness.take_responses(), Vec::new());
-    harness.receive_shared(9, IncomingMessage::Accepted(token.0));
-    harness.receive_shared(9, partial_result(token.0, &[1, 3], true));
+    harness.receive_shared(9, IncomingMessage::Accepted(number));
+    harness.receive_shared(9, partial_result(number, &[1, 3], true));
     let responses = harness.take_responses();
     let Response::Merge { parts, missing, .. } = &responses[0].1 else {
         panic!("{responses:?}");
@@ -557,7 +614,8 @@
 fn a_request_that_a_delegate_has_taken_over_may_have_run() {
     let mut harness = harness_with_remote_shards();
     let token = harness.submit_with_timeout("q", ms(300));
-    harness.receive_shared(9, IncomingMessage::Accepted(token.0));
+    let number = harness.forwarder.task_number(token);
+    harness.receive_shared(9, IncomingMessage::Accepted(number));
     let mut responses = Vec::new();
     while responses.is_empty() {
         for send in harness.take_sent() {
@@ -575,6 +633,7 @@
 fn a_silent_delegate_loses_its_shards() {
     let mut harness = harness_with_remote_shards();
     let token = harness.submit("q");
+    let number = harness.forwarder.task_number(token);
     harness.take_sent();
     take_tasks(&mut harness);
     harness.advance(ms(50));
@@ -587,7 +646,7 @@
     for shard in ["shard-1/1", "shard-3/1", "shard-5/1"] {
         assert!(reclaimed.contains(&shard.to_owned()), "{reclaimed:?}");
     }
-    let cancel = Message::Cancel { number: token.0, caller_gone: true };
+    let cancel = Message::Cancel { number, caller_gone: true };
     let expected = ForwardEffect::SendShared(InstanceId(9), cancel);
     assert!(harness.effects.contains(&expected));
     // The delegate receives no further task for a while.
@@ -601,11 +660,12 @@
 fn a_late_part_of_shards_that_were_taken_back_is_not_used() {
     let mut harness = harness_with_remote_shards();
     let token = harness.submit("q");
+    let number = harness.forwarder.task_number(token);
     harness.take_sent();
     take_tasks(&mut harness);
     harness.advance(ms(50));
     harness.effects.clear();
-    harness.receive_shared(9, partial_result(token.0, &[1, 3], true));
+    harness.receive_shared(9, partial_result(number, &[1, 3], true));
     let stored =
         |e: &ForwardEffect| matches!(e, ForwardEffect::StoreAnswer { .. });
     assert!(!harness.effects.iter().any(stored));
@@ -752,10 +812,11 @@
 fn shards_of_a_confirmed_delegate_are_not_asked_again() {
     let mut harness = harness_with_remote_shards();
     let token = harness.submit("q");
+    let number = harness.forwarder.task_number(token);
     harness.take_sent();
     take_tasks(&mut harness);
-    harness.receive_shared(9, IncomingMessage::Accepted(token.0));
-    let confirm = Message::Confirm(token.0);
+    harness.receive_shared(9, IncomingMessage::Accepted(number));
+    let confirm = Message::Confirm(number);
     let expected = ForwardEffect::SendShared(InstanceId(9), confirm);
     assert!(harness.effects.contains(&expected));
     harness.step(ForwardEvent::Unreachable(InstanceId(9)));
--- a/crates/core/tests/forward_support/mod.rs
+++ b/crates/core/tests/forward_support/mod.rs
@@ -119,6 +119,15 @@
         forwarding: &Forwarding,
         replicas: u8,
         options: ForwardOptions,
+    ) -> Harness {
+        Harness::with_seed(forwarding, replicas, options, 7)
+    }
+
+    pub fn with_seed(
+        forwarding: &Forwarding,
+        replicas: u8,
+        options: ForwardOptions,
+        seed: u64,
     ) -> Harness {
         assert_eq!(forwarding.problems(), Vec::<String>::new());
         let table = Arc::new(CompiledTable::new(forwarding));
@@ -129,7 +138,7 @@
             .flat_map(|s| (0..replicas).map(|i| target(&s.name, i)))
             .collect();
         let mut harness = Harness {
-            forwarder: Forwarder::new(OWN_ID, zone, options, 7),
+            forwarder: Forwarder::new(OWN_ID, zone, options, seed),
             now: Time::from_millis(20_000),
             table: Arc::clone(&table),
             effects: Vec::new(),
