Seek the fleet at the replicas, and keep connections until it is found

Cause: a replica sought the fleet at its seeds only. And an instance closed all connections to others than members once they were more than members and seeds: with three seeds and three replicas before its first member, at each turn of the loop.

--- a/crates/core/src/membership/join.rs
+++ b/crates/core/src/membership/join.rs
@@ -62,6 +62,11 @@
         self.ping(id, sequence);
     }
 
+    /// Returns whether this instance seeks the fleet at an address.
+    pub fn is_seed_address(&self, address: SocketAddr) -> bool {
+        self.seed_addresses.contains(&address)
+    }
+
     /// Whether all other known members are dead.
     pub(super) fn is_alone(&self) -> bool {
         let mut members = self.table.members().iter();
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -20,7 +20,7 @@
 mod types;
 mod view;
 
-use std::{collections::VecDeque, sync::Arc};
+use std::{collections::VecDeque, net::SocketAddr, sync::Arc};
 
 pub use self::types::{
     Effect, Event, NodeOptions, OperatorReply, OperatorRequest, PlatformList,
@@ -207,6 +207,13 @@
         self.advance_shutdown(now, out);
     }
 
+    /// Returns whether a connection to an address serves this instance: that
+    /// of a member, or one at which it seeks the fleet.
+    pub fn is_peer_address(&self, address: SocketAddr) -> bool {
+        self.members().iter().any(|m| m.address == address)
+            || self.membership.is_seed_address(address)
+    }
+
     /// Returns the time at which the next `Tick` is due.
     pub fn next_deadline(&self) -> Option<Time> {
         [
--- a/crates/core/src/node/replica.rs
+++ b/crates/core/src/node/replica.rs
@@ -463,7 +463,18 @@
             replica.leaderless_since.or(Some(now))
         };
         let id = replica.id;
+        // The seeds in the settings may name instances that are gone.
+        let moved = status.members != replica.status.members;
+        let addresses = moved.then(|| {
+            let others = status.members.iter().filter(|m| m.id != id);
+            others.map(|m| m.address).collect()
+        });
         replica.status = status.clone();
+        if let Some(addresses) = addresses {
+            self.push(Internal::Membership(MembershipEvent::SeedAddresses(
+                addresses,
+            )));
+        }
         if joined {
             self.push(Internal::Membership(MembershipEvent::UpdateSelf {
                 replica: Some(id),
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -487,10 +487,11 @@
             let forwarder = self.node.forwarder();
             self.metrics.forward().record_state(self.now(), forwarder);
         }
-        // Closes the connections to members that were replaced.
-        let members = self.node.members();
-        if self.peers.len() > members.len() + self.seed_count {
-            self.peers.retain(|a| members.iter().any(|m| m.address == a));
+        // Closes the connections to members that were replaced. An instance
+        // that knows no member yet needs those at which it seeks the fleet.
+        let members = self.node.members().len();
+        if self.peers.len() > members + self.seed_count {
+            self.peers.retain(|a| self.node.is_peer_address(a));
         }
         self.metrics.record_state(
             version,
