--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -12,7 +12,7 @@
         ForwardEffect, ForwardEvent, ForwardOptions, Outcome, Reason,
         Response, directory,
         shared::{IncomingMessage, Message, PartialResult, Task},
-        table::{CompiledTable, Destination},
+        table::{CompiledTable, Destination, Forwarding},
     },
     id::{InstanceId, RouteId, Token, ZoneId},
     verdict::Verdict,
@@ -412,8 +412,14 @@
 /// Returns a harness in zone `a` whose shards 1, 3 and 5 have targets in zone
 /// `b` only.
 fn harness_with_remote_shards() -> Harness {
+    add_remote_shards(|forwarding| Harness::new(forwarding, 2))
+}
+
+/// Gives the harness that `build` returns the shards of
+/// `harness_with_remote_shards`.
+fn add_remote_shards(build: impl FnOnce(&Forwarding) -> Harness) -> Harness {
     let forwarding = table(vec![route("q", shards(6, 0.5))]);
-    let mut harness = Harness::new(&forwarding, 2);
+    let mut harness = build(&forwarding);
     let remote = ["shard-1/0", "shard-3/0", "shard-5/0"];
     harness.directory.targets.retain(|t| !remote.contains(&t.name.as_str()));
     harness.advance(directory_refresh());
@@ -500,19 +506,12 @@
 // one after it, because both processes number their tasks alike.
 #[test]
 fn a_part_from_before_a_restart_is_not_used() {
-    let forwarding = table(vec![route("q", shards(6, 0.5))]);
     let mut numbers: Vec<u64> = Vec::new();
     for seed in [7, 8] {
         let options = ForwardOptions::default();
-        let mut harness = Harness::with_seed(&forwarding, 2, options, seed);
-        let remote = ["shard-1/0", "shard-3/0", "shard-5/0"];
-        harness
-            .directory
-            .targets
-            .retain(|t| !remote.contains(&t.name.as_str()));
-        harness.advance(directory_refresh());
-        harness.set_peers(&[9]);
-        harness.effects.clear();
+        let mut harness = add_remote_shards(|forwarding| {
+            Harness::with_seed(forwarding, 2, options, seed)
+        });
         harness.submit("q");
         let tasks = take_tasks(&mut harness);
         let number = tasks[0].1.number;
