Show confirmations, backlog and versions in logs and metrics

Three hypotheses for requests in zones that were out could not be told apart: whether an older version was in force at the sender, whether the process was starved, and how old a request was. Each line on the result of a request now names the version in force, PM0732 the zones that are out at an instance, and PM0501 and PM0502 the age of the last confirmation by a control quorum. Gauges show that age and the inputs that wait; a histogram shows how late timers run. No decision changes.

--- a/crates/core/src/config_sync/reducer.rs
+++ b/crates/core/src/config_sync/reducer.rs
@@ -1,6 +1,6 @@
 //! The reducer: its state, and the dispatch of events, messages and timers.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
@@ -200,6 +200,20 @@
         out.extend(self.effects.drain(..));
     }
 
+    /// Returns how long ago the request was sent that a control quorum last
+    /// confirmed, in milliseconds, for the log; -1 if none was confirmed.
+    pub(super) fn confirmed_ms(&self, now: Time) -> i64 {
+        let age = self.confirmation_age(now);
+        age.map_or(-1, |age| age.as_millis() as i64)
+    }
+
+    /// Returns how long ago the request was sent that a control quorum last
+    /// confirmed. A configuration newer than the one in force was accepted
+    /// after that, if there is one.
+    pub fn confirmation_age(&self, now: Time) -> Option<Duration> {
+        self.confirmed_at.map(|at| now.since(at))
+    }
+
     pub(super) fn log_event(
         &mut self,
         kind: &'static EventKind,
@@ -247,7 +261,11 @@
         let fallback = self.fallback;
         self.log_event(
             &kinds::LEASE_CHANGED,
-            format!("serving={serving} version={version} fleet={fallback}"),
+            format!(
+                "serving={serving} version={version} fleet={fallback} \
+                 confirmed_ms={}",
+                self.confirmed_ms(now)
+            ),
         );
     }
 
--- a/crates/core/src/config_sync/spread.rs
+++ b/crates/core/src/config_sync/spread.rs
@@ -61,8 +61,10 @@
         self.log_event(
             &kinds::CONFIG_IN_FORCE,
             format!(
-                "version={} hash={:016x} from={source}",
-                record.version, record.hash
+                "version={} hash={:016x} from={source} confirmed_ms={}",
+                record.version,
+                record.hash,
+                self.confirmed_ms(now)
             ),
         );
         self.push_to_children(&record, from);
--- a/crates/core/src/event/forward.rs
+++ b/crates/core/src/event/forward.rs
@@ -18,4 +18,5 @@
     DIRECTORY_FAILED = (721, Warn, "The platform's list could not be read. The last reading stays in use.");
     TABLE_INSTALLED = (730, Info, "A forwarding table came into force.");
     TABLE_REJECTED = (731, Error, "A forwarding table is invalid and was not installed.");
+    ZONES_OUT_CHANGED = (732, Info, "The availability zones that this instance sends nothing to have changed.");
 }
--- a/crates/core/src/forward/finish.rs
+++ b/crates/core/src/forward/finish.rs
@@ -156,13 +156,14 @@
         let refused: u32 = request.shards.iter().map(|s| s.refused).sum();
         let mut detail = format!(
             "request={} route={} took_ms={} objective_ms={} shards={} \
-             answered={} sent={sent} refused={refused}{extra}",
+             answered={} sent={sent} refused={refused} version={}{extra}",
             request.id,
             route.name,
             now.since(request.started).as_millis(),
             route.objective_ms,
             request.shards.len(),
             request.answered_shards(),
+            self.version,
         );
         let unanswered = request
             .shards
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -41,7 +41,7 @@
 pub use self::{options::ForwardOptions, reducer::Forwarder};
 use crate::{
     event::LogEvent,
-    id::{AttemptId, InstanceId, TargetId, Token, ZoneId},
+    id::{AttemptId, ConfigVersion, InstanceId, TargetId, Token, ZoneId},
     verdict::Verdict,
 };
 
@@ -99,6 +99,8 @@
     AttemptEnded(AttemptId, Outcome),
     /// The forwarding table or the set of zones that are out has changed.
     Configure {
+        /// Version of the configuration that both come from.
+        version: ConfigVersion,
         /// The forwarding table in force.
         table: Arc<CompiledTable>,
         /// Zones that receive no new requests.
--- a/crates/core/src/forward/reducer.rs
+++ b/crates/core/src/forward/reducer.rs
@@ -18,7 +18,10 @@
 };
 use crate::{
     event::{EventKind, LogEvent, forward as kinds},
-    id::{AttemptId, InstanceId, RouteId, ServiceId, TargetId, Token, ZoneId},
+    id::{
+        AttemptId, ConfigVersion, InstanceId, RouteId, ServiceId, TargetId,
+        Token, ZoneId,
+    },
     time::Time,
     verdict::Verdict,
 };
@@ -31,6 +34,8 @@
 pub struct Forwarder {
     pub(super) options: ForwardOptions,
     pub(super) rng: Pcg32,
+    /// Version of the configuration in force.
+    pub(super) version: ConfigVersion,
     pub(super) table: Arc<CompiledTable>,
     pub(super) targets: TargetTable,
     reader: DirectoryReader,
@@ -77,6 +82,7 @@
         let first_request = rng.random::<u32>().into();
         Forwarder {
             rng,
+            version: ConfigVersion(0),
             table: Arc::default(),
             targets: TargetTable::new(options.selection.clone(), zone, lag),
             reader: DirectoryReader::new(own_id, options.directory.clone())
@@ -154,7 +160,8 @@
             ForwardEvent::AttemptEnded(attempt, outcome) => {
                 self.attempt_ended(now, attempt, outcome);
             }
-            ForwardEvent::Configure { table, zones_out } => {
+            ForwardEvent::Configure { version, table, zones_out } => {
+                self.version = version;
                 self.targets.set_zones_out(now, zones_out);
                 self.table = table;
             }
--- a/crates/core/src/forward/send.rs
+++ b/crates/core/src/forward/send.rs
@@ -319,12 +319,13 @@
         let Some(target) = self.targets.get(target) else { return };
         let detail = format!(
             "request={} shard={} target={} own_zone={} extra={extra} \
-             after_ms={}",
+             after_ms={} version={}",
             request.id,
             request.shard_indices[shard],
             target.name,
             target.zone == self.zone,
-            now.since(request.started).as_millis()
+            now.since(request.started).as_millis(),
+            self.version
         );
         self.log(&kinds::ATTEMPT_SENT, detail);
     }
--- a/crates/core/src/node/forwarding.rs
+++ b/crates/core/src/node/forwarding.rs
@@ -7,7 +7,7 @@
     config::{Configuration, ZoneState},
     event::{
         LogEvent,
-        forward::{TABLE_INSTALLED, TABLE_REJECTED},
+        forward::{TABLE_INSTALLED, TABLE_REJECTED, ZONES_OUT_CHANGED},
     },
     forward::{
         ForwardEffect, ForwardEvent,
@@ -40,6 +40,8 @@
     /// Revision of `table`.
     revision: u64,
     table: Arc<CompiledTable>,
+    /// Zones that are out of service.
+    zones_out: Vec<ZoneId>,
 }
 
 impl ForwardFleet {
@@ -214,14 +216,23 @@
                 ),
             ))]);
         }
-        let zones_out = configuration
-            .availability_zones
-            .iter()
+        let zones = configuration.availability_zones.iter();
+        let names: Vec<&str> = zones
             .filter(|z| z.state == ZoneState::Out)
-            .map(|z| ZoneId::from_name(&z.name))
+            .map(|z| z.name.as_str())
             .collect();
+        let zones_out: Vec<ZoneId> =
+            names.iter().map(|name| ZoneId::from_name(name)).collect();
+        if zones_out != self.forward_fleet.zones_out {
+            self.forward_fleet.zones_out.clone_from(&zones_out);
+            out.extend([Effect::Log(LogEvent::new(
+                &ZONES_OUT_CHANGED,
+                format!("version={version} out={:?}", names.join(",")),
+            ))]);
+        }
         let table = Arc::clone(&self.forward_fleet.table);
         self.push(Internal::Forward(ForwardEvent::Configure {
+            version,
             table,
             zones_out,
         }));
--- a/crates/core/src/node/view.rs
+++ b/crates/core/src/node/view.rs
@@ -1,6 +1,6 @@
 //! Read access to the node's state, for operators and metrics.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use super::Node;
 use crate::{
@@ -10,6 +10,7 @@
     membership::Member,
     query,
     target::TargetReport,
+    time::Time,
 };
 
 impl Node {
@@ -35,6 +36,11 @@
         self.sync.current().map_or(0, |record| record.hash)
     }
 
+    /// Returns the age of the last confirmation by a control quorum.
+    pub fn confirmation_age(&self, now: Time) -> Option<Duration> {
+        self.sync.confirmation_age(now)
+    }
+
     /// Returns whether this instance holds its lease and may serve requests.
     pub fn serving(&self) -> bool {
         self.serving
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -14,7 +14,7 @@
         shared::{IncomingMessage, Message, PartialResult, Task},
         table::{CompiledTable, Destination, Forwarding},
     },
-    id::{InstanceId, RouteId, Token, ZoneId},
+    id::{ConfigVersion, InstanceId, RouteId, Token, ZoneId},
     verdict::Verdict,
 };
 
@@ -303,10 +303,18 @@
     assert!(!refused(&mut harness), "warm");
     let zones_out = vec![ZoneId::from_name("a")];
     let table = Arc::clone(&harness.table);
-    harness.step(ForwardEvent::Configure { table, zones_out });
+    harness.step(ForwardEvent::Configure {
+        version: ConfigVersion(1),
+        table,
+        zones_out,
+    });
     assert!(refused(&mut harness), "out");
     let table = Arc::clone(&harness.table);
-    harness.step(ForwardEvent::Configure { table, zones_out: Vec::new() });
+    harness.step(ForwardEvent::Configure {
+        version: ConfigVersion(1),
+        table,
+        zones_out: Vec::new(),
+    });
     assert!(refused(&mut harness), "returned, but the list is older");
     harness.advance(ms(2_000));
     assert!(!refused(&mut harness), "returned and confirmed by a newer list");
@@ -490,7 +498,11 @@
             if i < 2 {
                 let table = Arc::clone(table);
                 let zones_out = Vec::new();
-                harness.step(ForwardEvent::Configure { table, zones_out });
+                harness.step(ForwardEvent::Configure {
+                    version: ConfigVersion(1),
+                    table,
+                    zones_out,
+                });
             }
             harness.advance(ms(10));
             let token = harness.submit("q");
@@ -560,8 +572,11 @@
     newer.revision = 2;
     let newer = Arc::new(CompiledTable::new(&newer));
     let zones_out = Vec::new();
-    let configure =
-        ForwardEvent::Configure { table: Arc::clone(&newer), zones_out };
+    let configure = ForwardEvent::Configure {
+        version: ConfigVersion(2),
+        table: Arc::clone(&newer),
+        zones_out,
+    };
     harness.step(configure);
     harness.submit("q");
     let tasks = take_tasks(&mut harness);
--- a/crates/core/tests/forward_support/mod.rs
+++ b/crates/core/tests/forward_support/mod.rs
@@ -17,7 +17,7 @@
             Forwarding, WeightedService,
         },
     },
-    id::{AttemptId, InstanceId, Token, ZoneId},
+    id::{AttemptId, ConfigVersion, InstanceId, Token, ZoneId},
     time::Time,
 };
 
@@ -145,7 +145,11 @@
             directory: Directory { targets },
             last_token: 0,
         };
-        harness.step(ForwardEvent::Configure { table, zones_out: Vec::new() });
+        harness.step(ForwardEvent::Configure {
+            version: ConfigVersion(1),
+            table,
+            zones_out: Vec::new(),
+        });
         harness.step(ForwardEvent::Serving(true));
         harness.read_directory();
         harness.effects.clear();
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -32,6 +32,9 @@
     version: Gauge<u64>,
     serving: Gauge<u64>,
     in_flight: Gauge<u64>,
+    confirmation_age: Gauge<f64>,
+    queued_inputs: Gauge<u64>,
+    timer_lag: Histogram<f64>,
     forward: ForwardMetrics,
 }
 
@@ -102,6 +105,25 @@
                 "primrosemast_queries_in_flight",
                 "Callers' requests in progress",
             ),
+            confirmation_age: meter
+                .f64_gauge("primrosemast_confirmation_age_seconds")
+                .with_description(
+                    "Age of the last confirmation by a control quorum",
+                )
+                .build(),
+            queued_inputs: gauge(
+                "primrosemast_queued_inputs",
+                "Inputs that wait for the reducer",
+            ),
+            timer_lag: meter
+                .f64_histogram("primrosemast_timer_lag_seconds")
+                .with_description(
+                    "Time by which the reducer's timers ran late",
+                )
+                .with_boundaries(vec![
+                    0.001, 0.005, 0.02, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0,
+                ])
+                .build(),
             forward: ForwardMetrics::new(&meter),
             registry,
             _provider: provider,
@@ -178,6 +200,24 @@
         self.events.add(1, &[KeyValue::new("code", code)]);
     }
 
+    /// Records the age of the last confirmation and the number of inputs that
+    /// wait, both of which grow if the process gets too little processor time.
+    pub(crate) fn record_backlog(
+        &self,
+        confirmation_age: Option<Duration>,
+        queued_inputs: usize,
+    ) {
+        if let Some(age) = confirmation_age {
+            self.confirmation_age.record(age.as_secs_f64(), &[]);
+        }
+        self.queued_inputs.record(queued_inputs as u64, &[]);
+    }
+
+    /// Records by how much a timer of the reducer ran late.
+    pub(crate) fn record_timer_lag(&self, lag: Duration) {
+        self.timer_lag.record(lag.as_secs_f64(), &[]);
+    }
+
     /// Records the gauges of the query path.
     pub(crate) fn record_state(
         &self,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -340,13 +340,14 @@
                     }
                 }
                 () = tokio::time::sleep_until(wake.into()) => {
+                    self.metrics.record_timer_lag(wake.elapsed());
                     self.step(Event::Tick, &mut effects);
                 }
             }
             for effect in effects.drain(..) {
                 self.carry_out(effect);
             }
-            self.publish_state();
+            self.publish_state(inputs.len());
             if self.drained {
                 let _ = drained.send(true);
                 // Requests that arrive on open connections are still refused
@@ -465,7 +466,7 @@
     }
 
     /// Publishes the state for the HTTP handlers and in the metrics.
-    fn publish_state(&mut self) {
+    fn publish_state(&mut self, queued_inputs: usize) {
         self.handle.set_ready(self.node.ready());
         let mut version = 0;
         if let Some((v, configuration)) = self.node.configuration() {
@@ -484,6 +485,8 @@
         if now >= self.close_idle_at {
             self.close_idle_at = now + CLOSE_IDLE_INTERVAL;
             self.forwarding.close_idle();
+            let age = self.node.confirmation_age(self.now());
+            self.metrics.record_backlog(age, queued_inputs);
             let forwarder = self.node.forwarder();
             self.metrics.forward().record_state(self.now(), forwarder);
         }
