Send nothing to a target after the lease has ended

Callers saw nothing of this; a target in a zone that is out could. The lease was checked when a request or a task was admitted, not when one of its shards was sent again or hedged, so a request with a deadline of 8 s could reach a target up to 10 s after its instance had last been confirmed, under zones and a table that were outdated by then.

Each send now needs the lease, so that the last one under an outdated configuration leaves within 2 s and the time to open a connection. A shard that waits is sent once the lease is renewed.

--- a/crates/core/src/forward/reducer.rs
+++ b/crates/core/src/forward/reducer.rs
@@ -63,7 +63,7 @@
     /// tasks. Tokens start anew in each process, so that a delegate's answer
     /// to a request from before a restart would match one after it.
     task_offset: u64,
-    serving: bool,
+    pub(super) serving: bool,
     /// Effects of the current step.
     pub(super) out: Vec<ForwardEffect>,
 }
--- a/crates/core/src/forward/send.rs
+++ b/crates/core/src/forward/send.rs
@@ -233,6 +233,10 @@
     /// Sends a shard of a request to a target if one is available now. An
     /// extra attempt is also subject to the budget of the service. Returns
     /// whether an attempt was sent.
+    ///
+    /// The lease may have ended since the request was admitted. The zones and
+    /// the table are then possibly outdated, so nothing is sent until it is
+    /// renewed.
     pub(super) fn send_attempt(
         &mut self,
         now: Time,
@@ -240,6 +244,9 @@
         shard: usize,
         extra: bool,
     ) -> bool {
+        if !self.serving {
+            return false;
+        }
         let Some(index) = self.position(token) else { return false };
         let request = &self.requests[index];
         let state = &request.shards[shard];
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -841,3 +841,33 @@
         .collect();
     assert_eq!(repeated, Vec::new());
 }
+
+// Guards against requests that are sent to a target again after the lease of
+// their instance has ended. The zone of that target may be out by then.
+#[test]
+fn nothing_is_sent_again_without_a_lease() {
+    let mut harness =
+        Harness::new(&table(vec![route("a", single_service())]), 4);
+    harness.submit_with_timeout("a", ms(8_000));
+    let first = harness.take_sent();
+    assert_eq!(first.len(), 1);
+    harness.step(ForwardEvent::Serving(false));
+    harness.end_attempt(first[0].attempt, Outcome::Unreachable);
+    harness.advance(ms(500));
+    assert_eq!(harness.take_sent(), []);
+    harness.step(ForwardEvent::Serving(true));
+    harness.advance(ms(20));
+    assert_eq!(harness.take_sent().len(), 1);
+}
+
+// Guards against hedges by an instance whose lease has ended.
+#[test]
+fn nothing_is_hedged_without_a_lease() {
+    let mut harness =
+        Harness::new(&table(vec![route("q", shards(4, 0.5))]), 2);
+    harness.submit("q");
+    assert_eq!(harness.take_sent().len(), 4);
+    harness.step(ForwardEvent::Serving(false));
+    harness.advance(ms(400));
+    assert_eq!(harness.take_sent(), []);
+}
