--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -106,8 +106,11 @@
         /// Zones that receive no new requests.
         zones_out: Vec<ZoneId>,
     },
-    /// Whether this instance may serve requests.
+    /// Whether this instance accepts new requests.
     Serving(bool),
+    /// Whether this instance holds its lease, without which its configuration
+    /// may be outdated.
+    Lease(bool),
     /// The process is about to exit; every request gets its response now.
     EndRequests,
     /// The other live entry instances, and the number of instances that share
--- a/crates/core/src/forward/reducer.rs
+++ b/crates/core/src/forward/reducer.rs
@@ -63,7 +63,10 @@
     /// tasks. Tokens start anew in each process, so that a delegate's answer
     /// to a request from before a restart would match one after it.
     task_offset: u64,
-    pub(super) serving: bool,
+    serving: bool,
+    /// Whether this instance holds its lease. While it shuts down, it still
+    /// completes requests that it has accepted.
+    pub(super) leased: bool,
     /// Effects of the current step.
     pub(super) out: Vec<ForwardEffect>,
 }
@@ -100,6 +103,7 @@
             last_task: 0,
             task_offset,
             serving: false,
+            leased: false,
             out: Vec::new(),
             options,
         }
@@ -166,6 +170,7 @@
                 self.table = table;
             }
             ForwardEvent::Serving(serving) => self.serving = serving,
+            ForwardEvent::Lease(leased) => self.leased = leased,
             ForwardEvent::EndRequests => self.end_requests(now),
             ForwardEvent::Peers(peers, instances) => {
                 self.reader.set_peers(peers.iter().map(|p| p.id).collect());
--- a/crates/core/src/forward/send.rs
+++ b/crates/core/src/forward/send.rs
@@ -244,7 +244,7 @@
         shard: usize,
         extra: bool,
     ) -> bool {
-        if !self.serving {
+        if !self.leased {
             return false;
         }
         let Some(index) = self.position(token) else { return false };
--- a/crates/core/src/node/lifecycle.rs
+++ b/crates/core/src/node/lifecycle.rs
@@ -113,6 +113,7 @@
                 Lifecycle::Running | Lifecycle::Leaving { .. }
             );
         self.push(Internal::Query(QueryEvent::Serving(accepts)));
+        self.push(Internal::Forward(ForwardEvent::Lease(self.serving)));
         self.push(Internal::Forward(ForwardEvent::Serving(accepts)));
         self.configure_targets(now, out);
     }
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -851,11 +851,11 @@
     harness.submit_with_timeout("a", ms(8_000));
     let first = harness.take_sent();
     assert_eq!(first.len(), 1);
-    harness.step(ForwardEvent::Serving(false));
+    harness.step(ForwardEvent::Lease(false));
     harness.end_attempt(first[0].attempt, Outcome::Unreachable);
     harness.advance(ms(500));
     assert_eq!(harness.take_sent(), []);
-    harness.step(ForwardEvent::Serving(true));
+    harness.step(ForwardEvent::Lease(true));
     harness.advance(ms(20));
     assert_eq!(harness.take_sent().len(), 1);
 }
@@ -867,7 +867,20 @@
         Harness::new(&table(vec![route("q", shards(4, 0.5))]), 2);
     harness.submit("q");
     assert_eq!(harness.take_sent().len(), 4);
-    harness.step(ForwardEvent::Serving(false));
+    harness.step(ForwardEvent::Lease(false));
     harness.advance(ms(400));
     assert_eq!(harness.take_sent(), []);
 }
+
+// Guards against requests that an instance has accepted and cannot complete,
+// because it accepts no new ones while it shuts down.
+#[test]
+fn a_request_is_sent_again_while_new_ones_are_refused() {
+    let forwarding = table(vec![route("a", single_service())]);
+    let mut harness = Harness::new(&forwarding, 4);
+    harness.submit("a");
+    let first = harness.take_sent();
+    harness.step(ForwardEvent::Serving(false));
+    harness.end_attempt(first[0].attempt, Outcome::Unreachable);
+    assert_eq!(harness.take_sent().len(), 1);
+}
--- a/crates/core/tests/forward_support/mod.rs
+++ b/crates/core/tests/forward_support/mod.rs
@@ -150,6 +150,7 @@
             table,
             zones_out: Vec::new(),
         });
+        harness.step(ForwardEvent::Lease(true));
         harness.step(ForwardEvent::Serving(true));
         harness.read_directory();
         harness.effects.clear();
