Serve only under the newest configuration that was applied

A version whose table or document an instance cannot use, as one from another release, counted as in force there: its lease was renewed for that version while requests went on under the table before. If the version also took a zone out, the zone stayed in service, since the zones were set only after the table.

Evidence: both new tests of the node fail without the change (the instance serves on; no PM0732). An instance now serves only if it holds its lease and has applied the newest version that it knows, and the zones are set in any case.

--- a/crates/core/src/node/forwarding.rs
+++ b/crates/core/src/node/forwarding.rs
@@ -185,24 +185,26 @@
     }
 
     /// Passes the forwarding table and the zones that are out of service to
-    /// the forwarding path.
+    /// the forwarding path. Returns whether the table is in force; one with
+    /// problems is not, but the zones are in any case.
     pub(super) fn configure_forwarding(
         &mut self,
         version: ConfigVersion,
         configuration: &Configuration,
         out: &mut impl Extend<Effect>,
-    ) {
+    ) -> bool {
         let forwarding = &configuration.forwarding;
-        if forwarding.revision != self.forward_fleet.revision {
-            let problems = forwarding.problems();
-            if !problems.is_empty() {
-                let problems = problems.join("; ");
-                out.extend([Effect::Log(LogEvent::new(
-                    &TABLE_REJECTED,
-                    format!("version={version} problems={problems:?}"),
-                ))]);
-                return;
-            }
+        let changed = forwarding.revision != self.forward_fleet.revision;
+        let problems =
+            if changed { forwarding.problems() } else { Vec::new() };
+        let valid = problems.is_empty();
+        if !valid {
+            let problems = problems.join("; ");
+            out.extend([Effect::Log(LogEvent::new(
+                &TABLE_REJECTED,
+                format!("version={version} problems={problems:?}"),
+            ))]);
+        } else if changed {
             self.forward_fleet.revision = forwarding.revision;
             self.forward_fleet.table =
                 Arc::new(CompiledTable::new(forwarding));
@@ -236,6 +238,7 @@
             table,
             zones_out,
         }));
+        valid
     }
 
     /// Returns the forwarding table in force.
--- a/crates/core/src/node/lifecycle.rs
+++ b/crates/core/src/node/lifecycle.rs
@@ -101,7 +101,21 @@
         }
     }
 
-    /// Updates what depends on the lease after it was gained or lost.
+    /// Updates whether this instance serves, after its lease was gained or
+    /// lost or a configuration was applied or rejected.
+    pub(super) fn update_serving(
+        &mut self,
+        now: Time,
+        out: &mut impl Extend<Effect>,
+    ) {
+        let serving = self.leased && self.applied;
+        if serving != self.serving {
+            self.serving = serving;
+            self.serving_changed(now, out);
+        }
+    }
+
+    /// Updates what depends on whether this instance serves.
     pub(super) fn serving_changed(
         &mut self,
         now: Time,
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -83,6 +83,12 @@
     unreachable: Vec<(InstanceId, Time)>,
     lifecycle: Lifecycle,
     /// Whether this instance holds its lease.
+    leased: bool,
+    /// Whether the newest configuration that this instance knows was applied
+    /// as a whole. The lease does not cover an older one.
+    applied: bool,
+    /// Whether this instance holds its lease, for a configuration that was
+    /// applied.
     serving: bool,
     /// Reports of targets that have not been sent yet, sorted by target.
     reports: Vec<TargetReport>,
@@ -144,6 +150,8 @@
             candidates: Vec::new(),
             unreachable: Vec::new(),
             lifecycle: Lifecycle::default(),
+            leased: false,
+            applied: false,
             serving: false,
             reports: Vec::new(),
             flush_reports_at: None,
@@ -337,9 +345,9 @@
                 SyncEffect::Install(record) => {
                     self.install(now, &record, out);
                 }
-                SyncEffect::Serving(serving) => {
-                    self.serving = serving;
-                    self.serving_changed(now, out);
+                SyncEffect::Serving(leased) => {
+                    self.leased = leased;
+                    self.update_serving(now, out);
                 }
                 SyncEffect::Log(event) => out.extend([Effect::Log(event)]),
             }
@@ -531,6 +539,8 @@
                 &CONFIG_REJECTED,
                 format!("version={}", record.version),
             ))]);
+            self.applied = false;
+            self.update_serving(now, out);
             return;
         };
         configuration.sort();
@@ -538,9 +548,11 @@
         self.configuration =
             Some((record.version, Arc::clone(&configuration)));
         self.set_bundles(&configuration, out);
-        self.configure_forwarding(record.version, &configuration, out);
+        self.applied =
+            self.configure_forwarding(record.version, &configuration, out);
         self.push(Internal::Query(QueryEvent::Configure(configuration)));
         self.configure_targets(now, out);
+        self.update_serving(now, out);
     }
 
     /// Sends a message of the query path. One for this instance is queued
--- /dev/null
+++ b/crates/core/tests/node.rs
@@ -0,0 +1,139 @@
+//! Tests of the node's reducer: how its subsystems act together.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use primrosemast_core::{
+    config::{AvailabilityZone, Configuration, ZoneState},
+    config_sync::{ConfigRecord, Message},
+    consensus::Recovered,
+    control::TableRevision,
+    forward::table::{Destination, ForwardRoute, ForwardService, Forwarding},
+    id::{ConfigVersion, InstanceId, ReplicaId, Token, ZoneId},
+    membership::{Member, MemberState},
+    message::PeerMessage,
+    node::{Effect, Event, Node, NodeOptions, OperatorRequest},
+    time::Time,
+};
+
+fn node() -> Node {
+    let address: SocketAddr = ([10, 0, 0, 1], 7_000).into();
+    let member = Member {
+        id: InstanceId(1),
+        name: "instance-1".into(),
+        address,
+        operator_address: address,
+        zone: ZoneId::from_name("a"),
+        entry: true,
+        replica: None,
+        control_group: 0,
+        incarnation: 1,
+        state: MemberState::Alive,
+    };
+    Node::new(member, NodeOptions::default(), 7)
+}
+
+/// A configuration with one route, to `service`, and zone `a` in this state.
+fn configuration(
+    revision: u64,
+    service: &str,
+    state: ZoneState,
+) -> Configuration {
+    let route = ForwardRoute {
+        name: "one".into(),
+        host: "site.example".into(),
+        path_prefix: "/one/".into(),
+        repeatable: true,
+        timeout_ms: 1_000,
+        objective_ms: 100,
+        priority: 1,
+        max_attempts: 2,
+        destination: Destination::Service(service.into()),
+    };
+    Configuration {
+        availability_zones: vec![AvailabilityZone { name: "a".into(), state }],
+        forwarding: Forwarding {
+            revision,
+            routes: vec![route],
+            services: vec![ForwardService {
+                name: "known".into(),
+                connections: 20,
+            }],
+            ..Forwarding::default()
+        },
+        ..Configuration::default()
+    }
+}
+
+/// Gives the node a version that another instance has pushed, and returns the
+/// numbers of the events that it logs.
+fn push(node: &mut Node, version: u64, cfg: &Configuration) -> Vec<u16> {
+    let document = rmp_serde::to_vec_named(cfg).expect("encoded").into();
+    let version = ConfigVersion(version);
+    let record = ConfigRecord { version, hash: version.0, document };
+    let message = PeerMessage::Sync(Message::Push(Arc::new(record)));
+    let now = Time::from_millis(1_000 + version.0);
+    let mut effects = Vec::new();
+    node.step(now, Event::Peer(InstanceId(2), message), &mut effects);
+    let code = |effect| match effect {
+        Effect::Log(event) => Some(event.kind.code),
+        _ => None,
+    };
+    effects.into_iter().filter_map(code).collect()
+}
+
+/// Steps a node that is alone in its control group for a second, and completes
+/// its writes at once.
+fn run_alone(node: &mut Node, from_ms: u64, event: Event) {
+    let mut events = vec![event];
+    for ms in from_ms..from_ms + 1_000 {
+        let now = Time::from_millis(ms);
+        events.push(Event::Tick);
+        while let Some(event) = events.pop() {
+            let mut effects = Vec::new();
+            node.step(now, event, &mut effects);
+            events.extend(effects.into_iter().filter_map(|e| match e {
+                Effect::Persist { ticket, .. } => {
+                    Some(Event::Persisted(ticket))
+                }
+                _ => None,
+            }));
+        }
+    }
+}
+
+// Guards against an instance that goes on with an older table under a lease
+// for the newest configuration, which it could not apply.
+#[test]
+fn an_instance_that_cannot_apply_the_newest_configuration_does_not_serve() {
+    let mut node = node();
+    let recovered = Some((ReplicaId(5), Recovered::default()));
+    run_alone(&mut node, 0, Event::Start { recovered });
+    let bootstrap = OperatorRequest::Bootstrap { group: 77 };
+    run_alone(&mut node, 1_000, Event::Operator(Token(1), bootstrap));
+    let mut serves = |revision, service| {
+        let table = configuration(revision, service, ZoneState::In).forwarding;
+        let table = rmp_serde::to_vec_named(&table).expect("encoded").into();
+        let revise =
+            OperatorRequest::Revise(TableRevision { revision, table });
+        let event = Event::Operator(Token(revision + 1), revise);
+        run_alone(&mut node, 1_000 + 1_000 * revision, event);
+        node.serving()
+    };
+    assert!(serves(1, "known"));
+    assert!(!serves(2, "unknown"));
+    assert!(serves(3, "known"));
+}
+
+// Guards against a zone that stays in service, because the table of the same
+// version cannot be used by this release.
+#[test]
+fn a_rejected_table_does_not_hold_back_the_zones() {
+    let mut node = node();
+    let valid = configuration(1, "known", ZoneState::In);
+    assert!(push(&mut node, 1, &valid).contains(&730));
+    let rejected = configuration(2, "unknown", ZoneState::Out);
+    let codes = push(&mut node, 2, &rejected);
+    assert!(codes.contains(&731), "{codes:?}");
+    assert!(codes.contains(&732), "{codes:?}");
+    assert_eq!(node.forwarding_table().revision, 1);
+}
