Count answers to a confirmation round that come late

On a busy computer a round trip may take longer than the 500 ms (250 ms for relayed confirmations) after which the next round begins. Only the last round was kept, so its predecessor's answers were dropped, and instances lost their lease although every message arrived: callers got refusals.

Rounds are kept for as long as they could renew the lease, and an answer counts for its own round. The lease still counts from the moment at which that round's requests were sent, so the proof of OUTDATED_BOUND holds as it is: a voter answers after that moment, and an acceptance before it left a voter of the majority that denies.

--- a/crates/core/src/config_sync/lease.rs
+++ b/crates/core/src/config_sync/lease.rs
@@ -33,9 +33,6 @@
     pub(crate) fleet_queried: usize,
     /// Whether a control quorum has confirmed to this instance directly.
     pub(crate) quorum_confirmed: bool,
-    /// Whether the lease was renewed by a confirmation of a control quorum,
-    /// direct or relayed.
-    pub(crate) confirmed: bool,
 }
 
 impl Round {
--- a/crates/core/src/config_sync/reducer.rs
+++ b/crates/core/src/config_sync/reducer.rs
@@ -1,6 +1,6 @@
 //! The reducer: its state, and the dispatch of events, messages and timers.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
@@ -77,7 +77,8 @@
     /// Latest time at which a request was sent that a control quorum
     /// confirmed. The lease counts from here.
     pub(super) confirmed_at: Option<Time>,
-    pub(super) round: Option<Round>,
+    /// Rounds whose answers could still renew the lease, newest last.
+    pub(super) rounds: VecDeque<Round>,
     pub(super) lease_until: Time,
     pub(super) serving: bool,
     pub(super) fallback: bool,
@@ -109,7 +110,7 @@
             current: None,
             group: None,
             confirmed_at: None,
-            round: None,
+            rounds: VecDeque::new(),
             lease_until: Time::ZERO,
             serving: false,
             fallback: false,
@@ -242,7 +243,7 @@
             return;
         };
         if now.since(last) > self.options.lease {
-            self.round = None;
+            self.rounds.clear();
             self.lease_until = Time::ZERO;
             self.next_round = now;
             let gap = now.since(last).as_millis();
@@ -310,10 +311,11 @@
                 confirmed,
                 members_index,
             } => {
-                if let Some(round) = &mut self.round
-                    && round.sequence == sequence
-                {
-                    round.add_answer(Answer {
+                let found = self
+                    .rounds
+                    .binary_search_by_key(&sequence, |x| x.sequence);
+                if let Ok(at) = found {
+                    self.rounds[at].add_answer(Answer {
                         members_index,
                         from,
                         version,
--- a/crates/core/src/config_sync/rounds.rs
+++ b/crates/core/src/config_sync/rounds.rs
@@ -17,6 +17,10 @@
     time::Time,
 };
 
+/// Number of rounds whose answers are still counted. A lease lasts for eight
+/// rounds at the shortest interval, half of `renew_interval`.
+const MAX_ROUNDS: usize = 8;
+
 impl ConfigSync {
     /// Starts a round of confirmation requests. Returns whether only
     /// instances were asked that relay a confirmation.
@@ -26,7 +30,8 @@
         // that the load there does not grow with the fleet. Relayed
         // confirmations are up to half a lease old at the third level.
         let limit = self.options.lease / 2 + self.options.renew_interval / 4;
-        let confirmation_missed = match (&self.round, self.confirmed_at) {
+        let confirmation_missed = match (self.rounds.back(), self.confirmed_at)
+        {
             (Some(_), Some(at)) if large => now.since(at) > limit,
             (Some(round), _) => !round.quorum_confirmed,
             (None, _) => false,
@@ -85,13 +90,18 @@
                 self.send(id, Message::Compare { sequence, version });
             }
         }
-        self.round = Some(Round {
+        // Answers to an older round no longer extend the lease.
+        let lease = self.options.lease;
+        self.rounds.retain(|x| x.started + lease > now);
+        if self.rounds.len() >= MAX_ROUNDS {
+            self.rounds.pop_front();
+        }
+        self.rounds.push_back(Round {
             sequence,
             started: now,
             answers: Vec::new(),
             fleet_queried,
             quorum_confirmed: false,
-            confirmed: false,
         });
         self.evaluate_round(now);
         relayed_only
@@ -104,24 +114,28 @@
             return;
         };
         let version = self.version();
-        let own = Some(self.own_answer(now));
-        let Some(round) = &mut self.round else { return };
-        if version == ConfigVersion(0) || round.quorum_confirmed {
+        if version == ConfigVersion(0) {
             return;
         }
-        round.quorum_confirmed = round.control_confirms(group, version, own);
-        let age = match round.quorum_confirmed {
-            true => Some(Duration::ZERO),
-            false => round.relayed_age(group, version),
-        };
-        let Some(age) = age else { return };
-        let confirmed_at = round.started - age;
+        let own = Some(self.own_answer(now));
+        let mut newest = None;
+        for round in &mut self.rounds {
+            if !round.quorum_confirmed {
+                round.quorum_confirmed =
+                    round.control_confirms(group, version, own);
+            }
+            let age = match round.quorum_confirmed {
+                true => Some(Duration::ZERO),
+                false => round.relayed_age(group, version),
+            };
+            newest = newest.max(age.map(|age| round.started - age));
+        }
+        let Some(confirmed_at) = newest else { return };
         if self.confirmed_at.is_some_and(|x| x >= confirmed_at)
             || confirmed_at + self.options.lease <= now
         {
             return;
         }
-        round.confirmed = true;
         self.confirmed_at = Some(confirmed_at);
         self.renew_lease(now, confirmed_at + self.options.lease, false);
         if self.group.is_none() {
@@ -148,15 +162,13 @@
         {
             return;
         }
-        let fleet_confirms = self.round.as_ref().is_some_and(|round| {
+        let fleet_confirms = |round: &&Round| {
             !round.quorum_confirmed
                 && fleet_confirms(round, &self.fleet, version, &self.options)
-        });
-        if let Some(round) = &self.round
-            && fleet_confirms
-        {
-            let until = round.started + self.options.lease;
-            self.renew_lease(now, until, true);
+        };
+        let newest = self.rounds.iter().rev().find(fleet_confirms);
+        if let Some(started) = newest.map(|x| x.started) {
+            self.renew_lease(now, started + self.options.lease, true);
         }
     }
 
--- a/crates/core/tests/config_sync.rs
+++ b/crates/core/tests/config_sync.rs
@@ -354,3 +354,25 @@
     net.run(LEASE + POLL_MARGIN);
     assert!((6..10).all(|x| !net.serving(x)));
 }
+
+/// Guards against a fleet on a busy computer, whose messages take longer than
+/// a round of confirmations, that loses its lease although every message
+/// arrives.
+#[test]
+fn late_answers_still_renew_the_lease() {
+    let mut net = serving_fleet(13);
+    net.delay_us = (300_000, 600_000);
+    net.run(secs(3));
+    assert!(!net.run_until(secs(20), |x| !all_serve(x, 1)));
+}
+
+/// Guards against the same in a fleet that relays its confirmations.
+#[test]
+fn late_answers_still_renew_the_lease_of_a_large_fleet() {
+    let mut net = Net::new(14, 84, 3, true);
+    net.commit(1, 2_000, &[0, 1, 2]);
+    assert!(net.run_until(secs(5), |x| all_serve(x, 1)));
+    net.delay_us = (300_000, 400_000);
+    net.run(secs(3));
+    assert!(!net.run_until(secs(20), |x| !all_serve(x, 1)));
+}
