Keep late answers from raising a storm of suspicions

Where every message takes hundreds of milliseconds but none is lost, each instance suspected each member it probed: direct probes wait 200 ms, indirect ones 200 ms more, and an answer that came later was ignored. Each suspicion and each refutation goes to all members. The storm ended within 4 s of the delays, so it doesn't keep itself up there; on a computer that is busy already it multiplies the load by 14.

Three rules after Lifeguard's local health (section 8 of the design page) bound it: late answers stretch the probe timeouts, a failed probe counts only once a later probe was answered in time or after 1.8 s, and a suspicion is extended by two usual round trips.

--- a/crates/core/src/membership/detect.rs
+++ b/crates/core/src/membership/detect.rs
@@ -1,13 +1,15 @@
 //! Failure detection: direct and indirect probes, suspicion and the timeout
 //! after which a member is declared dead.
 
+use std::time::Duration;
+
 use super::reducer::{Membership, Suspicion};
 use crate::{
     event::membership as log,
     id::InstanceId,
     membership::{
         MemberState, Message,
-        probe::{Probe, Relay},
+        probe::{Doubt, Probe, Relay},
     },
     time::Time,
 };
@@ -16,7 +18,17 @@
 const MAX_RELAYS: usize = 64;
 
 impl Membership {
-    pub(super) fn on_ack(&mut self, from: InstanceId, sequence: u64) {
+    pub(super) fn on_ack(
+        &mut self,
+        now: Time,
+        from: InstanceId,
+        sequence: u64,
+    ) {
+        let round_trip = self.round_trips.answered(now, sequence, from);
+        self.doubts.retain(|x| x.target != from && x.sequence != sequence);
+        if round_trip.is_some_and(|x| x <= self.options.direct_timeout) {
+            self.confirm_doubts(now, |x| x.sequence < sequence);
+        }
         if let Some(probe) = &self.probe
             && probe.sequence == sequence
             && (probe.target == from || probe.helpers.contains(&from))
@@ -80,7 +92,17 @@
             .collect();
         for suspicion in due {
             let id = suspicion.id;
-            if suspicion.deadline <= now {
+            let late = 2 * self.stretched(Duration::ZERO);
+            if suspicion.deadline <= now && !suspicion.extended {
+                // The suspicion and its refutation each take as long as a
+                // probe.
+                for x in self.suspicions.iter_mut().filter(|x| x.id == id) {
+                    x.deadline += late;
+                    x.extended = true;
+                }
+            }
+            let due = |x: &Suspicion| x.id == id && x.deadline <= now;
+            if self.suspicions.iter().any(due) {
                 self.suspicions.retain(|x| x.id != id);
                 self.set_state(now, id, MemberState::Dead);
                 continue;
@@ -96,6 +118,12 @@
         }
     }
 
+    /// Returns `base`, or a longer timeout if answers usually take longer.
+    fn stretched(&self, base: Duration) -> Duration {
+        let usual = self.round_trips.estimate();
+        base.max(usual.min(self.options.max_probe_timeout))
+    }
+
     pub(super) fn start_probe(&mut self, now: Time) {
         let members = self.table.members();
         let target = self.order.next(self.own_id, members, &mut self.rng);
@@ -104,10 +132,12 @@
         self.probe = Some(Probe {
             target,
             sequence,
-            deadline: now + self.options.direct_timeout,
+            started: now,
+            deadline: now + self.stretched(self.options.direct_timeout),
             helpers: Vec::new(),
             indirect: false,
         });
+        self.round_trips.sent(now, sequence, target);
         self.ping(target, sequence);
     }
 
@@ -126,19 +156,18 @@
                 );
             }
             probe.indirect = true;
-            probe.deadline = now + self.options.indirect_timeout;
+            probe.deadline =
+                now + self.stretched(self.options.indirect_timeout);
             self.probe = Some(probe);
             return;
         }
         let id = probe.target;
         match self.table.get(id).map(|x| x.state) {
-            Some(MemberState::Alive) => {
-                self.set_state(now, id, MemberState::Suspect);
-                let next = now + self.options.direct_timeout;
-                for x in self.suspicions.iter_mut().filter(|x| x.id == id) {
-                    x.retry = Some(next);
-                }
-            }
+            Some(MemberState::Alive) => self.doubts.push(Doubt {
+                target: id,
+                sequence: probe.sequence,
+                expires: probe.started + self.options.max_probe_timeout,
+            }),
             // A leaving member keeps its state until it is dead, so only the
             // suspicion timer is started.
             Some(MemberState::Leaving)
@@ -146,12 +175,38 @@
             {
                 let deadline = now + self.options.suspicion_timeout;
                 let retry = None;
-                self.suspicions.push(Suspicion { id, deadline, retry });
+                self.suspicions.push(Suspicion {
+                    id,
+                    deadline,
+                    retry,
+                    extended: false,
+                });
             }
             _ => {}
         }
     }
 
+    /// Suspects the targets of failed probes that `is_confirmed` selects.
+    pub(super) fn confirm_doubts(
+        &mut self,
+        now: Time,
+        is_confirmed: impl Fn(&Doubt) -> bool,
+    ) {
+        let confirmed: Vec<Doubt> =
+            self.doubts.extract_if(.., |x| is_confirmed(x)).collect();
+        for id in confirmed.into_iter().map(|x| x.target) {
+            let state = self.table.get(id).map(|x| x.state);
+            if state != Some(MemberState::Alive) {
+                continue;
+            }
+            self.set_state(now, id, MemberState::Suspect);
+            let next = now + self.options.direct_timeout;
+            for x in self.suspicions.iter_mut().filter(|x| x.id == id) {
+                x.retry = Some(next);
+            }
+        }
+    }
+
     /// Discards the probe in flight and extends suspicions if this instance
     /// did not run for longer than a probe interval and the direct timeout:
     /// answers that arrived in the meantime were not read. After a pause that
@@ -169,6 +224,8 @@
             return;
         }
         self.probe = None;
+        self.doubts.clear();
+        self.round_trips.clear();
         for suspicion in &mut self.suspicions {
             suspicion.deadline += gap;
         }
--- a/crates/core/src/membership/options.rs
+++ b/crates/core/src/membership/options.rs
@@ -15,6 +15,9 @@
     /// Time to wait for the answer to an indirect probe before the member
     /// becomes suspect.
     pub indirect_timeout: Duration,
+    /// Upper limit of both timeouts where answers take longer. Nine times the
+    /// direct timeout, the longest of Lifeguard (section 8 of the design page).
+    pub max_probe_timeout: Duration,
     /// Number of members that are asked to probe indirectly.
     pub indirect_probes: usize,
     /// Time in which a suspect can refute before it is declared dead. Must be
@@ -60,6 +63,7 @@
             probe_interval: Duration::from_millis(500),
             direct_timeout: Duration::from_millis(200),
             indirect_timeout: Duration::from_millis(200),
+            max_probe_timeout: Duration::from_millis(1_800),
             indirect_probes: 3,
             suspicion_timeout: Duration::from_secs(3),
             max_updates: 8,
--- a/crates/core/src/membership/probe.rs
+++ b/crates/core/src/membership/probe.rs
@@ -2,6 +2,8 @@
 Probes in flight and the order in which members are probed.
 */
 
+use std::{collections::VecDeque, time::Duration};
+
 use rand::seq::SliceRandom;
 use rand_pcg::Pcg32;
 
@@ -16,6 +18,7 @@
 pub(crate) struct Probe {
     pub(crate) target: InstanceId,
     pub(crate) sequence: u64,
+    pub(crate) started: Time,
     pub(crate) deadline: Time,
     /// Members that were asked to probe indirectly; empty during the direct
     /// phase.
@@ -23,6 +26,74 @@
     pub(crate) indirect: bool,
 }
 
+/// Number of probes whose late answers are still measured. At the shortest
+/// interval between probes they cover four seconds.
+const MAX_MEASURED: usize = 8;
+
+/// Share of the difference, as a divisor, by which a shorter round trip lowers
+/// the estimate (the gain of RFC 6298). A longer one raises it at once.
+const DECAY_DIVISOR: u32 = 8;
+
+/// Estimate of the longest usual round trip of a probe, late ones included.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RoundTrips {
+    /// Direct probes without an answer, oldest first.
+    sent: VecDeque<(u64, InstanceId, Time)>,
+    estimate: Duration,
+}
+
+impl RoundTrips {
+    /// Notes a direct probe.
+    pub(crate) fn sent(
+        &mut self,
+        now: Time,
+        sequence: u64,
+        target: InstanceId,
+    ) {
+        if self.sent.len() >= MAX_MEASURED {
+            self.sent.pop_front();
+        }
+        self.sent.push_back((sequence, target, now));
+    }
+
+    /// Notes the answer to a direct probe, however late it is, and returns its
+    /// round trip.
+    pub(crate) fn answered(
+        &mut self,
+        now: Time,
+        sequence: u64,
+        from: InstanceId,
+    ) -> Option<Duration> {
+        let is_this =
+            |x: &(u64, InstanceId, Time)| (x.0, x.1) == (sequence, from);
+        let at = self.sent.iter().position(is_this)?;
+        let (_, _, sent) = self.sent.remove(at)?;
+        let sample = now.since(sent);
+        let above = self.estimate.saturating_sub(sample);
+        self.estimate = sample.max(self.estimate - above / DECAY_DIVISOR);
+        Some(sample)
+    }
+
+    /// Drops the probes without an answer, whose answers may have waited
+    /// unread.
+    pub(crate) fn clear(&mut self) {
+        self.sent.clear();
+    }
+
+    pub(crate) fn estimate(&self) -> Duration {
+        self.estimate
+    }
+}
+
+/// A failed probe that does not yet count: this instance may be the slow one.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Doubt {
+    pub(crate) target: InstanceId,
+    pub(crate) sequence: u64,
+    /// When the failure counts although no later probe was answered in time.
+    pub(crate) expires: Time,
+}
+
 /// A probe on behalf of another instance.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Relay {
--- a/crates/core/src/membership/records.rs
+++ b/crates/core/src/membership/records.rs
@@ -107,6 +107,7 @@
                 id,
                 deadline: now + self.options.suspicion_timeout,
                 retry: None,
+                extended: false,
             });
         }
         if let Some(local_state) = self.table.local_state_mut(id)
--- a/crates/core/src/membership/reducer.rs
+++ b/crates/core/src/membership/reducer.rs
@@ -15,7 +15,7 @@
         MembershipOptions, Message, Recipient,
         exchange::{bucket_count, bucket_hashes, digest},
         gossip::Gossip,
-        probe::{Probe, ProbeOrder, Relay},
+        probe::{Doubt, Probe, ProbeOrder, Relay, RoundTrips},
         table::Table,
     },
     time::Time,
@@ -32,6 +32,8 @@
     /// When the suspect is probed again; set only on the instance that raised
     /// the suspicion.
     pub(super) retry: Option<Time>,
+    /// Whether the deadline was moved because answers take long.
+    pub(super) extended: bool,
 }
 
 /// Failure detection and dissemination on one instance.
@@ -44,6 +46,8 @@
     pub(super) gossip: Gossip,
     pub(super) order: ProbeOrder,
     pub(super) probe: Option<Probe>,
+    pub(super) round_trips: RoundTrips,
+    pub(super) doubts: Vec<Doubt>,
     pub(super) relays: VecDeque<Relay>,
     pub(super) suspicions: Vec<Suspicion>,
     pub(super) seed_addresses: Vec<SocketAddr>,
@@ -77,6 +81,8 @@
             gossip: Gossip::default(),
             order: ProbeOrder::default(),
             probe: None,
+            round_trips: RoundTrips::default(),
+            doubts: Vec::new(),
             relays: VecDeque::new(),
             suspicions: Vec::new(),
             seed_addresses: Vec::new(),
@@ -110,7 +116,8 @@
             .suspicions
             .iter()
             .flat_map(|x| [Some(x.deadline), x.retry].into_iter().flatten());
-        timers.into_iter().chain(probe).chain(suspicions).min()
+        let doubts = self.doubts.iter().map(|x| x.expires);
+        timers.into_iter().chain(probe).chain(suspicions).chain(doubts).min()
     }
 
     /// Handles an event and appends the resulting effects to `out`.
@@ -228,7 +235,7 @@
             }
             Message::Ack { sequence, updates } => {
                 self.merge(now, from, updates);
-                self.on_ack(from, sequence);
+                self.on_ack(now, from, sequence);
             }
             Message::PingRequest { sequence, target, updates } => {
                 self.merge(now, from, updates);
@@ -287,9 +294,13 @@
         }
         self.check_suspicions(now);
         self.check_probe(now);
+        self.confirm_doubts(now, |x| x.expires <= now);
         if now >= self.next_probe {
             self.next_probe = now + self.options.probe_interval;
-            self.start_probe(now);
+            // A stretched timeout stretches the interval as well.
+            if self.probe.is_none() {
+                self.start_probe(now);
+            }
         }
         if now >= self.next_digest {
             self.next_digest = now + self.options.digest_interval;
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -302,3 +302,51 @@
         |net: &Net| (0..50).all(|x| net.all_observe(x, MemberState::Dead));
     assert!(net.run_until(secs(30), dead));
 }
+
+/// Sums over the nodes the changes of members and the membership messages.
+fn totals(net: &Net) -> (u64, u64) {
+    let nodes = net.nodes.iter();
+    nodes.fold((0, 0), |sum, x| {
+        (sum.0 + x.member_changes, sum.1 + x.membership_sent.0)
+    })
+}
+
+/// Guards against a storm of suspicions and refutations in a fleet on a busy
+/// computer: it multiplies the load that made the answers late.
+#[test]
+fn late_answers_cause_no_storm_of_suspicions() {
+    for (seed, delay_us) in [(1, (200_000, 1_000_000)), (2, (1_000, 800_000))]
+    {
+        let mut net = joined(seed, 84);
+        let (_, before) = totals(&net);
+        net.run(secs(10));
+        let calm = totals(&net);
+        net.delay_us = delay_us;
+        let removed = net.run_until(secs(20), any_dead);
+        assert!(!removed, "a live member is dead");
+        let slow = totals(&net);
+        // Two changes of each member at each node while the delays begin.
+        let changes = slow.0 - calm.0;
+        assert!(changes <= 2 * 84 * 84, "{changes} changes");
+        // Twice the messages of the calm fleet, in twice the time.
+        let (usual, sent) = (calm.1 - before, slow.1 - calm.1);
+        assert!(sent <= 4 * usual, "{sent} messages, usually {usual}");
+        net.delay_us = (500, 1_000);
+        assert!(net.run_until(secs(3), Net::all_alive));
+        let end = totals(&net);
+        net.run(secs(10));
+        assert!(totals(&net).0 - end.0 <= 84, "the storm goes on");
+    }
+}
+
+/// Guards against a crashed member that a fleet on a busy computer keeps as
+/// the home of its targets for longer than the bound on recovery.
+#[test]
+fn a_lost_member_is_noticed_although_answers_are_late() {
+    let mut net = joined(3, 84);
+    net.delay_us = (100_000, 300_000);
+    net.run(secs(10));
+    net.crash(83);
+    let dead = |net: &Net| net.all_observe(83, MemberState::Dead);
+    assert!(net.run_until(secs(12), dead));
+}
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -39,6 +39,8 @@
     pub serving_since: Option<Time>,
     /// Members that this node has considered dead at any time.
     pub observed_dead: Vec<InstanceId>,
+    /// Records of members that changed at this node since it was created.
+    pub member_changes: u64,
     /// Messages and bytes sent by the membership protocol.
     pub membership_sent: (u64, u64),
     /// Messages and bytes sent by the configuration sync.
@@ -214,6 +216,7 @@
             installed: Vec::new(),
             serving_since: None,
             observed_dead: Vec::new(),
+            member_changes: 0,
             membership_sent: (0, 0),
             sync_sent: (0, 0),
             incarnation,
@@ -425,6 +428,7 @@
                 }
                 MembershipEffect::Changed(member) => {
                     changed = true;
+                    self.nodes[index].member_changes += 1;
                     if member.state == MemberState::Dead {
                         self.nodes[index].observed_dead.push(member.id);
                     }
