Deny the fallback where a member that answers holds a newer version

The fallback of the lease on a majority of the fleet counted the members whose version is not newer and ignored the others, unless they were control replicas. An instance could so renew the lease of a version from before an evacuation, although a member had just told it of a newer one.

An answer with a newer version, in any round that could still renew the lease, now denies the fallback. The version is pulled from that member anyway.

a_newer_version_at_one_member_denies_the_fallback failed before: the instance still served version 5 three seconds after a member had answered with 6. That callers met this was not shown.

--- a/crates/core/src/config_sync/lease.rs
+++ b/crates/core/src/config_sync/lease.rs
@@ -80,10 +80,12 @@
             .min()
     }
 
-    /// Whether any control replica has logged a version newer than
-    /// `version`.
-    pub(crate) fn control_denies(&self, version: ConfigVersion) -> bool {
-        self.answers.iter().any(|x| x.logged > Some(version))
+    /// Whether any control replica has logged a version newer than `version`,
+    /// or any member holds one.
+    pub(crate) fn denies(&self, version: ConfigVersion) -> bool {
+        let newer =
+            |x: &Answer| x.logged > Some(version) || x.version > version;
+        self.answers.iter().any(newer)
     }
 
     /// Returns the number of fleet members that answered with a
@@ -177,7 +179,7 @@
     version: ConfigVersion,
     options: &SyncOptions,
 ) -> bool {
-    if round.fleet_queried == 0 || round.control_denies(version) {
+    if round.fleet_queried == 0 {
         return false;
     }
     let agreeing = 1 + round.fleet_agreeing(fleet, version);
--- a/crates/core/src/config_sync/reducer.rs
+++ b/crates/core/src/config_sync/reducer.rs
@@ -39,9 +39,10 @@
 /// under these conditions:
 ///
 /// - The instance was confirmed by a control quorum before.
-/// - No control replica that answers has logged a newer version.
+/// - No control replica that answers has logged a newer version, and no member
+///   that answers holds one.
 /// - More than half of the last known fleet, this instance included, hold a
-///   configuration that is not newer than this one. Members that announced
+///   configuration. Members that announced
 ///   that they leave do not count. Dead members count for at least
 ///   [`dead_member_retention`], a minute by default, and for as long as this
 ///   instance has no lease, so that a minority cannot shrink the fleet to
--- a/crates/core/src/config_sync/rounds.rs
+++ b/crates/core/src/config_sync/rounds.rs
@@ -162,6 +162,10 @@
         {
             return;
         }
+        // A newer version is pulled, so this one needs no longer lease.
+        if self.rounds.iter().any(|x| x.denies(version)) {
+            return;
+        }
         let fleet_confirms = |round: &&Round| {
             !round.quorum_confirmed
                 && fleet_confirms(round, &self.fleet, version, &self.options)
--- a/crates/core/tests/config_sync.rs
+++ b/crates/core/tests/config_sync.rs
@@ -376,3 +376,55 @@
     net.run(secs(3));
     assert!(!net.run_until(secs(20), |x| !all_serve(x, 1)));
 }
+
+/// Returns whether a reducer still serves three seconds after the control
+/// replicas fell silent, when of the nine other members five hold its version
+/// and one, that answers too, holds `other`.
+fn serves_by_fallback(other: u64) -> bool {
+    let mut members: Vec<Member> =
+        (0..3).map(|x| member(x, replica(GROUP))).collect();
+    members.extend((3..10).map(|x| member(x, None)));
+    let (mut sync, _) = sync_with_open_round(members);
+    let mut messages = Vec::new();
+    for ms in 2..5_000 {
+        let now = Time::from_millis(ms);
+        let mut out = Vec::new();
+        for (from, message) in messages.drain(..) {
+            let event = SyncEvent::Message(from, message);
+            sync.step(now, event, &mut out);
+        }
+        sync.step(now, SyncEvent::Tick, &mut out);
+        for effect in out {
+            let SyncEffect::Send(to, Message::Compare { sequence, .. }) =
+                effect
+            else {
+                continue;
+            };
+            let is_replica = to.0 <= 3;
+            let version = match to.0 {
+                1..=3 if ms > 2_000 => continue,
+                9 if ms > 2_000 => other,
+                _ => 5,
+            };
+            let answer = Message::Compared {
+                sequence,
+                version: ConfigVersion(version),
+                logged: is_replica.then_some(ConfigVersion(version)),
+                voters: if is_replica { 3 } else { 0 },
+                control_group: if is_replica { GROUP } else { 0 },
+                confirmed: None,
+                members_index: 1,
+            };
+            messages.push((to, answer));
+        }
+    }
+    sync.serving()
+}
+
+/// Guards against a majority of the fleet that renews the lease although a
+/// member that answered holds a newer version, such as one with a zone out.
+#[test]
+fn a_newer_version_at_one_member_denies_the_fallback() {
+    assert!(serves_by_fallback(5));
+    assert!(!serves_by_fallback(6));
+}
