Ask the fleet to confirm only when confirmations stop coming

In a slow fleet every confirmation is old when it arrives. Above 32 members each instance whose confirmation was older than 1.1 s asked all control replicas and a sample of 32 members twice a second; up to 32 members each one asked all others whenever a round was not complete when the next began.

The fleet is asked when no newer confirmation arrived for longer than a round, at most about once a second while the instance serves and once in a lease otherwise, with jitter. A relaying instance whose confirmations are too old asks the control replicas itself for the next lease.

The fallback also began too late: at an instance that asks the control replicas directly, it renewed the lease only at the moment at which that ended, so the instance stopped serving for an instant. It now asks after one missed round and evaluates the answers half an interval later.

a_slow_fleet_sends_a_small_multiple_of_a_calm_one (33,066 messages of 30 members in 10 s, usually 5,880) and the_fallback_begins_before_the_lease_ends failed before and pass.

--- a/crates/core/src/config_sync/reducer.rs
+++ b/crates/core/src/config_sync/reducer.rs
@@ -78,6 +78,14 @@
     /// Latest time at which a request was sent that a control quorum
     /// confirmed. The lease counts from here.
     pub(super) confirmed_at: Option<Time>,
+    /// The last confirmation that was clearly newer than the one before it,
+    /// and when it arrived.
+    pub(super) progress: Option<(Time, Time)>,
+    /// When the fleet was last asked to confirm, and a random delay.
+    pub(super) fleet_queried_at: Option<Time>,
+    /// Time until which the control replicas are asked directly, because
+    /// relayed confirmations were too old.
+    pub(super) ask_control_until: Time,
     /// Rounds whose answers could still renew the lease, newest last.
     pub(super) rounds: VecDeque<Round>,
     pub(super) lease_until: Time,
@@ -111,6 +119,9 @@
             current: None,
             group: None,
             confirmed_at: None,
+            progress: None,
+            fleet_queried_at: None,
+            ask_control_until: Time::ZERO,
             rounds: VecDeque::new(),
             lease_until: Time::ZERO,
             serving: false,
@@ -357,12 +368,7 @@
         }
         if now >= self.next_round {
             self.finish_round(now);
-            let relayed_only = self.start_round(now);
-            // Each level of the tree adds the age of its request. Half the
-            // interval leaves one second of the lease at the third level.
-            let interval = self.options.renew_interval;
-            let wait = if relayed_only { interval / 2 } else { interval };
-            self.next_round = now + wait;
+            self.next_round = now + self.start_round(now);
         }
     }
 }
--- a/crates/core/src/config_sync/rounds.rs
+++ b/crates/core/src/config_sync/rounds.rs
@@ -7,7 +7,7 @@
 use super::reducer::ConfigSync;
 use crate::{
     config_sync::{
-        Confirmation, Message,
+        Confirmation, Message, SyncOptions,
         lease::{Answer, Round, fleet_confirms},
         tree,
     },
@@ -22,20 +22,10 @@
 const MAX_ROUNDS: usize = 8;
 
 impl ConfigSync {
-    /// Starts a round of confirmation requests. Returns whether only
-    /// instances were asked that relay a confirmation.
-    pub(super) fn start_round(&mut self, now: Time) -> bool {
+    /// Starts a round of confirmation requests. Returns the time until the
+    /// next one.
+    pub(super) fn start_round(&mut self, now: Time) -> Duration {
         let large = self.members.len() > self.options.max_direct_members;
-        // In a large fleet only a few instances ask the control replicas, so
-        // that the load there does not grow with the fleet. Relayed
-        // confirmations are up to half a lease old at the third level.
-        let limit = self.options.lease / 2 + self.options.renew_interval / 4;
-        let confirmation_missed = match (self.rounds.back(), self.confirmed_at)
-        {
-            (Some(_), Some(at)) if large => now.since(at) > limit,
-            (Some(round), _) => !round.quorum_confirmed,
-            (None, _) => false,
-        };
         let mut targets = Vec::new();
         if large {
             let members = &self.members;
@@ -56,7 +46,24 @@
                 targets.truncate(1);
             }
         }
-        let relayed_only = !confirmation_missed && !targets.is_empty();
+        // In a large fleet only a few instances ask the control replicas, so
+        // that the load there does not grow with the fleet. Relayed
+        // confirmations are up to half a lease old at the third level.
+        let relays = !targets.is_empty();
+        let interval = self.options.renew_interval;
+        let limit = match relays {
+            true => self.options.lease / 2 + interval / 4,
+            false => self.options.lease / 2 - interval / 4,
+        };
+        let is_overdue = match self.confirmation_age(now) {
+            Some(age) => age > limit,
+            None => !self.rounds.is_empty(),
+        };
+        let is_newly_overdue = is_overdue && now >= self.ask_control_until;
+        if is_overdue {
+            self.ask_control_until = now + self.options.lease;
+        }
+        let relayed_only = relays && now >= self.ask_control_until;
         if !relayed_only {
             let control = self.members.iter().filter(|x| {
                 x.replica.is_some()
@@ -65,7 +72,7 @@
             targets.extend(control.map(|x| x.id));
         }
         let mut fleet_queried = 0;
-        if confirmation_missed && self.group.is_some() {
+        if is_overdue && self.group.is_some() && self.fleet_query_due(now) {
             let mut sample: Vec<InstanceId> = self.fleet.ids().collect();
             if sample.len() > self.options.max_direct_members {
                 sample.shuffle(&mut self.rng);
@@ -79,6 +86,8 @@
             }
             fleet_queried = sample.len();
             targets.extend(sample);
+            let jitter = self.rng.random_range(0.0..0.25);
+            self.fleet_queried_at = Some(now + interval.mul_f64(jitter));
         }
         targets.sort_unstable();
         targets.dedup();
@@ -104,7 +113,36 @@
             quorum_confirmed: false,
         });
         self.evaluate_round(now);
-        relayed_only
+        // Each level of the tree adds the age of its request. Half the
+        // interval leaves one second of the lease at the third level. It also
+        // leaves time for a second query of the fleet.
+        let is_short = relayed_only || relays && is_newly_overdue;
+        match is_short || fleet_queried > 0 {
+            true => interval / 2,
+            false => interval,
+        }
+    }
+
+    /// Whether the fleet is to be asked to confirm an overdue lease.
+    ///
+    /// In a slow fleet confirmations are old when they arrive, but keep
+    /// arriving. Its members would only add to the load, so they are asked
+    /// when no confirmation arrived for longer than a round, or when the lease
+    /// would end before another round is complete. They are asked once in a
+    /// lease, or twice while that preserves it.
+    fn fleet_query_due(&self, now: Time) -> bool {
+        let SyncOptions { lease, renew_interval: interval, .. } = self.options;
+        let pause =
+            if self.serving { lease / 2 - interval / 4 } else { lease };
+        if self.fleet_queried_at.is_some_and(|x| now < x + pause) {
+            return false;
+        }
+        let Some((_, progress)) = self.progress else { return true };
+        let stalled = now.since(progress);
+        let ends_soon = self
+            .confirmation_age(now)
+            .is_none_or(|age| age + interval * 5 / 4 >= lease);
+        stalled > interval * 3 / 2 || ends_soon && stalled > interval * 3 / 4
     }
 
     /// Renews the lease if a control quorum has confirmed, either to this
@@ -137,6 +175,12 @@
             return;
         }
         self.confirmed_at = Some(confirmed_at);
+        // The age of a confirmation that goes around among relays varies a
+        // little with the delay of messages.
+        let step = self.options.renew_interval / 4;
+        if self.progress.is_none_or(|(last, _)| last + step <= confirmed_at) {
+            self.progress = Some((confirmed_at, now));
+        }
         self.renew_lease(now, confirmed_at + self.options.lease, false);
         if self.group.is_none() {
             self.group = Some(group);
--- a/crates/core/tests/config_sync.rs
+++ b/crates/core/tests/config_sync.rs
@@ -428,3 +428,48 @@
     assert!(serves_by_fallback(5));
     assert!(!serves_by_fallback(6));
 }
+
+/// Returns the messages of the configuration sync in ten seconds.
+fn sync_messages(net: &mut Net) -> u64 {
+    net.nodes.iter_mut().for_each(|x| x.sync_sent = (0, 0));
+    net.run(secs(10));
+    net.nodes.iter().map(|x| x.sync_sent.0).sum()
+}
+
+/// Guards against a fleet on a busy computer that is kept busy by the
+/// fallback on the fleet, although all control replicas answer late.
+#[test]
+fn a_slow_fleet_sends_a_small_multiple_of_a_calm_one() {
+    for (size, delay_us) in [
+        (30, (1_000, 800_000)),
+        (84, (1_000, 800_000)),
+        (84, (200_000, 1_000_000)),
+    ] {
+        let mut net = Net::new(15, size, 3, true);
+        net.commit(1, 2_000, &[0, 1, 2]);
+        net.run(secs(10));
+        let calm = sync_messages(&mut net);
+        net.delay_us = delay_us;
+        net.run(secs(5));
+        let slow = sync_messages(&mut net);
+        assert!(slow <= 4 * calm, "{slow} of {size}, usually {calm}");
+    }
+}
+
+/// Guards against a lease that ends for a moment when the control replicas
+/// fail, because the fleet is asked too late.
+#[test]
+fn the_fallback_begins_before_the_lease_ends() {
+    for size in [20, 84] {
+        let mut net = Net::new(16, size, 3, true);
+        net.commit(1, 2_000, &[0, 1, 2]);
+        net.run(secs(10));
+        let since: Vec<_> =
+            net.nodes.iter().map(|x| x.serving_since).collect();
+        (0..3).for_each(|x| net.crash(x));
+        net.run(secs(30));
+        for x in 3..size {
+            assert_eq!(net.nodes[x].serving_since, since[x], "{x} of {size}");
+        }
+    }
+}
