--- a/crates/core/src/config_sync/reducer.rs
+++ b/crates/core/src/config_sync/reducer.rs
@@ -1,6 +1,6 @@
 //! The reducer: its state, and the dispatch of events, messages and timers.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
@@ -39,9 +39,10 @@
 /// under these conditions:
 ///
 /// - The instance was confirmed by a control quorum before.
-/// - No control replica that answers has logged a newer version.
+/// - No control replica that answers has logged a newer version, and no member
+///   that answers holds one.
 /// - More than half of the last known fleet, this instance included, hold a
-///   configuration that is not newer than this one. Members that announced
+///   configuration. Members that announced
 ///   that they leave do not count. Dead members count for at least
 ///   [`dead_member_retention`], a minute by default, and for as long as this
 ///   instance has no lease, so that a minority cannot shrink the fleet to
@@ -77,7 +78,16 @@
     /// Latest time at which a request was sent that a control quorum
     /// confirmed. The lease counts from here.
     pub(super) confirmed_at: Option<Time>,
-    pub(super) round: Option<Round>,
+    /// The last confirmation that was clearly newer than the one before it,
+    /// and when it arrived.
+    pub(super) progress: Option<(Time, Time)>,
+    /// When the fleet was last asked to confirm, and a random delay.
+    pub(super) fleet_queried_at: Option<Time>,
+    /// Time until which the control replicas are asked directly, because
+    /// relayed confirmations were too old.
+    pub(super) ask_control_until: Time,
+    /// Rounds whose answers could still renew the lease, newest last.
+    pub(super) rounds: VecDeque<Round>,
     pub(super) lease_until: Time,
     pub(super) serving: bool,
     pub(super) fallback: bool,
@@ -109,7 +119,10 @@
             current: None,
             group: None,
             confirmed_at: None,
-            round: None,
+            progress: None,
+            fleet_queried_at: None,
+            ask_control_until: Time::ZERO,
+            rounds: VecDeque::new(),
             lease_until: Time::ZERO,
             serving: false,
             fallback: false,
@@ -242,7 +255,7 @@
             return;
         };
         if now.since(last) > self.options.lease {
-            self.round = None;
+            self.rounds.clear();
             self.lease_until = Time::ZERO;
             self.next_round = now;
             let gap = now.since(last).as_millis();
@@ -310,10 +323,11 @@
                 confirmed,
                 members_index,
             } => {
-                if let Some(round) = &mut self.round
-                    && round.sequence == sequence
-                {
-                    round.add_answer(Answer {
+                let found = self
+                    .rounds
+                    .binary_search_by_key(&sequence, |x| x.sequence);
+                if let Ok(at) = found {
+                    self.rounds[at].add_answer(Answer {
                         members_index,
                         from,
                         version,
@@ -354,12 +368,7 @@
         }
         if now >= self.next_round {
             self.finish_round(now);
-            let relayed_only = self.start_round(now);
-            // Each level of the tree adds the age of its request. Half the
-            // interval leaves one second of the lease at the third level.
-            let interval = self.options.renew_interval;
-            let wait = if relayed_only { interval / 2 } else { interval };
-            self.next_round = now + wait;
+            self.next_round = now + self.start_round(now);
         }
     }
 }
--- a/crates/core/tests/config_sync.rs
+++ b/crates/core/tests/config_sync.rs
@@ -354,3 +354,122 @@
     net.run(LEASE + POLL_MARGIN);
     assert!((6..10).all(|x| !net.serving(x)));
 }
+
+/// Guards against a fleet on a busy computer, whose messages take longer than
+/// a round of confirmations, that loses its lease although every message
+/// arrives.
+#[test]
+fn late_answers_still_renew_the_lease() {
+    let mut net = serving_fleet(13);
+    net.delay_us = (300_000, 600_000);
+    net.run(secs(3));
+    assert!(!net.run_until(secs(20), |x| !all_serve(x, 1)));
+}
+
+/// Guards against the same in a fleet that relays its confirmations.
+#[test]
+fn late_answers_still_renew_the_lease_of_a_large_fleet() {
+    let mut net = Net::new(14, 84, 3, true);
+    net.commit(1, 2_000, &[0, 1, 2]);
+    assert!(net.run_until(secs(5), |x| all_serve(x, 1)));
+    net.delay_us = (300_000, 400_000);
+    net.run(secs(3));
+    assert!(!net.run_until(secs(20), |x| !all_serve(x, 1)));
+}
+
+/// Returns whether a reducer still serves three seconds after the control
+/// replicas fell silent, when of the nine other members five hold its version
+/// and one, that answers too, holds `other`.
+fn serves_by_fallback(other: u64) -> bool {
+    let mut members: Vec<Member> =
+        (0..3).map(|x| member(x, replica(GROUP))).collect();
+    members.extend((3..10).map(|x| member(x, None)));
+    let (mut sync, _) = sync_with_open_round(members);
+    let mut messages = Vec::new();
+    for ms in 2..5_000 {
+        let now = Time::from_millis(ms);
+        let mut out = Vec::new();
+        for (from, message) in messages.drain(..) {
+            let event = SyncEvent::Message(from, message);
+            sync.step(now, event, &mut out);
+        }
+        sync.step(now, SyncEvent::Tick, &mut out);
+        for effect in out {
+            let SyncEffect::Send(to, Message::Compare { sequence, .. }) =
+                effect
+            else {
+                continue;
+            };
+            let is_replica = to.0 <= 3;
+            let version = match to.0 {
+                1..=3 if ms > 2_000 => continue,
+                9 if ms > 2_000 => other,
+                _ => 5,
+            };
+            let answer = Message::Compared {
+                sequence,
+                version: ConfigVersion(version),
+                logged: is_replica.then_some(ConfigVersion(version)),
+                voters: if is_replica { 3 } else { 0 },
+                control_group: if is_replica { GROUP } else { 0 },
+                confirmed: None,
+                members_index: 1,
+            };
+            messages.push((to, answer));
+        }
+    }
+    sync.serving()
+}
+
+/// Guards against a majority of the fleet that renews the lease although a
+/// member that answered holds a newer version, such as one with a zone out.
+#[test]
+fn a_newer_version_at_one_member_denies_the_fallback() {
+    assert!(serves_by_fallback(5));
+    assert!(!serves_by_fallback(6));
+}
+
+/// Returns the messages of the configuration sync in ten seconds.
+fn sync_messages(net: &mut Net) -> u64 {
+    net.nodes.iter_mut().for_each(|x| x.sync_sent = (0, 0));
+    net.run(secs(10));
+    net.nodes.iter().map(|x| x.sync_sent.0).sum()
+}
+
+/// Guards against a fleet on a busy computer that is kept busy by the
+/// fallback on the fleet, although all control replicas answer late.
+#[test]
+fn a_slow_fleet_sends_a_small_multiple_of_a_calm_one() {
+    for (size, delay_us) in [
+        (30, (1_000, 800_000)),
+        (84, (1_000, 800_000)),
+        (84, (200_000, 1_000_000)),
+    ] {
+        let mut net = Net::new(15, size, 3, true);
+        net.commit(1, 2_000, &[0, 1, 2]);
+        net.run(secs(10));
+        let calm = sync_messages(&mut net);
+        net.delay_us = delay_us;
+        net.run(secs(5));
+        let slow = sync_messages(&mut net);
+        assert!(slow <= 4 * calm, "{slow} of {size}, usually {calm}");
+    }
+}
+
+/// Guards against a lease that ends for a moment when the control replicas
+/// fail, because the fleet is asked too late.
+#[test]
+fn the_fallback_begins_before_the_lease_ends() {
+    for size in [20, 84] {
+        let mut net = Net::new(16, size, 3, true);
+        net.commit(1, 2_000, &[0, 1, 2]);
+        net.run(secs(10));
+        let since: Vec<_> =
+            net.nodes.iter().map(|x| x.serving_since).collect();
+        (0..3).for_each(|x| net.crash(x));
+        net.run(secs(30));
+        for x in 3..size {
+            assert_eq!(net.nodes[x].serving_since, since[x], "{x} of {size}");
+        }
+    }
+}
