Accept no change while a dead voter is one too many

Callers saw that no instance had a configuration again after one disk was lost while all other instances lost power, although the group tolerates one loss and the machine that was replaced before had caught up.

Cause: a dead voter is replaced by promoting a learner before it is removed. In between, 4 voters need 3 for a majority and only 3 run. The group still accepted changes, because it counted voters, dead ones too, and a change of leader between the two steps made the time long: the new leader waited for the whole replace_after before the removal.

Now a group with more voters than its size accepts changes only if each of them has answered the leader, and removes an inactive one within a second. Changes of the configuration by operators wait in the same way, also for min_voters.

--- a/crates/core/src/control/repair.rs
+++ b/crates/core/src/control/repair.rs
@@ -12,6 +12,11 @@
 /// Interval between checks of the group.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time after which an inactive voter is removed from a group that has more
+/// voters than its size. Such a group tolerates one loss less, also after a
+/// change of leader, which starts the times of inactive voters anew.
+const SURPLUS_REMOVE_AFTER: Duration = Duration::from_millis(500);
+
 /// Largest number of entries by which a learner may be behind and still
 /// count as caught up.
 const MAX_LEARNER_LAG: u64 = 100;
@@ -178,16 +183,15 @@
     /// number of voters with every entry never falls.
     fn next_step(&self, now: Time, status: &Status) -> Option<MemberChange> {
         let voters = status.members.iter().filter(|m| m.voter).count();
-        let lost = self
-            .inactive
-            .iter()
-            .find(|x| now.since(x.1) >= self.options.replace_after)
-            .map(|x| x.0);
-        if let Some(lost) = lost
+        let longest = self.inactive.iter().min_by_key(|x| x.1).copied();
+        if let Some((lost, since)) = longest
             && voters > self.options.group_size
+            && now.since(since) >= SURPLUS_REMOVE_AFTER
         {
             return Some(MemberChange::Remove(lost));
         }
+        let lost =
+            longest.filter(|x| now.since(x.1) >= self.options.replace_after);
         let learner = ready_learner(status)?;
         let superseded = status
             .members
@@ -202,6 +206,30 @@
     }
 }
 
+/// Whether a command that the group commits now survives the losses for which
+/// it has its size.
+///
+/// While a voter is being replaced, the group has one voter too many, and the
+/// dead one makes the majority larger. The loss of another disk could then
+/// leave no majority, although the replacement has caught up.
+pub fn tolerates_losses(
+    status: &Status,
+    min_voters: usize,
+    group_size: usize,
+) -> bool {
+    let voters = status.members.iter().filter(|m| m.voter).count();
+    // A leader that was just elected takes each voter for active, but knows
+    // no match index of one that has not answered it.
+    let is_present = |i: usize| {
+        status.active.get(i).copied().unwrap_or(false)
+            && status.progress.get(i).is_some_and(|&matched| matched > 0)
+    };
+    let mut members = status.members.iter().enumerate();
+    voters >= min_voters
+        && (voters <= group_size
+            || members.all(|(i, m)| !m.voter || is_present(i)))
+}
+
 /// Returns the first learner that is active and has caught up. A learner that
 /// replaces a replica of the same instance takes precedence.
 fn ready_learner(status: &Status) -> Option<&Replica> {
--- a/crates/core/src/node/replica.rs
+++ b/crates/core/src/node/replica.rs
@@ -13,7 +13,9 @@
         Applied, ChangeOutcome, ControlReply, ControlRequest, ControlState,
         Message,
         client::ClientEvent,
-        repair::{Repair, RepairEffect, RepairEvent, RepairOptions},
+        repair::{
+            Repair, RepairEffect, RepairEvent, RepairOptions, tolerates_losses,
+        },
         service::{Origin, Service, ServiceEffect, ServiceEvent},
     },
     id::{ConfigVersion, InstanceId, ReplicaId, Token},
@@ -176,7 +178,7 @@
             Message::Request { sequence, request } => {
                 if self.too_few_voters(&request) {
                     let reply = ControlReply::NotReady(
-                        "the control group has too few voters yet".into(),
+                        "the control group is being repaired".into(),
                     );
                     let message = Message::Reply { sequence, reply };
                     self.send_control(now, from, message, out);
@@ -237,21 +239,23 @@
             && !self.sync.reaches_fleet_majority(now)
     }
 
-    /// Returns whether a table or zone state change has to wait until the
-    /// control group has more voters.
+    /// Returns whether a change has to wait until the control group has more
+    /// voters, or no dead one.
     fn too_few_voters(&self, request: &ControlRequest) -> bool {
         let waits = matches!(
             request,
-            ControlRequest::Revise(_) | ControlRequest::SetZone(_)
+            ControlRequest::Change(_)
+                | ControlRequest::Revise(_)
+                | ControlRequest::SetZone(_)
         );
-        let leader = self
-            .replica
-            .as_ref()
-            .map(|r| &r.status)
-            .filter(|s| s.role == Role::Leader);
-        let voters =
-            leader.map(|s| s.members.iter().filter(|m| m.voter).count());
-        waits && voters.is_some_and(|v| v < self.options.min_voters as usize)
+        let Some(replica) = self.replica.as_ref().filter(|_| waits) else {
+            return false;
+        };
+        let status = replica.consensus.status();
+        let min_voters = self.options.min_voters as usize;
+        let group_size = self.options.control_group_size as usize;
+        status.role == Role::Leader
+            && !tolerates_losses(&status, min_voters, group_size)
     }
 
     /// Sends a control message. One for this instance is handled directly.
--- a/crates/core/src/node/types.rs
+++ b/crates/core/src/node/types.rs
@@ -37,9 +37,9 @@
     pub seeds: Vec<SocketAddr>,
     /// Target number of voters in the control group.
     pub control_group_size: u32,
-    /// Minimum number of voters for the leader to accept forwarding tables
-    /// and zone state changes. With fewer, the group could not survive the
-    /// number of failures that the site is configured to tolerate.
+    /// Minimum number of voters for the leader to accept changes. With fewer,
+    /// the group could not survive the number of failures that the site is
+    /// configured to tolerate.
     pub min_voters: u32,
     /// Time without contact after which a voter is replaced by a learner.
     pub replace_voter_after: Duration,
--- a/crates/core/tests/power_loss.rs
+++ b/crates/core/tests/power_loss.rs
@@ -13,7 +13,9 @@
     consensus::*,
     control::{
         Command, TableRevision, ZoneStateChange,
-        repair::{Repair, RepairEffect, RepairEvent, RepairOptions},
+        repair::{
+            Repair, RepairEffect, RepairEvent, RepairOptions, tolerates_losses,
+        },
     },
     id::*,
     time::Time,
@@ -192,11 +194,12 @@
         }
     }
 
-    /// Sends a command to the leader as the node does: with fewer voters than
-    /// its target the group accepts none. Returns whether it was acknowledged.
+    /// Sends a command to the leader as the node does. Returns whether it was
+    /// acknowledged.
     fn submit(&mut self, zone: bool) -> bool {
         let Some(leader) = self.cluster.leader() else { return false };
-        if self.voters() < self.size {
+        let Some(status) = self.cluster.status(leader) else { return false };
+        if !tolerates_losses(&status, self.size, self.size) {
             return false;
         }
         self.revision += 1;
@@ -260,6 +263,22 @@
         }
     }
 
+    /// Kills all instances. Each comes back within a second, unless a fault
+    /// keeps it down for longer.
+    fn kill_all(&mut self, order: u64) {
+        for i in 0..self.cluster.nodes.len() {
+            self.cluster.crash(i);
+            let wait = (order >> (i % 16)) % 1_000;
+            let mut back = self.cluster.now + Duration::from_millis(wait);
+            if let Some(at) = self.outages.iter().position(|o| o.instance == i)
+            {
+                back = back.max(self.outages.swap_remove(at).back);
+            }
+            let outage = Outage { instance: i, back, started: false };
+            self.outages.push(outage);
+        }
+    }
+
     /// Disks are lost and all other instances lose power at the same moment.
     fn close(&mut self, victims: Victims, order: u64) {
         let count = self.cluster.nodes.len();
@@ -346,6 +365,8 @@
     Run(u64),
     Submit(bool),
     Fail(usize, Fault, u64),
+    /// All instances are killed, and come back within a second.
+    Herd(u64),
     Close(Victims, u64, u64),
 }
 
@@ -365,6 +386,7 @@
         4 => any::<bool>().prop_map(Action::Submit),
         3 => (0..count, fault, 0..3_000u64)
             .prop_map(|(i, fault, ms)| Action::Fail(i, fault, ms)),
+        1 => any::<u64>().prop_map(Action::Herd),
         1 => (victims, 0..400u64, any::<u64>())
             .prop_map(|(v, ms, order)| Action::Close(v, ms, order)),
     ]
@@ -381,6 +403,7 @@
                 group.submit(zone);
             }
             Action::Fail(i, fault, millis) => group.fail(i, fault, millis),
+            Action::Herd(order) => group.kill_all(order),
             Action::Close(victims, millis, order) => {
                 group.submit(true);
                 group.cluster.run(millis);
@@ -397,6 +420,39 @@
     (any::<u64>(), actions)
 }
 
+/// Guards against a group that acknowledges commands between the promotion of
+/// a replacement and the removal of the dead voter: with one more disk lost, no
+/// majority is left. A change of the leader in between made that time long.
+#[test]
+fn a_change_of_leader_during_a_replacement_is_survived() {
+    for seed in 0..30 {
+        let mut group = Group::new(3, 2, seed);
+        let voter = |g: &Group, i: usize, leads: bool| {
+            let id = g.cluster.nodes[i].replica.id;
+            let leader = g.cluster.leader();
+            let status = leader.and_then(|l| g.cluster.status(l));
+            (leader == Some(i)) == leads
+                && status.is_some_and(|s| {
+                    s.members.iter().any(|m| m.id == id && m.voter)
+                })
+        };
+        let dead = (0..5).find(|&i| voter(&group, i, false)).expect("one");
+        group.fail(dead, Fault::Replaced, 0);
+        group.wait(Duration::from_secs(10), "a promotion", |g| g.voters() > 3);
+        let leader = group.cluster.wait_leader();
+        group.start(leader);
+        group.wait(Duration::from_secs(10), "the catch-up time", |g| {
+            g.outages.is_empty()
+        });
+        let end = group.cluster.now + Duration::from_secs(10);
+        while !group.submit(true) {
+            assert!(group.cluster.now < end, "seed {seed}: no command");
+            group.advance(SLICE_MS);
+        }
+        group.close(Victims::Leader, seed);
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: std::env::var("PROPTEST_CASES")
--- a/src/settings/instance.rs
+++ b/src/settings/instance.rs
@@ -39,7 +39,7 @@
     /// Target number of voters in the control group, 3 or 5.
     pub control_group_size: u32,
     /// Number of voters that the control group needs before it accepts
-    /// forwarding tables and zone changes.
+    /// changes.
     pub min_voters: u32,
     /// Whether the first of `peers` that has a replica bootstraps the control
     /// group without an operator's request. Only for the first start of a
