Compare the hosts of routes without their ports

Callers saw: a configuration with two routes of the same prefix, of which one had a port in its host (h.example and h.example:80), was acknowledged. The route with the port was in force and could not be found by any request.

Cause: the port was taken off the host of a request, but not off the host of a route, neither when routes are looked up nor when two are compared.

Evidence: problems_of_a_table_are_found failed for "site.example:80" and a_port_in_the_host_of_a_route_is_ignored for "site.example" before.

One function now returns the name by which hosts are compared, and the check, the compiled table and the lookup all use it. A table that an earlier release has accepted with such a pair is not installed by an instance of this one, which then keeps its previous table until the next revision.

--- a/crates/core/src/forward/table.rs
+++ b/crates/core/src/forward/table.rs
@@ -32,7 +32,7 @@
 pub struct ForwardRoute {
     /// Name, unique in the table.
     pub name: String,
-    /// Host of the request.
+    /// Host of the request. A port is ignored, and so is the case of letters.
     pub host: String,
     /// Prefix of the path, which starts and ends with a slash.
     pub path_prefix: String,
@@ -177,7 +177,7 @@
         let mut keys: Vec<(String, &str)> = self
             .routes
             .iter()
-            .map(|r| (r.host.to_ascii_lowercase(), r.path_prefix.as_str()))
+            .map(|r| (host_name(&r.host), r.path_prefix.as_str()))
             .collect();
         keys.sort_unstable();
         for pair in keys.windows(2).filter(|p| p[0] == p[1]) {
@@ -253,7 +253,7 @@
             .iter()
             .map(|route| {
                 let mut route = route.clone();
-                route.host.make_ascii_lowercase();
+                route.host = host_name(&route.host);
                 let services = route
                     .destination
                     .services()
@@ -278,11 +278,7 @@
     /// Returns the route of the host whose prefix is the longest that matches
     /// the path. The host may include a port.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<CompiledRoute>> {
-        let host = match host.rsplit_once(':') {
-            Some((name, port)) if port.parse::<u16>().is_ok() => name,
-            _ => host,
-        };
-        let host = host.to_ascii_lowercase();
+        let host = host_name(host);
         let mut remaining = path;
         while let Some(slash) = remaining.rfind('/') {
             let prefix = &path[..=slash];
@@ -303,6 +299,16 @@
     }
 }
 
+/// Returns the name by which a host is compared: without its port, and in
+/// lower case.
+fn host_name(host: &str) -> String {
+    let name = match host.rsplit_once(':') {
+        Some((name, port)) if port.parse::<u16>().is_ok() => name,
+        _ => host,
+    };
+    name.to_ascii_lowercase()
+}
+
 /// Returns the host and the prefix by which routes are sorted.
 fn sort_key(route: &CompiledRoute) -> (&str, &str) {
     (&route.route.host, &route.route.path_prefix)
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -71,6 +71,25 @@
         route("a", single_service()),
     ]);
     assert!(twice.problems()[0].contains("share host"));
+    for host in ["SITE.example", "site.example:80", "Site.Example:8104"] {
+        let mut twice = twice.clone();
+        twice.routes[1].host = host.into();
+        let problems = twice.problems();
+        assert_eq!(problems.len(), 1, "{host}: {problems:?}");
+        assert!(problems[0].contains("share host"), "{host}: {problems:?}");
+    }
+}
+
+// Guards against a route that is never found, because its host has a port.
+#[test]
+fn a_port_in_the_host_of_a_route_is_ignored() {
+    let mut with_port = route("a", single_service());
+    with_port.host = "Site.example:8104".into();
+    let table = CompiledTable::new(&table(vec![with_port]));
+    for host in ["site.example", "SITE.EXAMPLE:8104", "site.example:80"] {
+        assert!(table.find(host, "/a/x").is_some(), "{host}");
+    }
+    assert!(table.find("site.example.net:80", "/a/x").is_none());
 }
 
 // Guards against handling a split route like a sharded one, which once
