Refuse arrays where documents have objects

Cause: a derived decoder also takes the fields of a struct as an array without names, and the name of a variant as an object with one key.

The same cause was in lists of targets: an entry that is an array named a target to use, which an_odd_list_entry_costs_only_itself shows (it found "i" before). Such entries are now left out, in the project's own lists as well.

--- a/src/list_entries.rs
+++ b/src/list_entries.rs
@@ -58,5 +58,7 @@
         !text.contains(char::REPLACEMENT_CHARACTER),
         "the entry is not valid UTF-8"
     );
+    // The fields may otherwise come as an array without their names.
+    ensure!(text.trim_start().starts_with('{'), "the entry is not an object");
     serde_json::from_str(text).context("the entry is not valid")
 }
