Treat an answer that switches protocols as broken

Callers saw `101 Switching Protocols` without a body as the answer to their request if a target sent it, although no request asks for another protocol.

hyper skips interim responses but returns 101; the forwarding path relayed every status. `http_exchange` now reports it as a broken answer, for forwarded requests, the product's own targets and lists: the connection is closed, and the request counts as one that may have run.

--- a/src/forward/connections.rs
+++ b/src/forward/connections.rs
@@ -31,7 +31,7 @@
 };
 
 use super::protocol::{CallerRequest, Protocol, TargetAnswer};
-use crate::http_exchange::{self, AnswerMemory, Sender};
+use crate::http_exchange::{self, AnswerMemory, SendError, Sender};
 
 /// Timeout for opening a connection. Covers a few round trips and a pause of
 /// the target of 150 ms.
@@ -259,10 +259,9 @@
         let http_req = protocol.target_request(req, target_request);
         let response = match connection.sender.send(http_req).await {
             Ok(response) => response,
-            // hyper reports `canceled` only if it never took the request.
-            Err(e) if e.is_canceled() && !fresh => continue,
-            Err(e) if e.is_canceled() => return (Outcome::Unreachable, None),
-            Err(_) => return (Outcome::Broken, None),
+            Err(SendError::NotSent) if !fresh => continue,
+            Err(SendError::NotSent) => return (Outcome::Unreachable, None),
+            Err(SendError::Broken) => return (Outcome::Broken, None),
         };
         return read_answer(
             protocol,
--- a/src/http_exchange.rs
+++ b/src/http_exchange.rs
@@ -10,7 +10,7 @@
 */
 
 use std::{
-    io,
+    fmt, io,
     pin::Pin,
     sync::{
         Arc,
@@ -20,7 +20,7 @@
 };
 
 use bytes::{Bytes, BytesMut};
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::{
     body::Incoming,
@@ -97,16 +97,50 @@
     /// # Errors
     ///
     /// Fails if the connection breaks, or if what arrives is not the head of
-    /// a response or is too long for one.
+    /// a response, is too long for one or changes the protocol.
     pub(crate) async fn send(
         &mut self,
         req: Request<Full<Bytes>>,
-    ) -> hyper::Result<Response<Incoming>> {
+    ) -> Result<Response<Incoming>, SendError> {
         let _limited = self.head.limit();
-        self.sender.send_request(req).await
+        let response = self.sender.send_request(req).await;
+        let response = response.map_err(|e| {
+            // hyper reports `canceled` only if it never took the request.
+            if e.is_canceled() {
+                SendError::NotSent
+            } else {
+                SendError::Broken
+            }
+        })?;
+        // No request asks for another protocol, and what would follow in it
+        // is no body.
+        if response.status() == StatusCode::SWITCHING_PROTOCOLS {
+            return Err(SendError::Broken);
+        }
+        Ok(response)
+    }
+}
+
+/// Why there is no response to a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SendError {
+    /// The connection was closed before anything was sent.
+    NotSent,
+    /// The request may have been received.
+    Broken,
+}
+
+impl fmt::Display for SendError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            SendError::NotSent => "the connection was closed",
+            SendError::Broken => "the response broke off or is not valid",
+        })
     }
 }
 
+impl std::error::Error for SendError {}
+
 /// Number of bytes that may be read before a head is complete;
 /// `usize::MAX` while no head is awaited.
 #[derive(Clone, Debug)]
--- a/src/target_client.rs
+++ b/src/target_client.rs
@@ -29,7 +29,7 @@
     time::timeout,
 };
 
-use crate::http_exchange::{self, AnswerMemory, Sender};
+use crate::http_exchange::{self, AnswerMemory, SendError, Sender};
 
 /// Timeout for opening a connection. A target that takes longer is treated
 /// like one that refuses connections.
@@ -190,13 +190,9 @@
     if sender.ready().await.is_err() {
         return Err(CloseReason::NothingSent);
     }
-    let response = sender.send(req).await.map_err(|e| {
-        // hyper reports `canceled` only if it never took the request.
-        if e.is_canceled() {
-            CloseReason::NothingSent
-        } else {
-            CloseReason::MayHaveSent
-        }
+    let response = sender.send(req).await.map_err(|e| match e {
+        SendError::NotSent => CloseReason::NothingSent,
+        SendError::Broken => CloseReason::MayHaveSent,
     })?;
     events.report(TargetEvent::Received(id));
     let (parts, body) = response.into_parts();
