--- a/crates/core/tests/config_sync.rs
+++ b/crates/core/tests/config_sync.rs
@@ -468,8 +468,8 @@
             net.nodes.iter().map(|x| x.serving_since).collect();
         (0..3).for_each(|x| net.crash(x));
         net.run(secs(30));
-        for x in 3..size {
-            assert_eq!(net.nodes[x].serving_since, since[x], "{x} of {size}");
+        for (node, since) in net.nodes.iter().zip(since).skip(3) {
+            assert_eq!(node.serving_since, since, "{} of {size}", node.id);
         }
     }
 }
