Keep the connection to a peer that acknowledges late

A delivery that was not acknowledged within 400 ms closed its connection, with all that waited on it. At a peer that is alive but slow this repeated for each message, and added connections to the load.

The time now runs from the last acknowledgement on the connection, and doubles up to 1.6 s each time the peer was silent (RFC 6298, 5.5); a prompt acknowledgement or a failure to connect resets it. A timer that fires over 100 ms late shows that this process itself was paused and starts again. The first silent connection is still closed after 400 ms.

That messages were lost, rather than sent on a new connection, was not shown.

--- a/src/peer.rs
+++ b/src/peer.rs
@@ -23,7 +23,7 @@
     net::{TcpListener, TcpSocket, TcpStream},
     sync::mpsc,
     task::{AbortHandle, spawn_local},
-    time::timeout,
+    time::{Instant, sleep_until, timeout},
 };
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
@@ -36,12 +36,21 @@
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Timeout for the acknowledgement of a delivery. After it, the connection is
-/// considered dead; it is closed and opened again. Far above a round trip of
-/// 2 ms and the pauses of a busy machine, and short enough for a query that
-/// lost messages to be answered before a deadline of a second or two.
+/// Time without any acknowledgement, while one is due, after which a
+/// connection is considered dead; it is closed and opened again. Far above a
+/// round trip of 2 ms, and short enough for a query that lost messages to be
+/// answered before a deadline of a second or two.
 const ACK_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Upper limit of that time at a peer that was silent before. It doubles each
+/// time, as the timer of TCP does (RFC 6298, 5.5), because the peer may only
+/// be slow. Two doublings cover a round trip of 1.6 s, most of a lease.
+const MAX_ACK_TIMEOUT: Duration = Duration::from_millis(1_600);
+
+/// Delay of a timer from which on this process is taken to have been paused;
+/// a quarter of the shortest timeout.
+const MAX_TIMER_DELAY: Duration = Duration::from_millis(100);
+
 /// Pause after a connection could not be opened.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -230,6 +239,7 @@
     let mut pending: VecDeque<Outgoing> = VecDeque::new();
     let mut to = InstanceId(0);
     let mut was_open = false;
+    let mut ack_timeout = ACK_TIMEOUT;
     loop {
         // A connection that has failed is opened again at once, and the
         // instance is reported as unreachable only if that fails: a device
@@ -242,11 +252,14 @@
         to = pending.front().map_or(to, |message| message.to);
         match timeout(CONNECT_TIMEOUT, connect(source, address)).await {
             Ok(Ok(stream)) => {
-                let Some(unacknowledged) =
-                    deliver_all(own_id, stream, pending, &mut queue).await
-                else {
-                    return;
-                };
+                let delivered = deliver_all(
+                    own_id,
+                    stream,
+                    pending,
+                    &mut queue,
+                    &mut ack_timeout,
+                );
+                let Some(unacknowledged) = delivered.await else { return };
                 pending = unacknowledged;
                 was_open = true;
             }
@@ -257,6 +270,7 @@
                 pending.clear();
                 while queue.try_recv().is_ok() {}
                 was_open = false;
+                ack_timeout = ACK_TIMEOUT;
                 tokio::time::sleep(RECONNECT_PAUSE).await;
             }
         }
@@ -279,13 +293,15 @@
     Ok(stream)
 }
 
-/// Delivers messages on one connection until a delivery fails or times out.
+/// Delivers messages on one connection until a delivery fails or no
+/// acknowledgement arrived for `ack_timeout`, which adapts to the peer.
 /// Returns the messages to send again, or `None` if the queue is closed.
 async fn deliver_all(
     own_id: InstanceId,
     stream: TcpStream,
     mut pending: VecDeque<Outgoing>,
     queue: &mut mpsc::Receiver<Outgoing>,
+    ack_timeout: &mut Duration,
 ) -> Option<VecDeque<Outgoing>> {
     let mut system = RpcSystem::new(network(stream, Side::Client), None);
     let client: peer::Client = system.bootstrap(Side::Server);
@@ -295,25 +311,49 @@
     // sorted by number.
     let mut resends: VecDeque<(u64, Outgoing)> = VecDeque::new();
     let mut number = 0;
+    // The last acknowledgement, or the first message sent after all were
+    // acknowledged.
+    let mut silent_since = Instant::now();
     loop {
         while let Some(mut outgoing) = pending.pop_front() {
             number += 1;
+            if unacknowledged.is_empty() {
+                silent_since = Instant::now();
+            }
+            let sent = Instant::now();
             let delivery = deliver(own_id, &client, &outgoing);
-            let delivery = timeout(ACK_TIMEOUT, delivery);
-            unacknowledged.push(async move { (number, delivery.await) });
+            unacknowledged.push(async move { (number, sent, delivery.await) });
             if std::mem::take(&mut outgoing.resend) {
                 resends.push_back((number, outgoing));
             }
         }
         tokio::select! {
-            Some((number, ack)) = unacknowledged.next() => {
-                if !matches!(ack, Ok(Ok(()))) {
+            biased;
+            Some((number, sent, ack)) = unacknowledged.next() => {
+                if ack.is_err() {
                     break;
                 }
+                silent_since = Instant::now();
+                if sent.elapsed() < ACK_TIMEOUT {
+                    *ack_timeout = ACK_TIMEOUT;
+                }
                 if let Ok(i) = resends.binary_search_by_key(&number, |r| r.0) {
                     resends.remove(i);
                 }
             }
+            () = sleep_until(silent_since + *ack_timeout),
+                if !unacknowledged.is_empty() =>
+            {
+                // A timer that fires late shows that this process did not
+                // run; acknowledgements may wait unread.
+                let late = silent_since.elapsed().saturating_sub(*ack_timeout);
+                if late > MAX_TIMER_DELAY {
+                    silent_since = Instant::now();
+                    continue;
+                }
+                *ack_timeout = MAX_ACK_TIMEOUT.min(*ack_timeout * 2);
+                break;
+            }
             message = queue.recv(),
                 if unacknowledged.len() < MAX_UNACKNOWLEDGED =>
             {
