Let an instance that is cut off ask small fleets in time

Beside load (load average 84) configuration::instance_cut_off_from_control_follows_its_fellows failed once on: the instance lost its lease. Only queries of the fleet bring it relayed confirmations; since these counted as progress and put the next query off until about a quarter of a second before the lease ended.

Up to 32 members only direct confirmations count as progress, and the fleet is asked once a round.

--- a/crates/core/src/config_sync/rounds.rs
+++ b/crates/core/src/config_sync/rounds.rs
@@ -53,7 +53,7 @@
         let interval = self.options.renew_interval;
         let limit = match relays {
             true => self.options.lease / 2 + interval / 4,
-            false => self.options.lease / 2 - interval / 4,
+            false => interval * 3 / 2,
         };
         let is_overdue = match self.confirmation_age(now) {
             Some(age) => age > limit,
@@ -132,8 +132,12 @@
     /// lease, or twice while that preserves it.
     fn fleet_query_due(&self, now: Time) -> bool {
         let SyncOptions { lease, renew_interval: interval, .. } = self.options;
-        let pause =
-            if self.serving { lease / 2 - interval / 4 } else { lease };
+        let small = self.members.len() <= self.options.max_direct_members;
+        let pause = match (self.serving, small) {
+            (false, _) => lease,
+            (true, false) => lease / 2 - interval / 4,
+            (true, true) => interval / 2,
+        };
         if self.fleet_queried_at.is_some_and(|x| now < x + pause) {
             return false;
         }
@@ -157,6 +161,7 @@
         }
         let own = Some(self.own_answer(now));
         let mut newest = None;
+        let mut newest_direct = None;
         for round in &mut self.rounds {
             if !round.quorum_confirmed {
                 round.quorum_confirmed =
@@ -167,6 +172,9 @@
                 false => round.relayed_age(group, version),
             };
             newest = newest.max(age.map(|age| round.started - age));
+            if round.quorum_confirmed {
+                newest_direct = Some(round.started);
+            }
         }
         let Some(confirmed_at) = newest else { return };
         if self.confirmed_at.is_some_and(|x| x >= confirmed_at)
@@ -178,7 +186,15 @@
         // The age of a confirmation that goes around among relays varies a
         // little with the delay of messages.
         let step = self.options.renew_interval / 4;
-        if self.progress.is_none_or(|(last, _)| last + step <= confirmed_at) {
+        // In a small fleet only queries of the fleet yield relayed ones, so
+        // these don't replace the next query.
+        let small = self.members.len() <= self.options.max_direct_members;
+        let counts = !small || newest_direct == newest;
+        if counts
+            && self
+                .progress
+                .is_none_or(|(last, _)| last + step <= confirmed_at)
+        {
             self.progress = Some((confirmed_at, now));
         }
         self.renew_lease(now, confirmed_at + self.options.lease, false);
