Wait out a full disk that refuses to truncate too

After a refused write the segment was truncated at once, and a refusal of that counted as a failure. A record that was synced was truncated as well if only the next segment lacked room; a kill then left a torn record in a segment that was no longer the last one, and the folder could not be opened any more.

A write now remembers its stage (append, next segment, removal) and continues there. A synced record is never truncated, and nothing is reported before all stages are done. A start on a full disk waits too; it drops requests that would take effect late, and ends at SIGTERM. Changes to files go through `Disk`, whose defaults are those of the operating system, so that tests can refuse each of them.

--- a/crates/core/tests/cluster/mod.rs
+++ b/crates/core/tests/cluster/mod.rs
@@ -38,6 +38,8 @@
     pub records_read: usize,
     /// Additional time of each sync, in microseconds.
     pub slow_disk_us: u64,
+    /// Time until which the disk is full and takes no write.
+    pub full_until: Time,
     inbox: Vec<Event>,
 }
 
@@ -145,6 +147,7 @@
                 restores: 0,
                 records_read: 0,
                 slow_disk_us: 0,
+                full_until: Time::ZERO,
                 inbox: Vec::new(),
             });
             cluster.start(i);
@@ -232,8 +235,10 @@
                 ConsensusEffect::Persist { ticket, write } => {
                     self.nodes[i].unsynced.push_back((ticket, write));
                     let (min, max) = self.faults.sync_us;
+                    let full = self.nodes[i].full_until.since(self.now);
                     let wait = self.rng.random_range(min..=max)
-                        + self.nodes[i].slow_disk_us;
+                        + self.nodes[i].slow_disk_us
+                        + full.as_micros() as u64;
                     self.schedule(i, wait, Event::Synced(ticket));
                 }
                 ConsensusEffect::Apply { index, command } => {
--- a/crates/core/tests/consensus.rs
+++ b/crates/core/tests/consensus.rs
@@ -385,3 +385,67 @@
         cluster.commit(&change);
     }
 }
+
+/// Time within which a change must be accepted once the disks have room.
+const ACCEPT_LIMIT: Duration = Duration::from_secs(5);
+
+/// Guards against a group that accepts no changes, or a replica that falls
+/// behind for good, after the disks of its members were full one after another
+/// while changes arrived; some replicas are killed while their disk is full.
+#[test]
+fn disks_that_are_full_one_after_another_stop_nothing_for_good() {
+    for seed in 0..120u64 {
+        let count = 3 + (seed as usize % 2) * 2;
+        let options = match seed % 3 {
+            0 => small_limits(),
+            _ => ConsensusOptions::default(),
+        };
+        // One more replica stays a learner.
+        let mut cluster = Cluster::with_options(count + 1, seed, options);
+        cluster.add_voters(count);
+        let learner = cluster.nodes[count].replica.clone();
+        cluster.change_members(MemberChange::AddLearner(learner));
+        let mut changes = 0;
+        for round in 0..8 {
+            let leader = cluster.wait_leader();
+            let i = match (seed + round) % 3 {
+                0 => leader,
+                1 => (leader + 1 + round as usize % count) % (count + 1),
+                _ => round as usize % (count + 1),
+            };
+            let span = Duration::from_millis(1_500 + (seed * 37) % 2_000);
+            let room = cluster.now + span;
+            cluster.nodes[i].full_until = room;
+            let killed = (seed + round) % 4 == 0;
+            while cluster.now < room {
+                if let Some(leader) = cluster.leader() {
+                    changes += 1;
+                    let id = format!("change-{changes}");
+                    let change = cluster.next_change(leader, &id);
+                    cluster.propose(leader, &change);
+                }
+                cluster.run(300 + (seed * 13 + changes * 71) % 500);
+                if killed && cluster.nodes[i].full_until > cluster.now {
+                    cluster.crash(i);
+                    cluster.run(40);
+                    cluster.start(i);
+                }
+            }
+        }
+        let start = cluster.now;
+        let leader = cluster.wait_leader();
+        let change = cluster.next_change(leader, "last");
+        cluster.commit(&change);
+        let span = cluster.now.since(start);
+        assert!(span <= ACCEPT_LIMIT, "seed {seed}: accepted after {span:?}");
+        cluster.wait("every replica acknowledges the last entry", |c| {
+            let status = c.leader().and_then(|l| c.status(l));
+            status.is_some_and(|s| {
+                s.progress.iter().all(|&p| p == s.last_index)
+                    && s.members.iter().filter(|m| m.voter).count() == count
+            })
+        });
+        let span = cluster.now.since(start);
+        assert!(span <= ACCEPT_LIMIT, "seed {seed}: settled after {span:?}");
+    }
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -69,6 +69,9 @@
 /// response.
 const SERVER_SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Pause before a data folder on a full disk is opened again.
+const DISK_FULL_PAUSE: Duration = Duration::from_millis(200);
+
 /// Runs a daemon until it receives a stop signal and has drained.
 ///
 /// # Errors
@@ -121,7 +124,7 @@
     };
 
     let metrics = Metrics::new()?;
-    let (tx, rx) = mpsc::unbounded_channel();
+    let (tx, mut rx) = mpsc::unbounded_channel();
     let handle = Handle::new(tx, metrics.clone());
     let (drained_tx, drained) = watch::channel(false);
     let servers = [
@@ -139,10 +142,14 @@
     }
     start(&handle)?;
 
+    let Some(opened) = open_storage(settings, &handle, &mut rx).await? else {
+        log_stopped(&settings.name);
+        return Ok(());
+    };
     let forwarding =
         ForwardDriver::new(protocol, handle.clone(), metrics.forward());
     let mut daemon =
-        Daemon::new(settings, &addresses, handle, metrics, forwarding)?;
+        Daemon::new(settings, &addresses, handle, metrics, forwarding, opened);
     spawn_local(peer::serve(daemon.own_id, peers, daemon.handle.clone()));
     if let Some(url) = settings.platform_list.clone() {
         let interval =
@@ -156,11 +163,15 @@
     for server in servers {
         let _ = tokio::time::timeout(SERVER_SHUTDOWN_TIMEOUT, server).await;
     }
+    log_stopped(&settings.name);
+    result
+}
+
+fn log_stopped(name: &str) {
     log_event(&LogEvent::new(
         &primrosemast_core::event::daemon::STOPPED,
-        format!("instance={}", settings.name),
+        format!("instance={name}"),
     ));
-    result
 }
 
 /// Addresses that the daemon is bound to.
@@ -262,9 +273,10 @@
         handle: Handle,
         metrics: Metrics,
         forwarding: ForwardDriver<P>,
-    ) -> anyhow::Result<Daemon<P>> {
+        opened: OpenedStorage,
+    ) -> Daemon<P> {
         let own_id = InstanceId::from_name(&settings.name);
-        let (storage, recovered) = open_storage(settings, &handle)?;
+        let OpenedStorage { storage, recovered } = opened;
         // The incarnation is taken from the wall clock, so that it is larger
         // after a restart.
         let incarnation = SystemTime::now()
@@ -284,7 +296,7 @@
         };
         let node = Node::new(member, options(settings), rand::random());
         handle.event(Event::Start { recovered });
-        Ok(Daemon {
+        Daemon {
             own_id,
             local_names: LocalNames {
                 instance: settings.name.clone(),
@@ -307,7 +319,7 @@
             callers: Vec::new(),
             operators: Vec::new(),
             drained: false,
-        })
+        }
     }
 
     /// Handles inputs, signals and deadlines until the node has drained.
@@ -509,21 +521,53 @@
     primrosemast_core::consensus::Recovered,
 );
 
-fn open_storage(
+/// The storage of the control replica; empty without the role.
+#[derive(Default)]
+struct OpenedStorage {
+    storage: Option<StorageThread>,
+    recovered: Option<Recovered>,
+}
+
+/// Opens the data folder, and waits while its disk is full. Returns `None` if
+/// the process is to stop meanwhile.
+async fn open_storage(
     settings: &InstanceSettings,
     handle: &Handle,
-) -> anyhow::Result<(Option<StorageThread>, Option<Recovered>)> {
+    inputs: &mut mpsc::UnboundedReceiver<Input>,
+) -> anyhow::Result<Option<OpenedStorage>> {
     if !settings.has_role(Role::Control) {
-        return Ok((None, None));
+        return Ok(Some(OpenedStorage::default()));
     }
     let folder = settings
         .data_folder
         .as_deref()
         .context("the role `control` needs `data_folder`")?;
-    let (storage, replica, recovered) =
-        Storage::open(folder).with_context(|| {
-            format!("cannot use the data folder {}", folder.display())
-        })?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut waits = false;
+    let (storage, replica, recovered) = loop {
+        match Storage::open(folder) {
+            Ok(opened) => break opened,
+            Err(e) if e.kind() == StorageErrorKind::Full => {
+                if !waits {
+                    log_storage_full(&e.to_string());
+                }
+                waits = true;
+            }
+            Err(e) => {
+                return Err(e).with_context(|| {
+                    format!("cannot use the data folder {}", folder.display())
+                });
+            }
+        }
+        tokio::select! {
+            () = tokio::time::sleep(DISK_FULL_PAUSE) => {}
+            _ = terminate.recv() => return Ok(None),
+            _ = interrupt.recv() => return Ok(None),
+        }
+        // A request that waits for the disk must not take effect later.
+        while inputs.try_recv().is_ok() {}
+    };
     let handle = handle.clone();
     let thread = StorageThread::spawn(storage, move |result| {
         let input = match result {
@@ -535,7 +579,17 @@
         };
         handle.input(input);
     });
-    Ok((Some(thread), Some((replica, recovered))))
+    Ok(Some(OpenedStorage {
+        storage: Some(thread),
+        recovered: Some((replica, recovered)),
+    }))
+}
+
+fn log_storage_full(error: &str) {
+    log_event(&LogEvent::new(
+        &primrosemast_core::event::control::STORAGE_FULL,
+        format!("error={error:?}"),
+    ));
 }
 
 fn insert_pending<T>(pending: &mut Vec<Pending<T>>, entry: Pending<T>) {
--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -6,26 +6,28 @@
 term and vote, entries, or a snapshot. Recovery replays the records in order.
 A write is reported only after it is synced. After the first failure no write
 is reported any more, and the daemon stops. The only exception is a full disk:
-the write is undone and repeated until there is space.
+the write is continued until there is space.
 */
 
+mod disk;
 mod error;
 mod record;
 mod segment;
 mod thread;
 
 use std::{
-    fs::{self, File, OpenOptions},
-    io::{Read, Write as _},
+    fs::{File, OpenOptions},
+    io::Read,
     path::{Path, PathBuf},
 };
 
 use primrosemast_core::{
-    consensus::{Recovered, Write},
+    consensus::{Recovered, StoredSnapshot, Write},
     id::ReplicaId,
 };
 
 pub use self::{
+    disk::{Disk, OsDisk},
     error::{StorageError, StorageErrorKind},
     thread::StorageThread,
 };
@@ -37,7 +39,8 @@
 
 /// An open data folder.
 #[derive(Debug)]
-pub struct Storage {
+pub struct Storage<D = OsDisk> {
+    disk: D,
     folder: PathBuf,
     /// The lock on the folder, held while the file is open.
     _lock: File,
@@ -45,7 +48,31 @@
     /// The last hard state. It is repeated at the start of each segment,
     /// because older segments are removed.
     hard_state: Option<Write>,
-    failed: bool,
+    progress: Progress,
+}
+
+/// How far the last write has come.
+#[derive(Debug)]
+enum Progress {
+    Complete,
+    /// The disk was full before `stage` of writing `record` was complete.
+    Interrupted {
+        record: Vec<u8>,
+        stage: Stage,
+    },
+    Failed,
+}
+
+/// A stage of a write.
+#[derive(Clone, Copy, Debug)]
+enum Stage {
+    /// Appends the record to the segment, whose synced length is given.
+    Append(u64),
+    /// Starts the next segment if one is due. The record is synced, so it
+    /// must stay: a crash may find the next segment after it.
+    NextSegment,
+    /// Removes the segments that the new one replaces.
+    Remove,
 }
 
 impl Storage {
@@ -55,20 +82,35 @@
     /// # Errors
     ///
     /// Fails if another process uses the folder, if it cannot be read or
-    /// written, or if a record other than the last one is damaged.
+    /// written, or if a record other than the last one is damaged. If the
+    /// disk was full, it can be opened again later.
     pub fn open(
         folder: &Path,
     ) -> Result<(Storage, ReplicaId, Recovered), StorageError> {
-        fs::create_dir_all(folder)
+        Storage::open_on(OsDisk, folder)
+    }
+}
+
+impl<D: Disk> Storage<D> {
+    /// Opens a data folder on the given disk; see [`Storage::open`].
+    ///
+    /// # Errors
+    ///
+    /// Fails in the same cases as [`Storage::open`].
+    pub fn open_on(
+        disk: D,
+        folder: &Path,
+    ) -> Result<(Storage<D>, ReplicaId, Recovered), StorageError> {
+        disk.create_folder(folder)
             .map_err(|e| StorageError::io("create", folder, e))?;
-        let lock = lock(folder)?;
+        let lock = lock(&disk, folder)?;
         let numbers = segment::list(folder)?;
         let mut recovered = Recovered::default();
         let mut hard_state = None;
         let last = numbers.last().copied();
         for &number in &numbers {
             let is_last = Some(number) == last;
-            for write in segment::read(folder, number, is_last)? {
+            for write in segment::read(&disk, folder, number, is_last)? {
                 if matches!(write, Write::HardState { .. }) {
                     hard_state = Some(write.clone());
                 }
@@ -98,92 +140,127 @@
             ));
         }
         let segment = match last {
-            Some(number) => Segment::append_to(folder, number)?,
-            None => Segment::create(folder, 1)?,
+            Some(number) => Segment::append_to(&disk, folder, number)?,
+            None => Segment::create(&disk, folder, 1)?,
         };
         // The identity is written after the first segment, so that a crash
         // in between leaves only an empty, unused segment.
         let replica = read_or_create_identity(
+            &disk,
             &identity_path,
             recovered == Recovered::default(),
         )?;
         let storage = Storage {
+            disk,
             folder: folder.to_owned(),
             _lock: lock,
             segment,
             hard_state,
-            failed: false,
+            progress: Progress::Complete,
         };
         Ok((storage, replica, recovered))
     }
 
-    /// Appends a batch as one record and syncs it.
+    /// Appends a batch as one record and syncs it. If the disk was full, the
+    /// call has to be repeated with the same batch, and continues the write.
     ///
     /// # Errors
     ///
-    /// Fails if the batch may not be on disk. Every later call fails too,
-    /// because the content of the file is then unknown, unless the disk was
-    /// full and the write could be undone.
+    /// Fails if the batch may not be on disk. Unless the disk was full, every
+    /// later call fails too, because the content of the file is then unknown.
     pub fn write(&mut self, batch: &[Write]) -> Result<(), StorageError> {
-        if self.failed {
-            return Err(StorageError::new(
-                StorageErrorKind::Failed,
-                &self.folder,
-                "an earlier write failed".into(),
-            ));
+        let mut record = Vec::new();
+        encode(batch, &mut record)?;
+        let mut stage = Stage::Append(self.segment.len());
+        let progress = std::mem::replace(&mut self.progress, Progress::Failed);
+        match progress {
+            Progress::Complete => {}
+            Progress::Interrupted { record: begun, stage: at }
+                if begun == record =>
+            {
+                stage = at;
+            }
+            Progress::Interrupted { .. } | Progress::Failed => {
+                return Err(StorageError::new(
+                    StorageErrorKind::Failed,
+                    &self.folder,
+                    "an earlier write failed".into(),
+                ));
+            }
         }
-        let synced = (self.segment.number(), self.segment.len());
-        let result = self.try_write(batch);
-        if let Err(e) = &result {
-            let full = e.kind() == StorageErrorKind::Full;
-            self.failed = !(full && self.truncate_to_synced(synced));
+        let result = self.try_write(batch, &record, &mut stage);
+        match &result {
+            Ok(()) => self.progress = Progress::Complete,
+            Err(e) if e.kind() == StorageErrorKind::Full => {
+                self.progress = Progress::Interrupted { record, stage };
+            }
+            Err(_) => {}
         }
         result
     }
 
-    /// Truncates the segment to its synced length after a failed write, so
-    /// that the write can be repeated. Returns whether that was possible.
-    fn truncate_to_synced(&mut self, (number, len): (u64, u64)) -> bool {
-        self.segment.number() == number && self.segment.truncate(len).is_ok()
-    }
-
-    fn try_write(&mut self, batch: &[Write]) -> Result<(), StorageError> {
-        let mut buf = Vec::new();
-        let mut snapshot = false;
-        for write in batch {
-            match write {
-                Write::HardState { .. } => {
-                    self.hard_state = Some(write.clone());
-                }
-                Write::Snapshot(_) => snapshot = true,
-                Write::Append { .. } => {}
+    /// Runs the remaining stages of a write.
+    fn try_write(
+        &mut self,
+        batch: &[Write],
+        record: &[u8],
+        stage: &mut Stage,
+    ) -> Result<(), StorageError> {
+        if let Stage::Append(synced_len) = *stage {
+            if self.segment.len() > synced_len {
+                self.segment.truncate(&self.disk, synced_len)?;
+            }
+            self.segment.append(&self.disk, record)?;
+            let last =
+                batch.iter().rfind(|w| matches!(w, Write::HardState { .. }));
+            if let Some(write) = last {
+                self.hard_state = Some(write.clone());
+            }
+            *stage = Stage::NextSegment;
+        }
+        if let Stage::NextSegment = *stage {
+            let snapshot = batch.iter().rev().find_map(|w| match w {
+                Write::Snapshot(snapshot) => Some(snapshot),
+                _ => None,
+            });
+            if let Some(snapshot) = snapshot {
+                let head = self.compacted(snapshot)?;
+                self.segment = self.next_segment(&head)?;
+                *stage = Stage::Remove;
+            } else if self.segment.len() > SEGMENT_BYTES {
+                self.segment = self.next_segment(&[])?;
             }
+        } else {
+            // The last removal may not be synced.
+            segment::sync_folder(&self.disk, &self.folder)?;
         }
-        encode(batch, &mut buf)?;
-        self.segment.write(&buf)?;
-        self.segment.sync()?;
-        if snapshot {
-            self.compact(batch)?;
-        } else if self.segment.len() > SEGMENT_BYTES {
-            self.segment = self.next_segment(&[])?;
+        if let Stage::Remove = *stage {
+            for number in segment::list(&self.folder)? {
+                if number < self.segment.number() {
+                    segment::remove(&self.disk, &self.folder, number)?;
+                }
+            }
         }
         Ok(())
     }
 
-    /// Starts a segment that holds everything that recovery needs, and removes
-    /// the older segments.
-    fn compact(&mut self, batch: &[Write]) -> Result<(), StorageError> {
-        let Some(at) =
-            batch.iter().rposition(|w| matches!(w, Write::Snapshot(_)))
-        else {
-            return Ok(());
-        };
-        let Write::Snapshot(snapshot) = &batch[at] else { return Ok(()) };
+    /// Returns what recovery needs after a snapshot, so that the older
+    /// segments can be removed.
+    fn compacted(
+        &self,
+        snapshot: &StoredSnapshot,
+    ) -> Result<Vec<Write>, StorageError> {
         // Entries after the snapshot's index may have been written before
         // the snapshot, so they are read back from the old segments.
         let mut recovered = Recovered::default();
         for number in segment::list(&self.folder)? {
-            for write in segment::read(&self.folder, number, false)? {
+            if number > self.segment.number() {
+                // Left by an attempt that could not sync the folder.
+                break;
+            }
+            for write in
+                segment::read(&self.disk, &self.folder, number, false)?
+            {
                 recovered.apply_write(write);
             }
         }
@@ -194,15 +271,7 @@
                 entries: recovered.entries,
             });
         }
-        let next = self.next_segment(&head)?;
-        let keep = next.number();
-        self.segment = next;
-        for number in segment::list(&self.folder)? {
-            if number < keep {
-                segment::remove(&self.folder, number)?;
-            }
-        }
-        Ok(())
+        Ok(head)
     }
 
     /// Creates the next segment, which starts with the hard state and `head`.
@@ -213,18 +282,18 @@
         encode(&writes, &mut buf)?;
         // The new segment is written and synced under a temporary name, so
         // that a crash leaves either no new segment or a complete one.
-        Segment::create_with(&self.folder, self.segment.number() + 1, &buf)
+        let number = self.segment.number() + 1;
+        Segment::create_with(&self.disk, &self.folder, number, &buf)
     }
 }
 
 /// Locks a folder against other processes.
-fn lock(folder: &Path) -> Result<File, StorageError> {
+fn lock(disk: &impl Disk, folder: &Path) -> Result<File, StorageError> {
     let path = folder.join("lock");
-    let file = OpenOptions::new()
-        .create(true)
-        .truncate(false)
-        .write(true)
-        .open(&path)
+    let mut options = OpenOptions::new();
+    options.create(true).truncate(false).write(true);
+    let file = disk
+        .open(&path, &options)
         .map_err(|e| StorageError::io("open", &path, e))?;
     file.try_lock().map_err(|e| {
         StorageError::new(
@@ -256,6 +325,7 @@
 
 /// Reads the replica's identity, or creates one if the folder has no records.
 fn read_or_create_identity(
+    disk: &impl Disk,
     path: &Path,
     is_empty: bool,
 ) -> Result<ReplicaId, StorageError> {
@@ -275,14 +345,11 @@
         Err(e) if e.kind() == std::io::ErrorKind::NotFound && is_empty => {
             let id = ReplicaId(rand::random::<u64>().max(1));
             let temporary = path.with_extension("new");
-            let mut file = File::create(&temporary)
-                .map_err(|e| StorageError::io("create", &temporary, e))?;
-            writeln!(file, "{id}")
-                .and_then(|()| file.sync_all())
-                .map_err(|e| StorageError::io("write", &temporary, e))?;
-            fs::rename(&temporary, path)
+            let text = format!("{id}\n");
+            segment::write_file(disk, &temporary, text.as_bytes())?;
+            disk.rename(&temporary, path)
                 .map_err(|e| StorageError::io("rename", path, e))?;
-            segment::sync_folder(path.parent().unwrap_or(path))?;
+            segment::sync_folder(disk, path.parent().unwrap_or(path))?;
             Ok(id)
         }
         // Records without an identity may hold the votes of another replica.
--- a/src/storage/segment.rs
+++ b/src/storage/segment.rs
@@ -2,14 +2,13 @@
 
 use std::{
     fs::{self, File, OpenOptions},
-    io::Write as _,
     path::{Path, PathBuf},
 };
 
 use primrosemast_core::consensus::Write;
 
 use super::{
-    StorageError, StorageErrorKind,
+    Disk, StorageError, StorageErrorKind,
     record::{Decoded, decode},
 };
 
@@ -27,40 +26,39 @@
 impl Segment {
     /// Creates an empty segment.
     pub(super) fn create(
+        disk: &impl Disk,
         folder: &Path,
         number: u64,
     ) -> Result<Segment, StorageError> {
-        Segment::create_with(folder, number, &[])
+        Segment::create_with(disk, folder, number, &[])
     }
 
-    /// Creates a segment with the content `head` and syncs it.
+    /// Creates a segment with the content `head` and syncs it. Replaces one
+    /// with the same number.
     pub(super) fn create_with(
+        disk: &impl Disk,
         folder: &Path,
         number: u64,
         head: &[u8],
     ) -> Result<Segment, StorageError> {
         let temporary = folder.join("segment.new");
-        let mut file = File::create(&temporary)
-            .map_err(|e| StorageError::io("create", &temporary, e))?;
-        file.write_all(head)
-            .and_then(|()| file.sync_all())
-            .map_err(|e| StorageError::io("write", &temporary, e))?;
+        write_file(disk, &temporary, head)?;
         let path = path(folder, number);
-        fs::rename(&temporary, &path)
+        disk.rename(&temporary, &path)
             .map_err(|e| StorageError::io("rename", &path, e))?;
-        sync_folder(folder)?;
-        Segment::append_to(folder, number)
+        sync_folder(disk, folder)?;
+        Segment::append_to(disk, folder, number)
     }
 
     /// Opens a segment for appending.
     pub(super) fn append_to(
+        disk: &impl Disk,
         folder: &Path,
         number: u64,
     ) -> Result<Segment, StorageError> {
         let path = path(folder, number);
-        let file = OpenOptions::new()
-            .append(true)
-            .open(&path)
+        let file = disk
+            .open(&path, OpenOptions::new().append(true))
             .map_err(|e| StorageError::io("open", &path, e))?;
         let len = file
             .metadata()
@@ -77,28 +75,51 @@
         self.len
     }
 
-    pub(super) fn write(&mut self, buf: &[u8]) -> Result<(), StorageError> {
-        self.len += buf.len() as u64;
-        self.file
-            .write_all(buf)
-            .map_err(|e| StorageError::io("write", &self.path, e))
+    /// Appends a record and syncs it.
+    pub(super) fn append(
+        &mut self,
+        disk: &impl Disk,
+        record: &[u8],
+    ) -> Result<(), StorageError> {
+        self.len += record.len() as u64;
+        disk.write(&mut self.file, record)
+            .map_err(|e| StorageError::io("write", &self.path, e))?;
+        self.sync(disk)
+    }
+
+    pub(super) fn sync(&self, disk: &impl Disk) -> Result<(), StorageError> {
+        disk.sync_data(&self.file)
+            .map_err(|e| StorageError::io("sync", &self.path, e))
     }
 
     /// Truncates the file to `len` bytes and syncs it.
-    pub(super) fn truncate(&mut self, len: u64) -> Result<(), StorageError> {
-        self.file
-            .set_len(len)
-            .and_then(|()| self.file.sync_data())
+    pub(super) fn truncate(
+        &mut self,
+        disk: &impl Disk,
+        len: u64,
+    ) -> Result<(), StorageError> {
+        disk.truncate(&self.file, len)
+            .and_then(|()| disk.sync_data(&self.file))
             .map_err(|e| StorageError::io("truncate", &self.path, e))?;
         self.len = len;
         Ok(())
     }
+}
 
-    pub(super) fn sync(&self) -> Result<(), StorageError> {
-        self.file
-            .sync_data()
-            .map_err(|e| StorageError::io("sync", &self.path, e))
-    }
+/// Creates a file with this content, or replaces its content, and syncs it.
+pub(super) fn write_file(
+    disk: &impl Disk,
+    path: &Path,
+    content: &[u8],
+) -> Result<(), StorageError> {
+    let mut options = OpenOptions::new();
+    options.write(true).create(true).truncate(true);
+    let mut file = disk
+        .open(path, &options)
+        .map_err(|e| StorageError::io("create", path, e))?;
+    disk.write(&mut file, content)
+        .and_then(|()| disk.sync(&file))
+        .map_err(|e| StorageError::io("write", path, e))
 }
 
 /// Returns the numbers of the segments in a folder, sorted; fails if one is
@@ -131,6 +152,7 @@
 /// Reads the records of a segment. A torn record at the end of the last
 /// segment is truncated, because it was never reported as written.
 pub(super) fn read(
+    disk: &impl Disk,
     folder: &Path,
     number: u64,
     is_last: bool,
@@ -151,7 +173,7 @@
             Decoded::Incomplete | Decoded::Damaged
                 if is_last && is_torn(&bytes[at..]) =>
             {
-                truncate(&path, at as u64)?;
+                truncate(disk, &path, at as u64)?;
                 break;
             }
             Decoded::Incomplete | Decoded::Damaged => {
@@ -172,29 +194,38 @@
         .all(|at| !matches!(decode(&bytes[at..]), Decoded::Record(..)))
 }
 
-fn truncate(path: &Path, len: u64) -> Result<(), StorageError> {
-    let file = OpenOptions::new()
-        .write(true)
-        .open(path)
+fn truncate(
+    disk: &impl Disk,
+    path: &Path,
+    len: u64,
+) -> Result<(), StorageError> {
+    let file = disk
+        .open(path, OpenOptions::new().write(true))
         .map_err(|e| StorageError::io("open", path, e))?;
-    file.set_len(len)
-        .and_then(|()| file.sync_all())
+    disk.truncate(&file, len)
+        .and_then(|()| disk.sync(&file))
         .map_err(|e| StorageError::io("truncate", path, e))
 }
 
 /// Deletes a segment.
-pub(super) fn remove(folder: &Path, number: u64) -> Result<(), StorageError> {
+pub(super) fn remove(
+    disk: &impl Disk,
+    folder: &Path,
+    number: u64,
+) -> Result<(), StorageError> {
     let path = path(folder, number);
-    fs::remove_file(&path)
-        .map_err(|e| StorageError::io("remove", &path, e))?;
-    sync_folder(folder)
+    disk.remove(&path).map_err(|e| StorageError::io("remove", &path, e))?;
+    sync_folder(disk, folder)
 }
 
 /// Syncs a folder, which makes the creation, renaming and removal of its
 /// files durable.
-pub(super) fn sync_folder(folder: &Path) -> Result<(), StorageError> {
+pub(super) fn sync_folder(
+    disk: &impl Disk,
+    folder: &Path,
+) -> Result<(), StorageError> {
     File::open(folder)
-        .and_then(|f| f.sync_all())
+        .and_then(|file| disk.sync(&file))
         .map_err(|e| StorageError::io("sync", folder, e))
 }
 
--- a/src/storage/thread.rs
+++ b/src/storage/thread.rs
@@ -4,7 +4,7 @@
 
 use primrosemast_core::consensus::Write;
 
-use super::{Storage, StorageError, StorageErrorKind};
+use super::{Disk, Storage, StorageError, StorageErrorKind};
 
 /// Pause before a write to a full disk is repeated.
 const DISK_FULL_PAUSE: Duration = Duration::from_millis(200);
@@ -21,7 +21,7 @@
     /// reported once and the write is repeated until it succeeds or fails in
     /// another way. After any other failure the thread ends.
     pub fn spawn(
-        mut storage: Storage,
+        mut storage: Storage<impl Disk>,
         report: impl Fn(Result<u64, StorageError>) + Send + 'static,
     ) -> StorageThread {
         let (writes, rx) = mpsc::channel::<(u64, Write)>();
@@ -60,7 +60,7 @@
 
 /// Repeats a write until the disk is no longer full.
 fn retry_while_full(
-    storage: &mut Storage,
+    storage: &mut Storage<impl Disk>,
     batch: &[Write],
 ) -> Result<(), StorageError> {
     loop {
--- a/tests/control_group.rs
+++ b/tests/control_group.rs
@@ -407,6 +407,88 @@
     (status.code(), std::fs::read_to_string(log).expect("the log"))
 }
 
+/// Starts a second daemon with the settings of an instance that does not run,
+/// and waits until its log holds a text.
+async fn start_daemon(
+    cluster: &TestCluster,
+    i: usize,
+    text: &str,
+) -> (std::process::Child, std::path::PathBuf) {
+    let name = cluster.fleet.instances()[i].name();
+    let settings = cluster.fleet.folder().join(format!("{name}.jsonc"));
+    let log = cluster.fleet.folder().join("second.log");
+    let mut child = Command::new(env!("CARGO_BIN_EXE_primrosemastd"))
+        .arg("--settings")
+        .arg(settings)
+        .stdout(Stdio::null())
+        .stderr(std::fs::File::create(&log).expect("a log file"))
+        .spawn()
+        .expect("the daemon starts");
+    let found = wait_for("the text in the log", || async {
+        let found = std::fs::read_to_string(&log).expect("the log");
+        found.contains(text).then_some(())
+    });
+    if let Err(e) = found.await {
+        let _ = child.kill();
+        let _ = child.wait();
+        panic!("{e}: {text}: {:?}", std::fs::read_to_string(&log));
+    }
+    (child, log)
+}
+
+/// Guards against a daemon that exits at its start because its disk is full,
+/// does not start once there is room, or cannot be stopped while it waits.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_start_waits_while_the_disk_is_full() {
+    let mut cluster = TestCluster::start(4, 3).await;
+    let name = cluster.fleet.instances()[2].name().to_owned();
+    let own = |status: &Value| {
+        member(status, &name).and_then(|m| m["control"].as_u64())
+    };
+    let status = cluster
+        .wait_status(0, "three voters", |status| voters(status).len() == 3)
+        .await;
+    let lost = own(&status).expect("a replica");
+    cluster.fleet.kill(2);
+    let folder = cluster.fleet.data_folder(2);
+    std::fs::remove_dir_all(&folder).expect("removed");
+    std::fs::create_dir(&folder).expect("a folder");
+    // The identity is written to a device that is always full.
+    let identity = folder.join("identity.new");
+    std::os::unix::fs::symlink("/dev/full", &identity).expect("a link");
+    let (mut child, log) = start_daemon(&cluster, 2, "PM0429").await;
+    // Several more attempts fail meanwhile.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert!(child.try_wait().expect("the status").is_none());
+    let pid = child.id().to_string();
+    let killed = Command::new("kill").args(["-TERM", &pid]).status();
+    assert!(killed.expect("kill").success());
+    let status = child.wait().expect("the status");
+    let log = std::fs::read_to_string(log).expect("the log");
+    assert_eq!(status.code(), Some(0), "{log}");
+    assert_eq!(log.matches("PM0429").count(), 1, "{log}");
+    let (mut child, log) = start_daemon(&cluster, 2, "PM0429").await;
+    std::fs::remove_file(&identity).expect("removed");
+    let started = wait_for("the start of the waiting daemon", || async {
+        let log = std::fs::read_to_string(&log).expect("the log");
+        log.contains("PM0601").then_some(())
+    });
+    started.await.expect("a start");
+    assert!(child.try_wait().expect("the status").is_none());
+    child.kill().expect("the process");
+    child.wait().expect("the process");
+    // The fleet reaches a daemon only at the addresses that it was given.
+    cluster.fleet.restart(2).expect("restart");
+    cluster
+        .wait_status(0, "a new replica that votes", |status| {
+            let id = own(status).unwrap_or(lost);
+            let voters = voters(status);
+            id != lost && voters.contains(&id) && voters.len() == 3
+        })
+        .await;
+    cluster.expect_accepted(0, "after", 1).await;
+}
+
 /// Seed of the random faults, which the environment variable `FAULT_SEED`
 /// overrides.
 const FAULT_SEED: u64 = 7;
