Sync the last segment before its records count

No caller has reported it; found by a test for full disks. A replica that was killed between a write and its sync read the record at its next start and acted on it, and a power loss could then remove a vote or an entry that it had acknowledged.

`Storage::open` took every complete record for synced, and nothing synced the last segment until the next write. It is now synced when it is opened; older segments were synced before the next one was made.

--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -140,7 +140,13 @@
             ));
         }
         let segment = match last {
-            Some(number) => Segment::append_to(&disk, folder, number)?,
+            Some(number) => {
+                let segment = Segment::append_to(&disk, folder, number)?;
+                // A process that was killed may not have synced its last
+                // record, which counts as synced from now on.
+                segment.sync(&disk)?;
+                segment
+            }
             None => Segment::create(&disk, folder, 1)?,
         };
         // The identity is written after the first segment, so that a crash
--- a/tests/full_disk.rs
+++ b/tests/full_disk.rs
@@ -1,10 +1,12 @@
-//! The storage of a control replica on a disk that is full for some
-//! time.
+//! The storage of a control replica on a disk that is full for some time, and
+//! that loses what was not synced.
 
 use std::{
+    collections::BTreeMap,
     fs::{self, File, OpenOptions},
     io::{self, ErrorKind, Write as _},
-    path::Path,
+    os::fd::AsRawFd,
+    path::{Path, PathBuf},
     sync::{Arc, Mutex, mpsc},
     time::Duration,
 };
@@ -57,6 +59,10 @@
     /// Number of operations after which the disk is full, if it fills up.
     full_after: Option<u64>,
     refuses: &'static [Op],
+    /// Whether to keep what is synced.
+    keeps: bool,
+    /// Synced content of each file.
+    synced: BTreeMap<PathBuf, Vec<u8>>,
 }
 
 impl FullDisk {
@@ -86,6 +92,16 @@
         }
         Ok(())
     }
+
+    /// Creates a folder with what is left after a power loss.
+    fn after_power_loss(&self) -> tempfile::TempDir {
+        let dir = tempfile::tempdir().expect("folder");
+        for (path, content) in &self.0.lock().expect("state").synced {
+            let name = path.file_name().expect("a name");
+            fs::write(dir.path().join(name), content).expect("write");
+        }
+        dir
+    }
 }
 
 impl Disk for FullDisk {
@@ -115,7 +131,15 @@
         if file.metadata()?.is_dir() {
             return self.check(Op::SyncFolder);
         }
-        self.check(Op::Sync)
+        self.check(Op::Sync)?;
+        let mut state = self.0.lock().expect("state");
+        if state.keeps {
+            let link = format!("/proc/self/fd/{}", file.as_raw_fd());
+            let path = fs::read_link(link)?;
+            let content = fs::read(&path)?;
+            state.synced.insert(path, content);
+        }
+        Ok(())
     }
 
     fn sync_data(&self, file: &File) -> io::Result<()> {
@@ -124,11 +148,16 @@
 
     fn rename(&self, from: &Path, to: &Path) -> io::Result<()> {
         self.check(Op::Rename)?;
+        let mut state = self.0.lock().expect("state");
+        if let Some(content) = state.synced.remove(from) {
+            state.synced.insert(to.to_owned(), content);
+        }
         fs::rename(from, to)
     }
 
     fn remove(&self, path: &Path) -> io::Result<()> {
         self.check(Op::Remove)?;
+        self.0.lock().expect("state").synced.remove(path);
         fs::remove_file(path)
     }
 }
@@ -292,6 +321,29 @@
     check_all(&large_batches(), true);
 }
 
+// Guards against a replica that acts on a record which it has read after a kill
+// but never synced, and which a power loss removes.
+#[test]
+fn a_record_that_is_read_at_the_start_is_synced() {
+    let dir = tempfile::tempdir().expect("folder");
+    let disk = FullDisk::default();
+    disk.0.lock().expect("state").keeps = true;
+    let (mut storage, ..) =
+        Storage::open_on(disk.clone(), dir.path()).expect("open");
+    storage.write(&[hard_state(1)]).expect("write");
+    disk.fill_up(0, &[Op::Sync]);
+    let error = storage.write(&[hard_state(2)]).expect_err("full");
+    assert_eq!(error.kind(), StorageErrorKind::Full);
+    drop(storage);
+    disk.free();
+    let (_storage, _, found) =
+        Storage::open_on(disk.clone(), dir.path()).expect("open");
+    assert_eq!(found.term, 2);
+    let left = disk.after_power_loss();
+    let (_, _, kept) = Storage::open(left.path()).expect("open");
+    assert_eq!(kept.term, 2);
+}
+
 // Guards against a storage thread that ends, and so a daemon that exits, because
 // a full disk refuses to truncate what it has taken of a record.
 #[test]
