--- a/crates/core/src/consensus/election.rs
+++ b/crates/core/src/consensus/election.rs
@@ -236,7 +236,7 @@
             next_heartbeat: now,
             silence_limit,
             round: 0,
-            round_times: VecDeque::new(),
+            last_round_at: now,
             proposals: VecDeque::new(),
             uncommitted_bytes: 0,
         });
--- a/crates/core/src/consensus/members.rs
+++ b/crates/core/src/consensus/members.rs
@@ -69,7 +69,7 @@
         };
         let since = leader.active_since(self.options.election_timeout_min);
         let is_active = |id| match leader.progress(id) {
-            Some(p) => p.last_contact >= since,
+            Some(p) => p.last_reply >= since,
             None => id == self.id,
         };
         match change {
--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -126,8 +126,8 @@
     /// Time without a reply from a majority after which it steps down.
     silence_limit: Duration,
     round: u64,
-    /// When the recent heartbeat rounds were sent, the newest at the back.
-    round_times: VecDeque<Time>,
+    /// When the last heartbeat round was sent.
+    last_round_at: Time,
     /// Uncommitted proposals, sorted by index.
     proposals: VecDeque<Proposal>,
     /// Total size of the commands in `proposals`.
@@ -296,7 +296,7 @@
                     Some(p) => p.match_index,
                     None => self.log.synced_index(),
                 });
-                active.push(p.is_none_or(|p| p.last_contact >= since));
+                active.push(p.is_none_or(|p| p.last_reply >= since));
             }
         }
         let role = match &self.state {
--- a/crates/core/src/consensus/receive.rs
+++ b/crates/core/src/consensus/receive.rs
@@ -109,10 +109,8 @@
                 let previous = (previous_index, previous_term);
                 self.handle_append(peer, previous, entries, commit, round);
             }
-            Message::AppendReply { term, success, index, round } => {
-                self.handle_append_reply(
-                    now, from, term, success, index, round,
-                );
+            Message::AppendReply { term, success, index, .. } => {
+                self.handle_append_reply(now, from, term, success, index);
             }
             Message::Snapshot {
                 index,
--- a/crates/core/src/consensus/replication.rs
+++ b/crates/core/src/consensus/replication.rs
@@ -15,10 +15,6 @@
     time::Time,
 };
 
-/// Number of heartbeat rounds whose send times a leader keeps. Together they
-/// must span an election timeout.
-const MAX_TRACKED_ROUNDS: usize = 64;
-
 /// Number of heartbeat intervals without progress after which an append or
 /// snapshot chunk is sent again.
 const RESEND_HEARTBEATS: u32 = 3;
@@ -31,10 +27,8 @@
     pub(super) match_index: u64,
     /// Index of the entry to send next.
     pub(super) next_index: u64,
-    /// Send time of the newest heartbeat round that the member has answered.
-    pub(super) last_contact: Time,
     /// When the member's last reply arrived.
-    last_reply: Time,
+    pub(super) last_reply: Time,
     /// Whether the last index that matches is still unknown. While probing,
     /// one append is sent at a time.
     pub(super) probing: bool,
@@ -53,7 +47,6 @@
             id,
             match_index: 0,
             next_index,
-            last_contact: now,
             last_reply: now,
             probing: true,
             in_flight: VecDeque::new(),
@@ -85,18 +78,11 @@
         Some(&mut self.progress[at])
     }
 
-    /// Returns when the given round was sent, if it is still tracked.
-    fn round_sent_at(&self, round: u64) -> Option<Time> {
-        let age = usize::try_from(self.round.checked_sub(round)?).ok()?;
-        let at = self.round_times.len().checked_sub(age + 1)?;
-        self.round_times.get(at).copied()
-    }
-
-    /// Returns the start of the window in which a member must have answered
-    /// a round to count as active. The window ends at the last round, not at
+    /// Returns the start of the window in which a reply of a member must have
+    /// arrived for it to count as active. The window ends at the last round, not at
     /// the current time, so that the result does not change between rounds.
     pub(super) fn active_since(&self, span: std::time::Duration) -> Time {
-        self.round_times.back().copied().unwrap_or_default() - span
+        self.last_round_at - span
     }
 }
 
@@ -124,10 +110,7 @@
             return;
         }
         leader.round += 1;
-        leader.round_times.push_back(now);
-        if leader.round_times.len() > MAX_TRACKED_ROUNDS {
-            leader.round_times.pop_front();
-        }
+        leader.last_round_at = now;
         leader.next_heartbeat = now + self.options.heartbeat_interval;
         for p in &mut leader.progress {
             if !p.in_flight.is_empty() && now.since(p.last_progress) >= resend
@@ -366,7 +349,6 @@
         term: u64,
         success: bool,
         index: u64,
-        round: u64,
     ) {
         let member = self.log.members().iter().any(|m| m.id == from);
         if term > self.term && member {
@@ -378,12 +360,8 @@
         if term != self.term {
             return;
         }
-        let sent = leader.round_sent_at(round);
         let Some(p) = leader.progress_mut(from) else { return };
         p.last_reply = now;
-        if let Some(sent) = sent {
-            p.last_contact = p.last_contact.max(sent);
-        }
         if !success {
             // A delayed reply must not undo a known match.
             if index > p.match_index && p.transfer.is_none() {
