Bound the round trip that a suspended member adds to the estimate

One answer after a suspension of 3.5 s set the probe timeouts to their limit for all members, and the uncapped estimate kept them there for over ten seconds. Found by review; the new test passed before the change, too, and guards the bound of 12 s.

--- a/crates/core/src/membership/detect.rs
+++ b/crates/core/src/membership/detect.rs
@@ -24,7 +24,10 @@
         from: InstanceId,
         sequence: u64,
     ) {
-        let round_trip = self.round_trips.answered(now, sequence, from);
+        // A single member that was suspended must not stretch the timeouts
+        // for longer than their limit takes to decay.
+        let limit = self.options.max_probe_timeout;
+        let round_trip = self.round_trips.answered(now, sequence, from, limit);
         self.doubts.retain(|x| x.target != from && x.sequence != sequence);
         if round_trip.is_some_and(|x| x <= self.options.direct_timeout) {
             self.confirm_doubts(now, |x| x.sequence < sequence);
--- a/crates/core/src/membership/probe.rs
+++ b/crates/core/src/membership/probe.rs
@@ -57,18 +57,19 @@
     }
 
     /// Notes the answer to a direct probe, however late it is, and returns its
-    /// round trip.
+    /// round trip, which is taken to be `limit` at most.
     pub(crate) fn answered(
         &mut self,
         now: Time,
         sequence: u64,
         from: InstanceId,
+        limit: Duration,
     ) -> Option<Duration> {
         let is_this =
             |x: &(u64, InstanceId, Time)| (x.0, x.1) == (sequence, from);
         let at = self.sent.iter().position(is_this)?;
         let (_, _, sent) = self.sent.remove(at)?;
-        let sample = now.since(sent);
+        let sample = now.since(sent).min(limit);
         let above = self.estimate.saturating_sub(sample);
         self.estimate = sample.max(self.estimate - above / DECAY_DIVISOR);
         Some(sample)
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -350,3 +350,21 @@
     let dead = |net: &Net| net.all_observe(83, MemberState::Dead);
     assert!(net.run_until(secs(12), dead));
 }
+
+/// Guards against lost members that are noticed late, because one member that
+/// was suspended for seconds has answered a probe.
+#[test]
+fn lost_members_are_noticed_after_another_was_suspended() {
+    let mut net = joined(5, 10);
+    net.run(secs(3));
+    net.freeze(9);
+    net.run(secs(3));
+    net.resume(9);
+    net.run(secs(1));
+    net.crash(7);
+    net.crash(8);
+    let dead = |net: &Net| {
+        [7, 8].iter().all(|&x| net.all_observe(x, MemberState::Dead))
+    };
+    assert!(net.run_until(secs(12), dead));
+}
