Let an order that takes a zone out wait for the control group

The half second within which the state of a zone has to be confirmed also held for orders that take a zone out, so on a computer on which a commit takes longer no evacuation could be accepted at any instance. A late one of these sends nothing where nothing may go, so only the return to service has the limit.

--- a/src/daemon/handle.rs
+++ b/src/daemon/handle.rs
@@ -237,7 +237,7 @@
     /// If the future is dropped because the operator has closed its
     /// connection, if another order for the zone is accepted meanwhile, or if
     /// the control group has not confirmed the state of the zone within
-    /// `patience`, the order has no effect. Otherwise one that is delayed,
+    /// `patience`, if it is given, the order has no effect. Otherwise one that is delayed,
     /// here or on its way to the control leader, could undo an order that came
     /// after it. `patience` must end before the operator gives the order up,
     /// because the close of its connection may be lost on its way.
@@ -245,9 +245,10 @@
         &self,
         zone: &str,
         state: ZoneState,
-        patience: Duration,
+        patience: Option<Duration>,
     ) -> Decision {
         let read = OperatorRequest::ReadZone(zone.to_owned());
+        let patience = patience.unwrap_or(Duration::MAX);
         let start = Instant::now();
         let reply = self.submit_operator_request(read);
         let reply = tokio::time::timeout(patience, reply).await;
