--- a/src/daemon/handle.rs
+++ b/src/daemon/handle.rs
@@ -237,10 +237,10 @@
     /// If the future is dropped because the operator has closed its
     /// connection, if another order for the zone is accepted meanwhile, or if
     /// the control group has not confirmed the state of the zone within
-    /// `patience`, if it is given, the order has no effect. Otherwise one that is delayed,
-    /// here or on its way to the control leader, could undo an order that came
-    /// after it. `patience` must end before the operator gives the order up,
-    /// because the close of its connection may be lost on its way.
+    /// `patience`, the order has no effect. Otherwise one that is delayed, here
+    /// or on its way to the control leader, could undo an order that came after
+    /// it. If `patience` is given, it must end before the operator gives the
+    /// order up, because the close of its connection may be lost on its way.
     pub async fn set_zone(
         &self,
         zone: &str,
