--- a/crates/core/src/config_sync/rounds.rs
+++ b/crates/core/src/config_sync/rounds.rs
@@ -73,17 +73,7 @@
         }
         let mut fleet_queried = 0;
         if is_overdue && self.group.is_some() && self.fleet_query_due(now) {
-            let mut sample: Vec<InstanceId> = self.fleet.ids().collect();
-            if sample.len() > self.options.max_direct_members {
-                sample.shuffle(&mut self.rng);
-                sample.truncate(self.options.fleet_sample_size);
-                // This instance is always in the sample, because it is
-                // counted as agreeing.
-                if !sample.contains(&self.own_id) {
-                    sample.pop();
-                    sample.push(self.own_id);
-                }
-            }
+            let sample = self.fleet_sample();
             fleet_queried = sample.len();
             targets.extend(sample);
             let jitter = self.rng.random_range(0.0..0.25);
@@ -123,6 +113,22 @@
         }
     }
 
+    /// Returns the members that are asked in the fallback: all of them, or a
+    /// sample of a large fleet. This instance is always among them, because it
+    /// is counted as agreeing.
+    fn fleet_sample(&mut self) -> Vec<InstanceId> {
+        let mut sample: Vec<InstanceId> = self.fleet.ids().collect();
+        if sample.len() > self.options.max_direct_members {
+            sample.shuffle(&mut self.rng);
+            sample.truncate(self.options.fleet_sample_size);
+            if !sample.contains(&self.own_id) {
+                sample.pop();
+                sample.push(self.own_id);
+            }
+        }
+        sample
+    }
+
     /// Whether the fleet is to be asked to confirm an overdue lease.
     ///
     /// In a slow fleet confirmations are old when they arrive, but keep
--- a/crates/core/src/node/replica.rs
+++ b/crates/core/src/node/replica.rs
@@ -176,7 +176,7 @@
     ) {
         match message {
             Message::Request { sequence, request } => {
-                if self.too_few_voters(&request) {
+                if self.waits_for_repair(&request) {
                     let reply = ControlReply::NotReady(
                         "the control group is being repaired".into(),
                     );
@@ -241,7 +241,7 @@
 
     /// Returns whether a change has to wait until the control group has more
     /// voters, or no dead one.
-    fn too_few_voters(&self, request: &ControlRequest) -> bool {
+    fn waits_for_repair(&self, request: &ControlRequest) -> bool {
         let waits = matches!(
             request,
             ControlRequest::Change(_)
