--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -41,7 +41,9 @@
 pub use self::{options::ForwardOptions, reducer::Forwarder};
 use crate::{
     event::LogEvent,
-    id::{AttemptId, ConfigVersion, InstanceId, TargetId, Token, ZoneId},
+    id::{
+        AttemptId, ConfigVersion, InstanceId, TargetId, TeamId, Token, ZoneId,
+    },
     verdict::Verdict,
 };
 
@@ -54,6 +56,9 @@
     pub route: Arc<CompiledRoute>,
     /// Time until the caller stops waiting.
     pub remaining: Duration,
+    /// Team of the caller; `None` on public routes and where no teams are
+    /// configured.
+    pub team: Option<TeamId>,
 }
 
 /// The outcome of an attempt.
@@ -137,6 +142,8 @@
     ShuttingDown,
     /// This instance has too many requests in flight.
     Overload,
+    /// The caller's team has used up its limit.
+    OverLimit,
     /// Too few shards have a target that accepts requests.
     NoTarget,
     /// A target refused the request and the budget for extra requests is
@@ -155,6 +162,7 @@
             Reason::NotServing => "not_serving",
             Reason::ShuttingDown => "shutting_down",
             Reason::Overload => "overload",
+            Reason::OverLimit => "over_limit",
             Reason::NoTarget => "no_target",
             Reason::NoBudget => "no_budget",
             Reason::TargetFailed => "target_failed",
--- a/crates/core/src/forward/table.rs
+++ b/crates/core/src/forward/table.rs
@@ -6,7 +6,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-use crate::id::{RouteId, ServiceId};
+use crate::id::{RouteId, ServiceId, TeamId};
 
 /// Routes by host and path, and the services to which they refer.
 #[derive(
@@ -24,6 +24,54 @@
     pub limits: CallerLimits,
     /// The operator's original document, if it was translated.
     pub source: String,
+    /// Teams, in any order. If there are any, callers of routes that are not
+    /// public identify their team by a key.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub teams: Vec<Team>,
+}
+
+/// A team whose callers identify themselves by a key.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Team {
+    /// Name, unique in the table.
+    pub name: String,
+    /// Digests of the keys. The keys themselves are not kept.
+    pub keys: Vec<KeyDigest>,
+    /// Priority of the team's requests, which replaces that of the route;
+    /// 0 is the most urgent.
+    pub priority: Option<u32>,
+    /// Limit on the team's requests at all instances together; `None` if
+    /// there is none.
+    pub limit: Option<RateLimit>,
+}
+
+/// SHA-256 digest of a key.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
+    JsonSchema,
+)]
+#[serde(transparent)]
+pub struct KeyDigest(pub [u8; 32]);
+
+/// A limit on the rate of requests.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Serialize, Deserialize, JsonSchema,
+)]
+#[serde(deny_unknown_fields)]
+pub struct RateLimit {
+    /// Requests a second.
+    pub per_second: f64,
+    /// Further requests that may come at once.
+    pub burst: f64,
 }
 
 /// A route to targets that the platform lists.
@@ -50,6 +98,14 @@
     pub max_attempts: u32,
     /// Destination of the requests.
     pub destination: Destination,
+    /// Whether callers need no key.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub public: bool,
+}
+
+/// Returns whether a field has its default and is left out.
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
 /// The services to which the requests of a route are sent.
@@ -232,6 +288,15 @@
     }
 }
 
+/// A team with its identifier.
+#[derive(Clone, Debug)]
+pub struct CompiledTeam {
+    /// The team as configured.
+    pub team: Team,
+    /// Identifier of the team.
+    pub id: TeamId,
+}
+
 /// A forwarding table with sorted routes and services for lookups.
 #[derive(Clone, Debug, Default)]
 pub struct CompiledTable {
@@ -241,6 +306,8 @@
     pub limits: CallerLimits,
     /// Services, sorted by identifier.
     pub services: Vec<(ServiceId, ForwardService)>,
+    /// Teams, sorted by identifier.
+    pub teams: Vec<Arc<CompiledTeam>>,
     /// Routes, sorted by host and prefix.
     routes: Vec<Arc<CompiledRoute>>,
 }
@@ -271,8 +338,23 @@
             .map(|s| (ServiceId::from_name(&s.name), s.clone()))
             .collect();
         services.sort_by_key(|s| s.0);
+        let mut teams: Vec<_> = table
+            .teams
+            .iter()
+            .map(|team| {
+                let id = TeamId::from_name(&team.name);
+                Arc::new(CompiledTeam { team: team.clone(), id })
+            })
+            .collect();
+        teams.sort_by_key(|t| t.id);
         let (revision, limits) = (table.revision, table.limits);
-        CompiledTable { revision, limits, services, routes }
+        CompiledTable { revision, limits, services, teams, routes }
+    }
+
+    /// Returns the team with this identifier.
+    pub fn team(&self, id: TeamId) -> Option<&Arc<CompiledTeam>> {
+        let found = self.teams.binary_search_by_key(&id, |t| t.id);
+        found.ok().map(|i| &self.teams[i])
     }
 
     /// Returns the route of the host whose prefix is the longest that matches
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -61,6 +61,10 @@
     /// hash of its name.
     ServiceId
 );
+identifier!(
+    /// Identifier of a team, the hash of its name.
+    TeamId
+);
 identifier!(
     /// Identifier of a request to a target on the forwarding path, unique
     /// within an instance.
@@ -95,6 +99,7 @@
 from_name!(ZoneId);
 from_name!(RouteId);
 from_name!(ServiceId);
+from_name!(TeamId);
 
 /// Version of the site configuration. The first committed version is 1; 0
 /// means that there is none.
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -769,6 +769,7 @@
             request_id: format!("r{token}").into(),
             route: Arc::clone(&route),
             remaining: ms(500),
+            team: None,
         };
         harness.step(ForwardEvent::Submit(Token(token), submission));
     }
--- a/crates/core/tests/forward_support/mod.rs
+++ b/crates/core/tests/forward_support/mod.rs
@@ -43,6 +43,7 @@
         priority: 1,
         max_attempts: 2,
         destination,
+        public: false,
     }
 }
 
@@ -209,6 +210,7 @@
             request_id: format!("r{}", self.last_token).into(),
             route: Arc::clone(route.expect("a route")),
             remaining,
+            team: None,
         };
         self.step(ForwardEvent::Submit(token, submission));
         token
--- a/crates/core/tests/node.rs
+++ b/crates/core/tests/node.rs
@@ -48,6 +48,7 @@
         priority: 1,
         max_attempts: 2,
         destination: Destination::Service(service.into()),
+        public: false,
     };
     Configuration {
         availability_zones: vec![AvailabilityZone { name: "a".into(), state }],
--- a/src/forward/ingress.rs
+++ b/src/forward/ingress.rs
@@ -175,6 +175,7 @@
         request_id: Arc::clone(&head.request_id),
         route: Arc::clone(route),
         remaining: head.remaining.unwrap_or(timeout),
+        team: None,
     };
     let req = CallerRequest {
         head,
