Keep probes, comparisons, confirmations and lists within a zone

An idle instance of a large fleet sent 15.1 messages a second to other zones, 5.4 KB with their framing, because probes, comparisons and requests for confirmations and for the target list went to all zones alike.

Above 32 members, confirmations come from relays of the own zone, of which only the first ask the control replicas; seven of eight comparisons and three of four probes stay in the zone, and more probes leave it while a member elsewhere is suspected; each zone has relays of the target list of its own. Smaller fleets are as before.

--- a/crates/core/src/config_sync/options.rs
+++ b/crates/core/src/config_sync/options.rs
@@ -36,11 +36,14 @@
     pub max_direct_members: usize,
     /// Number of children of each instance in the push tree.
     pub fan_out: usize,
-    /// In fleets above `max_direct_members`, the number of instances that ask
-    /// the control replicas for confirmation, and the number that ask each
-    /// instance that relays confirmations. Three levels are enough for 33,000
-    /// instances; each level shortens the lease by up to `renew_interval`.
+    /// In fleets above `max_direct_members`, the largest number of instances
+    /// that ask each one that relays confirmations. A zone has as many relays
+    /// as the root of its size, so two levels are enough for 1,000 instances of
+    /// a zone; each level shortens the lease by up to `renew_interval`.
     pub confirm_fan_out: usize,
+    /// In fleets above `max_direct_members`, one in so many comparisons is
+    /// with a member of another zone.
+    pub compare_across: u32,
     /// Time for which a dead member still counts as part of the fleet.
     pub dead_member_retention: Duration,
     /// Number of members asked in one fallback round in fleets above
@@ -58,6 +61,8 @@
             max_direct_members: 32,
             fan_out: 16,
             confirm_fan_out: 32,
+            // Every zone still asks others several times a second.
+            compare_across: 8,
             dead_member_retention: Duration::from_secs(60),
             fleet_sample_size: 32,
         }
--- a/crates/core/src/config_sync/reducer.rs
+++ b/crates/core/src/config_sync/reducer.rs
@@ -9,6 +9,7 @@
     config_sync::{
         ConfigRecord, Message, SyncEffect, SyncEvent, SyncOptions,
         lease::{Answer, Fleet, Round},
+        tree::ZoneTree,
     },
     event::{EventKind, LogEvent, config as kinds},
     id::{ConfigVersion, InstanceId},
@@ -66,10 +67,9 @@
     pub(super) rng: Pcg32,
     pub(super) members: Vec<Member>,
     pub(super) fleet: Fleet,
-    /// Cached order of the tree along which confirmations are relayed; reset
-    /// when the members change. Sorting the members for each request costs
-    /// too much.
-    pub(super) confirmation_tree: Option<Vec<InstanceId>>,
+    /// Cached tree along which confirmations are relayed; reset when the
+    /// members change. Sorting the members for each request costs too much.
+    pub(super) confirmation_tree: Option<ZoneTree>,
     pub(super) own_replica: Option<OwnReplica>,
     pub(super) current: Option<Arc<ConfigRecord>>,
     /// The first control group that confirmed. Other groups are ignored from
--- a/crates/core/src/config_sync/rounds.rs
+++ b/crates/core/src/config_sync/rounds.rs
@@ -9,11 +9,11 @@
     config_sync::{
         Confirmation, Message, SyncOptions,
         lease::{Answer, Round, fleet_confirms},
-        tree,
+        tree::ZoneTree,
     },
     event::config as kinds,
     id::{ConfigVersion, InstanceId},
-    membership::MemberState,
+    membership::{Member, MemberState},
     time::Time,
 };
 
@@ -28,18 +28,13 @@
         let large = self.members.len() > self.options.max_direct_members;
         let mut targets = Vec::new();
         if large {
-            let members = &self.members;
-            let order = self
+            let (own_id, members) = (self.own_id, &self.members);
+            let tree = self
                 .confirmation_tree
-                .get_or_insert_with(|| tree::order(ConfigVersion(0), members));
+                .get_or_insert_with(|| ZoneTree::new(own_id, members));
             let fan_out = self.options.confirm_fan_out;
             let random = self.rng.random::<u32>() as usize;
-            targets = tree::confirmation_sources(
-                order,
-                fan_out,
-                self.own_id,
-                random,
-            );
+            targets = tree.sources(fan_out, own_id, random);
             // The second source only covers the time until a dead parent is
             // detected. Always asking it would double the load on that level.
             if !self.rng.random_ratio(1, 4) {
@@ -65,11 +60,11 @@
         }
         let relayed_only = relays && now >= self.ask_control_until;
         if !relayed_only {
-            let control = self.members.iter().filter(|x| {
-                x.replica.is_some()
-                    && self.group.is_none_or(|group| group == x.control_group)
-            });
-            targets.extend(control.map(|x| x.id));
+            let all = !large || is_overdue || !self.last_round_confirmed();
+            if relays {
+                targets.truncate(1);
+            }
+            targets.extend(self.control_members(all));
         }
         let mut fleet_queried = 0;
         if is_overdue && self.group.is_some() && self.fleet_query_due(now) {
@@ -113,6 +108,33 @@
         }
     }
 
+    /// Returns whether a control quorum has confirmed the last round to this
+    /// instance.
+    fn last_round_confirmed(&self) -> bool {
+        self.rounds.back().is_some_and(|x| x.quorum_confirmed)
+    }
+
+    /// Returns the members with a control replica that are asked to confirm:
+    /// all of them, or a majority, those in the own zone first.
+    fn control_members(&mut self, all: bool) -> Vec<InstanceId> {
+        let zone = self.member(self.own_id).map(|x| x.zone);
+        let mut control: Vec<&Member> = self
+            .members
+            .iter()
+            .filter(|x| {
+                x.replica.is_some()
+                    && self.group.is_none_or(|group| group == x.control_group)
+            })
+            .collect();
+        if !all {
+            let majority = control.len() / 2 + 1;
+            control.shuffle(&mut self.rng);
+            control.sort_by_key(|x| Some(x.zone) != zone);
+            control.truncate(majority);
+        }
+        control.into_iter().map(|x| x.id).collect()
+    }
+
     /// Returns the members that are asked in the fallback: all of them, or a
     /// sample of a large fleet. This instance is always among them, because it
     /// is counted as agreeing.
--- a/crates/core/src/config_sync/spread.rs
+++ b/crates/core/src/config_sync/spread.rs
@@ -110,18 +110,26 @@
         }
     }
 
+    /// Compares versions with a random member. In a large fleet that is mostly
+    /// one of the own zone: a version needs to cross into a zone only once.
     pub(super) fn send_compare(&mut self) {
-        let others = self.members.len().saturating_sub(1);
-        if others == 0 {
+        let zone = self.member(self.own_id).map(|x| x.zone);
+        let large = self.members.len() > self.options.max_direct_members;
+        let across = self.options.compare_across.max(1);
+        let near = large && !self.rng.random_ratio(1, across);
+        let others = || self.members.iter().filter(|x| x.id != self.own_id);
+        let mut candidates: Vec<InstanceId> = Vec::new();
+        if near {
+            let in_zone = others().filter(|x| Some(x.zone) == zone);
+            candidates.extend(in_zone.map(|x| x.id));
+        }
+        if candidates.is_empty() {
+            candidates.extend(others().map(|x| x.id));
+        }
+        if candidates.is_empty() {
             return;
         }
-        let at = self.rng.random_range(0..self.members.len());
-        // If this instance was drawn, the next one in order is used.
-        let at = match &self.members[at] {
-            x if x.id == self.own_id => (at + 1) % self.members.len(),
-            _ => at,
-        };
-        let to = self.members[at].id;
+        let to = candidates[self.rng.random_range(0..candidates.len())];
         self.last_sequence += 1;
         let sequence = self.last_sequence;
         let version = self.version();
--- a/crates/core/src/config_sync/tree.rs
+++ b/crates/core/src/config_sync/tree.rs
@@ -61,28 +61,57 @@
     &order[first..(first + fan_out).min(order.len())]
 }
 
-/// Returns the instances that `own_id` asks for a relayed confirmation: its
-/// parent, and another instance of the parent's level, drawn with `random`, in
-/// case the parent has failed. Empty for the instances that ask the control
-/// replicas themselves.
-pub(crate) fn confirmation_sources(
-    order: &[InstanceId],
-    fan_out: usize,
-    own_id: InstanceId,
-    random: usize,
-) -> Vec<InstanceId> {
-    let Some(at) = order.iter().position(|x| *x == own_id) else {
-        return Vec::new();
-    };
-    if at < fan_out {
-        return Vec::new();
+/// Instances of one zone in the order in which they pass confirmations on.
+///
+/// The first ones, the roots, ask the control replicas themselves, so that
+/// only their requests leave the zone. The replicas of the zone come first,
+/// because they ask the others in any case.
+#[derive(Clone, Debug)]
+pub(crate) struct ZoneTree {
+    order: Vec<InstanceId>,
+    roots: usize,
+}
+
+impl ZoneTree {
+    /// Builds the tree of the zone of `own_id`. An instance that is not a
+    /// member is its only root.
+    pub(crate) fn new(own_id: InstanceId, members: &[Member]) -> ZoneTree {
+        let own = members.binary_search_by_key(&own_id, |x| x.id);
+        let zone = own.ok().map(|at| members[at].zone);
+        let mut ranked: Vec<(bool, u64, InstanceId)> = members
+            .iter()
+            .filter(|x| Some(x.zone) == zone)
+            .map(|x| {
+                let weight = xxh3_64_with_seed(&x.id.0.to_le_bytes(), 0);
+                (x.replica.is_none(), weight, x.id)
+            })
+            .collect();
+        ranked.sort_unstable();
+        // The load of a relay and the number of relays grow alike.
+        let roots = ranked.len().isqrt();
+        ZoneTree { order: ranked.into_iter().map(|x| x.2).collect(), roots }
     }
-    // The parent of position `p` is at `p / fan_out - 1`.
-    let parent = at / fan_out - 1;
-    let (mut first, mut end) = (0, fan_out);
-    while end <= parent {
-        (first, end) = (end, (end + 1) * fan_out);
+
+    /// Returns the instances that `own_id` asks for a relayed confirmation: its
+    /// parent, and another instance of the parent's level, drawn with `random`,
+    /// in case the parent has failed. Empty for the roots.
+    pub(crate) fn sources(
+        &self,
+        fan_out: usize,
+        own_id: InstanceId,
+        random: usize,
+    ) -> Vec<InstanceId> {
+        let at = self.order.iter().position(|x| *x == own_id);
+        let Some(at) = at.filter(|at| *at >= self.roots) else {
+            return Vec::new();
+        };
+        // Levels grow by `fan_out`; a level's instances share the one before.
+        let (mut first, mut width) = (0, self.roots);
+        while at >= first + width + width * fan_out {
+            (first, width) = (first + width, width * fan_out);
+        }
+        let parent = first + (at - first - width) % width;
+        let alternate = first + random % width;
+        vec![self.order[parent], self.order[alternate]]
     }
-    let alternate = first + random % (end - first);
-    vec![order[parent], order[alternate]]
 }
--- a/crates/core/src/forward/directory.rs
+++ b/crates/core/src/forward/directory.rs
@@ -10,9 +10,10 @@
 if more did, all their calls would fail, and the list would stay old.
 
 In a small fleet, the others request the list from the reader. In a large one,
-the next instances in line are relays, from which the others request it. A reply
-holds what has changed since the list that the other side has, whose hash the
-request names.
+the first instances of each availability zone are relays, from which the others
+of the zone request it, so that a list enters each zone a few times only. A
+reply holds what has changed since the list that the other side has, whose hash
+the request names.
 
 The age of a list in a reply counts from the time at which the request was
 sent. Otherwise a message that a partition has delayed for seconds would be
@@ -213,6 +214,8 @@
     options: DirectoryOptions,
     /// The other live entry instances, sorted.
     peers: Vec<InstanceId>,
+    /// Those of them in the own zone, sorted.
+    zone_peers: Vec<InstanceId>,
     /// Start of the call in progress.
     call_started: Option<Time>,
     /// Time of the next fetch or request.
@@ -262,6 +265,7 @@
             own_id,
             options,
             peers: Vec::new(),
+            zone_peers: Vec::new(),
             call_started: None,
             next_at: Time::ZERO,
             needed_since: None,
@@ -288,9 +292,16 @@
         self
     }
 
-    /// Sets the other entry instances that are alive.
-    pub fn set_peers(&mut self, mut peers: Vec<InstanceId>) {
+    /// Sets the other entry instances that are alive, and those of them in the
+    /// own zone.
+    pub fn set_peers(
+        &mut self,
+        mut peers: Vec<InstanceId>,
+        mut zone_peers: Vec<InstanceId>,
+    ) {
         peers.sort_unstable();
+        zone_peers.sort_unstable();
+        self.zone_peers = zone_peers;
         if peers != self.peers {
             self.peers = peers;
             self.turn = 0;
@@ -388,31 +399,33 @@
 
     /// Returns the instance from which the list is requested next.
     fn source(&self) -> Option<InstanceId> {
-        let relays = self.relay_count();
-        let rank = self.rank();
-        let readers = self.peers.len().clamp(1, CANDIDATE_READERS);
         // Two relays are tried before the readers.
-        let at = if rank > relays && self.turn % 4 < 2 {
-            1 + (rank + self.turn) % relays.max(1)
-        } else {
-            self.turn % readers
-        };
+        if self.is_large() && !self.is_relay() && self.turn % 4 < 2 {
+            let rank = self.zone_rank();
+            let at = (rank + self.turn) % self.relay_count();
+            return self.zone_peers.get(at).copied();
+        }
+        let readers = self.peers.len().clamp(1, CANDIDATE_READERS);
+        let at = self.turn % readers;
         self.peers.get(at.min(self.peers.len().saturating_sub(1))).copied()
     }
 
-    /// Returns the number of relays: the instances after the designated reader
-    /// that request the list from it, while the others request it from them.
+    /// Returns the number of relays in the own zone of a large fleet.
     fn relay_count(&self) -> usize {
-        if !self.is_large() {
-            return self.peers.len();
-        }
-        self.peers.len().isqrt().max(CANDIDATE_READERS)
+        let instances = self.zone_peers.len() + 1;
+        instances.div_ceil(MAX_DIRECT_REQUESTERS).max(CANDIDATE_READERS)
     }
 
     /// Whether other instances request the list from this one, so that it
     /// needs the newest one sooner.
     fn is_relay(&self) -> bool {
-        self.is_large() && self.rank() <= self.relay_count()
+        self.is_large() && self.zone_rank() < self.relay_count()
+    }
+
+    /// Returns the number of instances of the own zone with a smaller
+    /// identifier.
+    fn zone_rank(&self) -> usize {
+        self.zone_peers.partition_point(|p| *p < self.own_id)
     }
 
     /// Returns the number of instances with a smaller identifier.
--- a/crates/core/src/forward/reducer.rs
+++ b/crates/core/src/forward/reducer.rs
@@ -173,7 +173,11 @@
             ForwardEvent::Lease(leased) => self.leased = leased,
             ForwardEvent::EndRequests => self.end_requests(now),
             ForwardEvent::Peers(peers, instances) => {
-                self.reader.set_peers(peers.iter().map(|p| p.id).collect());
+                let in_zone = peers.iter().filter(|p| p.zone == self.zone);
+                self.reader.set_peers(
+                    peers.iter().map(|p| p.id).collect(),
+                    in_zone.map(|p| p.id).collect(),
+                );
                 self.peers = peers;
                 self.targets.set_instances(instances);
             }
--- a/crates/core/src/membership/detect.rs
+++ b/crates/core/src/membership/detect.rs
@@ -3,12 +3,14 @@
 
 use std::time::Duration;
 
+use rand::RngExt;
+
 use super::reducer::{Membership, Suspicion};
 use crate::{
     event::membership as log,
     id::InstanceId,
     membership::{
-        MemberState, Message,
+        Member, MemberState, Message,
         probe::{Doubt, Probe, Relay},
     },
     time::Time,
@@ -128,8 +130,10 @@
     }
 
     pub(super) fn start_probe(&mut self, now: Time) {
+        let own = self.own_record();
+        let across = self.probes_across(&own);
         let members = self.table.members();
-        let target = self.order.next(self.own_id, members, &mut self.rng);
+        let target = self.order.next(&own, members, across, &mut self.rng);
         let Some(target) = target else { return };
         let sequence = self.next_sequence();
         self.probe = Some(Probe {
@@ -144,6 +148,29 @@
         self.ping(target, sequence);
     }
 
+    /// Returns whether the next probe goes to another zone; `None` if the zones
+    /// have no rounds of their own, because the fleet is small or too few
+    /// members of the own zone would watch each other.
+    fn probes_across(&mut self, own: &Member) -> Option<bool> {
+        let members = self.table.members();
+        let near = members
+            .iter()
+            .filter(|x| x.zone == own.zone && x.state != MemberState::Dead);
+        if members.len() <= self.options.max_uniform_members
+            || near.count() < self.options.min_zone_members
+        {
+            return None;
+        }
+        // A zone whose members are suspected may be gone as a whole, so its
+        // members are probed as often as in a small fleet.
+        let is_far =
+            |id| self.table.get(id).is_some_and(|x| x.zone != own.zone);
+        let doubted = self.suspicions.iter().any(|x| is_far(x.id))
+            || self.doubts.iter().any(|x| is_far(x.target));
+        let across = self.options.probe_across.max(1);
+        Some(doubted || self.rng.random_ratio(1, across))
+    }
+
     pub(super) fn check_probe(&mut self, now: Time) {
         let due = self.probe.take_if(|x| x.deadline <= now);
         let Some(mut probe) = due else { return };
--- a/crates/core/src/membership/options.rs
+++ b/crates/core/src/membership/options.rs
@@ -18,6 +18,15 @@
     /// Upper limit of both timeouts where answers take longer. Nine times the
     /// direct timeout, the longest of Lifeguard (section 8 of the design page).
     pub max_probe_timeout: Duration,
+    /// Largest fleet, in members, in which all members are probed alike. In
+    /// larger ones most probes stay in the zone.
+    pub max_uniform_members: usize,
+    /// Smallest number of members of a zone, this instance included, that
+    /// watch each other.
+    pub min_zone_members: usize,
+    /// In larger fleets, one in so many probes goes to another zone, unless a
+    /// member of another zone is suspected.
+    pub probe_across: u32,
     /// Number of members that are asked to probe indirectly.
     pub indirect_probes: usize,
     /// Time in which a suspect can refute before it is declared dead. Must be
@@ -64,6 +73,11 @@
             direct_timeout: Duration::from_millis(200),
             indirect_timeout: Duration::from_millis(200),
             max_probe_timeout: Duration::from_millis(1_800),
+            max_uniform_members: 32,
+            // Fewer may be lost together and leave nobody to notice it.
+            min_zone_members: 6,
+            // Each member is probed from other zones every second or two.
+            probe_across: 4,
             indirect_probes: 3,
             suspicion_timeout: Duration::from_secs(3),
             max_updates: 8,
--- a/crates/core/src/membership/probe.rs
+++ b/crates/core/src/membership/probe.rs
@@ -105,21 +105,31 @@
     pub(crate) expires: Time,
 }
 
-/// Round-robin over the members in a random order, which is shuffled again
+/// Order in which members are probed.
+///
+/// Members are probed round-robin in a random order, which is shuffled again
 /// after each round. This bounds the time until each member is probed, and
-/// keeps instances from probing the same members at the same time.
+/// keeps instances from probing the same members at the same time. In a large
+/// fleet, the members of the own zone and those of other zones have a round
+/// each, and most probes stay in the zone: its members watch each other, and
+/// the others only have to notice that the zone as a whole is gone.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ProbeOrder {
     /// Members not yet probed in this round; the last one is next.
-    remaining: Vec<InstanceId>,
+    near: Vec<InstanceId>,
+    /// The same for members of other zones, where they have a round of their
+    /// own.
+    far: Vec<InstanceId>,
 }
 
 impl ProbeOrder {
-    /// Returns the next member to probe.
+    /// Returns the next member to probe. `across` is `Some` if the zones have
+    /// rounds of their own, and says whether this probe goes to another zone.
     pub(crate) fn next(
         &mut self,
-        own_id: InstanceId,
+        own: &Member,
         members: &[Member],
+        across: Option<bool>,
         rng: &mut Pcg32,
     ) -> Option<InstanceId> {
         let live = |id: InstanceId| {
@@ -127,17 +137,26 @@
                 .binary_search_by_key(&id, |x| x.id)
                 .is_ok_and(|at| members[at].state != MemberState::Dead)
         };
+        let in_round = |x: &&Member| match across {
+            Some(across) => (x.zone != own.zone) == across,
+            None => true,
+        };
+        let remaining = match across {
+            Some(true) => &mut self.far,
+            _ => &mut self.near,
+        };
         for _ in 0..2 {
-            while let Some(id) = self.remaining.pop() {
+            while let Some(id) = remaining.pop() {
                 if live(id) {
                     return Some(id);
                 }
             }
             let others = members
                 .iter()
-                .filter(|x| x.id != own_id && x.state != MemberState::Dead);
-            self.remaining.extend(others.map(|x| x.id));
-            self.remaining.shuffle(rng);
+                .filter(|x| x.id != own.id && x.state != MemberState::Dead)
+                .filter(in_round);
+            remaining.extend(others.map(|x| x.id));
+            remaining.shuffle(rng);
         }
         None
     }
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -45,6 +45,8 @@
     pub membership_sent: (u64, u64),
     /// Messages and bytes sent by the configuration sync.
     pub sync_sent: (u64, u64),
+    /// Messages and bytes sent to other zones by both.
+    pub across_sent: (u64, u64),
     incarnation: u64,
     /// Messages that arrived while the node was frozen.
     inbox: Vec<(InstanceId, PeerMessage)>,
@@ -219,6 +221,7 @@
             member_changes: 0,
             membership_sent: (0, 0),
             sync_sent: (0, 0),
+            across_sent: (0, 0),
             incarnation,
             inbox: Vec::new(),
             wake: None,
@@ -478,6 +481,10 @@
         };
         sent.0 += 1;
         sent.1 += length;
+        if member(from, None).zone != member(to, None).zone {
+            node.across_sent.0 += 1;
+            node.across_sent.1 += length;
+        }
         let copies = 1 + u32::from(self.rng.random_bool(self.duplication));
         for _ in 0..copies {
             let lost = self.rng.random_bool(self.loss)
