Count messages to peers by kind and by zone

The metrics of messages between instances had a label for their protocol only, so that nobody could see which messages cross a zone's border. They now name the kind of message and whether the receiver is in the own zone. Clippy passes on the workspace; the test of the metrics page was not run on this commit alone.

--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -29,3 +29,63 @@
     /// Delegation of parts of forwarded requests to other instances.
     Shared(forward::shared::Message),
 }
+
+impl PeerMessage {
+    /// Returns the name of the protocol that the message belongs to, for
+    /// metrics.
+    pub fn class(&self) -> &'static str {
+        match self {
+            PeerMessage::Membership(_) => "membership",
+            PeerMessage::Consensus(_) => "consensus",
+            PeerMessage::Sync(_) => "sync",
+            PeerMessage::Query(_) => "query",
+            PeerMessage::Control(_) => "control",
+            PeerMessage::Directory(_) => "directory",
+            PeerMessage::Shared(_) => "shared",
+        }
+    }
+
+    /// Returns the name of the kind of message within its protocol, for
+    /// metrics; the same as the class where there is only one.
+    pub fn kind(&self) -> &'static str {
+        use config_sync::Message as Sync;
+        use forward::{directory::Message as List, shared::Message as Task};
+        use membership::Message as Member;
+        match self {
+            PeerMessage::Membership(message) => match message {
+                Member::Ping { .. } => "ping",
+                Member::Ack { .. } => "ack",
+                Member::PingRequest { .. } => "ping_request",
+                Member::Digest { .. } => "digest",
+                Member::Full { .. } => "full",
+                Member::Buckets { .. } => "buckets",
+                Member::Difference { .. } => "difference",
+            },
+            PeerMessage::Sync(message) => match message {
+                Sync::Compare { .. } => "compare",
+                Sync::Compared { .. } => "compared",
+                Sync::Pull { .. } => "pull",
+                Sync::Push(_) => "push",
+            },
+            PeerMessage::Directory(message) => match message {
+                List::Wanted { .. } => "wanted",
+                List::Reading { .. } => "reading",
+                List::Unchanged { .. } => "unchanged",
+                List::Changes { .. } => "changes",
+            },
+            PeerMessage::Shared(message) => match message {
+                Task::Ask(_) => "ask",
+                Task::Accepted(_) => "accepted",
+                Task::Confirm(_) => "confirm",
+                Task::Declined(_) => "declined",
+                Task::Part(_) => "part",
+                Task::Cancel { .. } => "cancel",
+            },
+            PeerMessage::Control(message) => match message {
+                control::Message::Request { .. } => "request",
+                control::Message::Reply { .. } => "reply",
+            },
+            PeerMessage::Consensus(_) | PeerMessage::Query(_) => self.class(),
+        }
+    }
+}
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -583,6 +583,11 @@
         }
     }
 
+    /// Returns whether a member is in the availability zone of this instance.
+    pub fn is_in_own_zone(&self, id: InstanceId) -> bool {
+        self.member(id).is_some_and(|m| m.zone == self.own_member.zone)
+    }
+
     fn member(&self, id: InstanceId) -> Option<&Member> {
         let members = self.membership.members();
         let i = members.binary_search_by_key(&id, |m| m.id).ok()?;
--- a/src/daemon/effects.rs
+++ b/src/daemon/effects.rs
@@ -69,7 +69,8 @@
         message: &PeerMessage,
     ) {
         if let Some(size) = self.peers.send(to, address, message) {
-            self.metrics.record_peer_message(class_name(message), size);
+            let near = self.node.is_in_own_zone(to);
+            self.metrics.record_peer_message(message, near, size);
         }
     }
 
@@ -110,16 +111,3 @@
         }
     }
 }
-
-/// Returns the class of a message, a label of the peer metrics.
-fn class_name(message: &PeerMessage) -> &'static str {
-    match message {
-        PeerMessage::Membership(_) => "membership",
-        PeerMessage::Consensus(_) => "consensus",
-        PeerMessage::Sync(_) => "sync",
-        PeerMessage::Query(_) => "query",
-        PeerMessage::Control(_) => "control",
-        PeerMessage::Directory(_) => "directory",
-        PeerMessage::Shared(_) => "shared",
-    }
-}
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -9,6 +9,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use primrosemast_core::{
     event::LogEvent,
+    message::PeerMessage,
     query::{CallerResponse, FailureReason},
 };
 use prometheus::{Encoder, Registry, TextEncoder};
@@ -183,15 +184,21 @@
         self.target_connections.add(1, &[]);
     }
 
-    /// Records a message that was sent to another instance.
+    /// Records a message that was sent to another instance; `near` says
+    /// whether it is in the own zone.
     pub(crate) fn record_peer_message(
         &self,
-        class: &'static str,
+        message: &PeerMessage,
+        near: bool,
         bytes: usize,
     ) {
-        let class = [KeyValue::new("class", class)];
-        self.peer_messages.add(1, &class);
-        self.peer_bytes.add(bytes as u64, &class);
+        let labels = [
+            KeyValue::new("class", message.class()),
+            KeyValue::new("kind", message.kind()),
+            KeyValue::new("zone", if near { "own" } else { "other" }),
+        ];
+        self.peer_messages.add(1, &labels);
+        self.peer_bytes.add(bytes as u64, &labels);
     }
 
     /// Records a log event.
