Wait longer for answers while the fleet lacks processor time

Cause: a step more than 0.7 s after the last one counts as a pause of this instance, and a pause dropped the probes whose answers were measured. An instance whose timers are late therefore never learnt how long answers take, and suspected each member 1.8 s after its probe. A refutation, and the return of a member declared dead, is pushed to three members, and so on.

Change: probes that were sent before a pause stay measured, but count only for the median of the last five round trips. The probe timeouts are at least that median and twice the lateness of this instance's own timers, up to 20 s, and the extension of a suspicion follows them. One or two members that were suspended do not move the median, and in a partition nobody answers, so detection stays as it was there (after Lifeguard's local health, see section 8 of the design page).

membership::a_starved_fleet_keeps_up_no_storm failed before (44,243 changes, bound 14,112). All tests of primrosemast-core pass, among them the bounds on detection in calm and on a busy machine. a_lost_member_is_noticed_once_a_starved_fleet_has_recovered, new, passes before and after.

--- a/crates/core/src/membership/detect.rs
+++ b/crates/core/src/membership/detect.rs
@@ -14,6 +14,10 @@
     time::Time,
 };
 
+/// Share of the estimate, as a divisor, by which the estimated lateness of
+/// this instance's timers falls with each probe.
+const TIMER_LAG_DECAY_DIVISOR: u32 = 4;
+
 /// Maximum number of probes in flight on behalf of other instances.
 const MAX_RELAYS: usize = 64;
 
@@ -95,13 +99,12 @@
             .collect();
         for suspicion in due {
             let id = suspicion.id;
+            // The suspicion and its refutation each take as long as a probe.
             let late = 2 * self.stretched(Duration::ZERO);
-            if suspicion.deadline <= now && !suspicion.extended {
-                // The suspicion and its refutation each take as long as a
-                // probe.
+            if suspicion.deadline <= now && suspicion.extension < late {
                 for x in self.suspicions.iter_mut().filter(|x| x.id == id) {
-                    x.deadline += late;
-                    x.extended = true;
+                    x.deadline += late - suspicion.extension;
+                    x.extension = late;
                 }
             }
             let due = |x: &Suspicion| x.id == id && x.deadline <= now;
@@ -123,14 +126,19 @@
 
     /// Returns `base`, or a longer timeout if answers usually take longer.
     fn stretched(&self, base: Duration) -> Duration {
-        let usual = self.round_trips.estimate();
-        base.max(usual.min(self.options.max_probe_timeout))
+        let usual =
+            self.round_trips.estimate().min(self.options.max_probe_timeout);
+        // The other instances lack processor time as well, and a probe waits
+        // at both ends.
+        let starved = self.round_trips.median().max(2 * self.timer_lag);
+        base.max(usual).max(starved.min(self.options.max_starved_timeout))
     }
 
     pub(super) fn start_probe(&mut self, now: Time) {
         let members = self.table.members();
         let target = self.order.next(self.own_id, members, &mut self.rng);
         let Some(target) = target else { return };
+        self.timer_lag -= self.timer_lag / TIMER_LAG_DECAY_DIVISOR;
         let sequence = self.next_sequence();
         self.probe = Some(Probe {
             target,
@@ -182,7 +190,7 @@
                     id,
                     deadline,
                     retry,
-                    extended: false,
+                    extension: Duration::ZERO,
                 });
             }
             _ => {}
@@ -210,12 +218,24 @@
         }
     }
 
+    /// Notes by how much the timer that is due next is late. The estimate
+    /// rises at once, and falls with each probe.
+    fn note_timer_lag(&mut self, now: Time) {
+        if self.last_step.is_none() {
+            return;
+        }
+        let due = self.next_deadline().unwrap_or(now);
+        let lag = now.since(due).min(self.options.suspicion_timeout);
+        self.timer_lag = self.timer_lag.max(lag);
+    }
+
     /// Discards the probe in flight and extends suspicions if this instance
     /// did not run for longer than a probe interval and the direct timeout:
     /// answers that arrived in the meantime were not read. After a pause that
     /// exceeds the suspicion timeout, other instances may consider this one
     /// dead, so its incarnation is raised.
     pub(super) fn check_gap(&mut self, now: Time) {
+        self.note_timer_lag(now);
         let Some(last) = self.last_step.replace(now) else {
             self.start_timers(now);
             return;
@@ -228,7 +248,7 @@
         }
         self.probe = None;
         self.doubts.clear();
-        self.round_trips.clear();
+        self.round_trips.interrupt();
         for suspicion in &mut self.suspicions {
             suspicion.deadline += gap;
         }
--- a/crates/core/src/membership/options.rs
+++ b/crates/core/src/membership/options.rs
@@ -18,6 +18,9 @@
     /// Upper limit of both timeouts where answers take longer. Nine times the
     /// direct timeout, the longest of Lifeguard (section 8 of the design page).
     pub max_probe_timeout: Duration,
+    /// Upper limit of both timeouts while most answers, or the timers of this
+    /// instance, are late: then the fleet lacks processor time.
+    pub max_starved_timeout: Duration,
     /// Number of members that are asked to probe indirectly.
     pub indirect_probes: usize,
     /// Time in which a suspect can refute before it is declared dead. Must be
@@ -64,6 +67,7 @@
             direct_timeout: Duration::from_millis(200),
             indirect_timeout: Duration::from_millis(200),
             max_probe_timeout: Duration::from_millis(1_800),
+            max_starved_timeout: Duration::from_secs(20),
             indirect_probes: 3,
             suspicion_timeout: Duration::from_secs(3),
             max_updates: 8,
--- a/crates/core/src/membership/probe.rs
+++ b/crates/core/src/membership/probe.rs
@@ -27,37 +27,57 @@
 }
 
 /// Number of probes whose late answers are still measured. At the shortest
-/// interval between probes they cover four seconds.
-const MAX_MEASURED: usize = 8;
+/// interval between probes they cover 16 seconds.
+const MAX_MEASURED: usize = 32;
+
+/// Number of the last answers whose median is taken. Up to two members that
+/// were suspended do not change it.
+const RECENT_ANSWERS: usize = 5;
 
 /// Share of the difference, as a divisor, by which a shorter round trip lowers
 /// the estimate (the gain of RFC 6298). A longer one raises it at once.
 const DECAY_DIVISOR: u32 = 8;
 
+/// A direct probe without an answer.
+#[derive(Clone, Copy, Debug)]
+struct Sent {
+    sequence: u64,
+    target: InstanceId,
+    at: Time,
+    /// Whether this instance paused meanwhile, so that the answer may have
+    /// waited unread.
+    interrupted: bool,
+}
+
 /// Estimate of the longest usual round trip of a probe, late ones included.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RoundTrips {
-    /// Direct probes without an answer, oldest first.
-    sent: VecDeque<(u64, InstanceId, Time)>,
+    /// Oldest first.
+    sent: VecDeque<Sent>,
     estimate: Duration,
+    /// Round trips of the last answers, oldest first.
+    recent: VecDeque<Duration>,
 }
 
 impl RoundTrips {
     /// Notes a direct probe.
     pub(crate) fn sent(
         &mut self,
-        now: Time,
+        at: Time,
         sequence: u64,
         target: InstanceId,
     ) {
         if self.sent.len() >= MAX_MEASURED {
             self.sent.pop_front();
         }
-        self.sent.push_back((sequence, target, now));
+        let interrupted = false;
+        self.sent.push_back(Sent { sequence, target, at, interrupted });
     }
 
     /// Notes the answer to a direct probe, however late it is, and returns its
-    /// round trip, which is taken to be `limit` at most.
+    /// round trip, which is taken to be `limit` at most. If this instance
+    /// paused meanwhile, the round trip is not that of the member, and counts
+    /// for the median only.
     pub(crate) fn answered(
         &mut self,
         now: Time,
@@ -65,25 +85,42 @@
         from: InstanceId,
         limit: Duration,
     ) -> Option<Duration> {
-        let is_this =
-            |x: &(u64, InstanceId, Time)| (x.0, x.1) == (sequence, from);
-        let at = self.sent.iter().position(is_this)?;
-        let (_, _, sent) = self.sent.remove(at)?;
-        let sample = now.since(sent).min(limit);
+        let is_this = |x: &Sent| (x.sequence, x.target) == (sequence, from);
+        let position = self.sent.iter().position(is_this)?;
+        let Sent { at, interrupted, .. } = self.sent.remove(position)?;
+        let sample = now.since(at);
+        if self.recent.len() >= RECENT_ANSWERS {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(sample);
+        if interrupted {
+            return None;
+        }
+        let sample = sample.min(limit);
         let above = self.estimate.saturating_sub(sample);
         self.estimate = sample.max(self.estimate - above / DECAY_DIVISOR);
         Some(sample)
     }
 
-    /// Drops the probes without an answer, whose answers may have waited
-    /// unread.
-    pub(crate) fn clear(&mut self) {
-        self.sent.clear();
+    /// Notes that this instance paused.
+    pub(crate) fn interrupt(&mut self) {
+        self.sent.iter_mut().for_each(|x| x.interrupted = true);
     }
 
     pub(crate) fn estimate(&self) -> Duration {
         self.estimate
     }
+
+    /// Returns the median of the last round trips, which is long only if most
+    /// members answer late.
+    pub(crate) fn median(&self) -> Duration {
+        if self.recent.len() < RECENT_ANSWERS {
+            return Duration::ZERO;
+        }
+        let mut sorted: Vec<Duration> = self.recent.iter().copied().collect();
+        sorted.sort_unstable();
+        sorted[RECENT_ANSWERS / 2]
+    }
 }
 
 /// A failed probe that does not yet count: this instance may be the slow one.
--- a/crates/core/src/membership/records.rs
+++ b/crates/core/src/membership/records.rs
@@ -107,7 +107,7 @@
                 id,
                 deadline: now + self.options.suspicion_timeout,
                 retry: None,
-                extended: false,
+                extension: Duration::ZERO,
             });
         }
         if let Some(local_state) = self.table.local_state_mut(id)
--- a/crates/core/src/membership/reducer.rs
+++ b/crates/core/src/membership/reducer.rs
@@ -32,8 +32,8 @@
     /// When the suspect is probed again; set only on the instance that raised
     /// the suspicion.
     pub(super) retry: Option<Time>,
-    /// Whether the deadline was moved because answers take long.
-    pub(super) extended: bool,
+    /// Time by which the deadline was moved because answers take long.
+    pub(super) extension: Duration,
 }
 
 /// Failure detection and dissemination on one instance.
@@ -53,6 +53,8 @@
     pub(super) seed_addresses: Vec<SocketAddr>,
     pub(super) sequence: u64,
     pub(super) last_step: Option<Time>,
+    /// Usual time by which timers of this instance are late.
+    pub(super) timer_lag: Duration,
     pub(super) next_probe: Time,
     pub(super) next_digest: Time,
     pub(super) next_rejoin: Time,
@@ -90,6 +92,7 @@
             // restart of this instance from matching.
             sequence: rng.random::<u32>().into(),
             last_step: None,
+            timer_lag: Duration::ZERO,
             next_probe: Time::ZERO,
             next_digest: Time::ZERO,
             next_rejoin: Time::ZERO,
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -368,3 +368,67 @@
     };
     assert!(net.run_until(secs(12), dead));
 }
+
+/// Guards against a storm of suspicions and refutations in a fleet whose
+/// processes wait seconds for a processor, so that timers and messages are
+/// late: the storm takes the processor time that the processes lack.
+#[test]
+fn a_starved_fleet_keeps_up_no_storm() {
+    const SIZE: u64 = 84;
+    const LATE: (u64, u64) = (500_000, 8_000_000);
+    for (seed, timer_delay_us) in
+        [(1, (0, 2_000_000)), (2, (0, 2_000_000)), (3, LATE), (4, LATE)]
+    {
+        let mut net = joined(seed, SIZE as usize);
+        let (_, before) = totals(&net);
+        net.run(secs(10));
+        let calm = totals(&net);
+        net.delay_us = LATE;
+        net.timer_delay_us = timer_delay_us;
+        net.run(secs(60));
+        let starved = totals(&net);
+        // No member changes. One suspicion of each member and its refutation
+        // are allowed, which every instance sees.
+        let changes = starved.0 - calm.0;
+        let (usual, sent) = (6 * (calm.1 - before), starved.1 - calm.1);
+        println!("seed {seed}: {changes} changes, {sent} messages");
+        assert!(changes <= 2 * SIZE * SIZE, "{changes} changes");
+        // The intervals between probes do not depend on the delays. Some are
+        // repeated through other members.
+        assert!(sent <= 2 * usual, "{sent} messages, usually {usual}");
+        let dead = net.nodes.iter().map(|x| x.observed_dead.len());
+        assert_eq!(dead.sum::<usize>(), 0, "live members are dead");
+        net.delay_us = (500, 1_000);
+        net.timer_delay_us = (0, 0);
+        // The last late messages arrive.
+        net.run(secs(10));
+        assert!(net.run_until(secs(12), Net::all_alive));
+        let end = totals(&net);
+        net.run(secs(10));
+        assert!(totals(&net).0 - end.0 <= SIZE, "the storm goes on");
+    }
+}
+
+/// Guards against a member that crashed while the fleet lacked processor time,
+/// or right after, and that stays a home for longer than the bound on recovery
+/// once messages are on time.
+#[test]
+fn a_lost_member_is_noticed_once_a_starved_fleet_has_recovered() {
+    for seed in 1..=4 {
+        let mut net = joined(seed, 84);
+        net.delay_us = (500_000, 8_000_000);
+        net.timer_delay_us = (0, 2_000_000);
+        net.run(secs(30));
+        net.crash(82);
+        net.run(secs(5));
+        net.delay_us = (500, 1_000);
+        net.timer_delay_us = (0, 0);
+        // The last late messages arrive.
+        net.run(secs(8));
+        net.crash(83);
+        let dead = |net: &Net| {
+            [82, 83].iter().all(|&x| net.all_observe(x, MemberState::Dead))
+        };
+        assert!(net.run_until(secs(12), dead), "seed {seed}");
+    }
+}
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -48,7 +48,9 @@
     incarnation: u64,
     /// Messages that arrived while the node was frozen.
     inbox: Vec<(InstanceId, PeerMessage)>,
-    /// When the node's next tick is scheduled.
+    /// Deadline for which the node's next tick is scheduled.
+    due: Option<Time>,
+    /// When the node's next tick is scheduled, late or not.
     wake: Option<Time>,
 }
 
@@ -77,6 +79,8 @@
     pub duplication: f64,
     /// Range of the delivery delay.
     pub delay_us: (u64, u64),
+    /// Range of the time by which timers are late.
+    pub timer_delay_us: (u64, u64),
     /// Encoded length of a message. If set, bytes sent and processing time
     /// are measured.
     pub message_len: Option<fn(&PeerMessage) -> usize>,
@@ -160,6 +164,7 @@
             loss: 0.0,
             duplication: 0.0,
             delay_us: (500, 1_000),
+            timer_delay_us: (0, 0),
             message_len: None,
             drop_filter: |_| false,
             membership_time: Duration::ZERO,
@@ -221,6 +226,7 @@
             sync_sent: (0, 0),
             incarnation,
             inbox: Vec::new(),
+            due: None,
             wake: None,
         }
     }
@@ -369,6 +375,7 @@
                 QueueItem::Wake(index) => {
                     let node = &self.nodes[index];
                     if node.wake == Some(self.now) && !node.frozen && node.up {
+                        self.nodes[index].due = None;
                         self.tick(index);
                     }
                 }
@@ -502,10 +509,16 @@
         let deadlines =
             [node.membership.next_deadline(), node.sync.next_deadline()];
         let next = deadlines.into_iter().flatten().min();
-        if node.wake != next {
-            node.wake = next;
+        if node.due != next {
+            node.due = next;
+            node.wake = None;
             if let Some(at) = next {
-                let at = at.max(self.now);
+                let (low, high) = self.timer_delay_us;
+                let late = match high {
+                    0 => 0,
+                    _ => self.rng.random_range(low..=high),
+                };
+                let at = at.max(self.now) + Duration::from_micros(late);
                 self.nodes[index].wake = Some(at);
                 self.enqueue(at, QueueItem::Wake(index));
             }
