Take the median of round trips from three answers on

After a start an instance has no answers yet, and with five of them needed it suspected members for longer. The tests of membership pass with the same figures as before.

--- a/crates/core/src/membership/probe.rs
+++ b/crates/core/src/membership/probe.rs
@@ -34,6 +34,10 @@
 /// were suspended do not change it.
 const RECENT_ANSWERS: usize = 5;
 
+/// Smallest number of answers whose median is taken, after the start. One
+/// member that was suspended does not change it.
+const MIN_RECENT_ANSWERS: usize = 3;
+
 /// Share of the difference, as a divisor, by which a shorter round trip lowers
 /// the estimate (the gain of RFC 6298). A longer one raises it at once.
 const DECAY_DIVISOR: u32 = 8;
@@ -114,12 +118,12 @@
     /// Returns the median of the last round trips, which is long only if most
     /// members answer late.
     pub(crate) fn median(&self) -> Duration {
-        if self.recent.len() < RECENT_ANSWERS {
+        if self.recent.len() < MIN_RECENT_ANSWERS {
             return Duration::ZERO;
         }
         let mut sorted: Vec<Duration> = self.recent.iter().copied().collect();
         sorted.sort_unstable();
-        sorted[RECENT_ANSWERS / 2]
+        sorted[sorted.len() / 2]
     }
 }
 
