--- a/crates/core/src/membership/options.rs
+++ b/crates/core/src/membership/options.rs
@@ -18,6 +18,9 @@
     /// Upper limit of both timeouts where answers take longer. Nine times the
     /// direct timeout, the longest of Lifeguard (section 8 of the design page).
     pub max_probe_timeout: Duration,
+    /// Upper limit of both timeouts while most answers, or the timers of this
+    /// instance, are late: then the fleet lacks processor time.
+    pub max_starved_timeout: Duration,
     /// Largest fleet, in members, in which all members are probed alike. In
     /// larger ones most probes stay in the zone.
     pub max_uniform_members: usize,
@@ -73,6 +76,7 @@
             direct_timeout: Duration::from_millis(200),
             indirect_timeout: Duration::from_millis(200),
             max_probe_timeout: Duration::from_millis(1_800),
+            max_starved_timeout: Duration::from_secs(20),
             max_uniform_members: 32,
             // Fewer may be lost together and leave nobody to notice it.
             min_zone_members: 6,
