Bound the use of a withdrawn key

Cause: an instance that a new table does not reach keeps its lease by a majority of the fleet, so it could run requests with a withdrawn key for as long as it is cut off from the control group. Roots and delegates check it on their own; a task carries the position of the key in the table, not the key. Shards that wait with a key that a new table withdraws are given up.

--- a/crates/core/src/config_sync/reducer.rs
+++ b/crates/core/src/config_sync/reducer.rs
@@ -227,6 +227,11 @@
         self.confirmed_at.map(|at| now.since(at))
     }
 
+    /// Returns the time of the request that a control quorum last confirmed.
+    pub fn confirmed_at(&self) -> Option<Time> {
+        self.confirmed_at
+    }
+
     pub(super) fn log_event(
         &mut self,
         kind: &'static EventKind,
--- a/crates/core/src/event/forward.rs
+++ b/crates/core/src/event/forward.rs
@@ -18,5 +18,7 @@
     DIRECTORY_FAILED = (721, Warn, "The platform's list could not be read. The last reading stays in use.");
     TABLE_INSTALLED = (730, Info, "A forwarding table came into force.");
     TABLE_REJECTED = (731, Error, "A forwarding table is invalid and was not installed.");
+    KEYS_CONFIRMED = (733, Warn, "Requests with a key are refused because no control quorum confirms that the keys are still in use, or this has ended.");
+    KEYS_WITHDRAWN = (734, Info, "A forwarding table withdrew the keys of requests in flight. Their shards that were not sent are given up.");
     ZONES_OUT_CHANGED = (732, Info, "The availability zones that this instance sends nothing to have changed.");
 }
--- a/crates/core/src/forward/delegate.rs
+++ b/crates/core/src/forward/delegate.rs
@@ -286,6 +286,7 @@
     ) {
         let options = self.options.delegate.clone();
         let number = self.task_number(token);
+        let key = self.request(token).and_then(|r| self.key_position(r));
         let Some(request) = self.request_mut(token) else { return };
         for &shard in shards {
             request.shards[shard].progress = Progress::Delegated(to);
@@ -309,6 +310,7 @@
             shards: shards.iter().map(|&s| s as u16).collect(),
             remaining_us: remaining_us(request.hard_deadline),
             soft_us: remaining_us(request.soft_deadline),
+            key,
         };
         if self.options.log_debug {
             let detail = format!(
@@ -321,6 +323,14 @@
         self.out.push(ForwardEffect::SendTask { token, to, task });
     }
 
+    /// Returns the position of the key of a request for a delegate that has
+    /// the revision of its route. Without it the delegate declines the task.
+    fn key_position(&self, request: &Request) -> Option<u32> {
+        let same_table = self.table.revision == request.route.revision;
+        let caller = request.caller.filter(|_| same_table)?;
+        self.table.position_of_key(&caller.key)
+    }
+
     /// Reclaims the shards of delegates that have not acknowledged in time.
     pub(super) fn check_delegates(&mut self, now: Time, token: Token) {
         let Some(request) = self.request(token) else { return };
@@ -518,8 +528,13 @@
                 |&s: &u16| route.services.get(usize::from(s)).copied();
             task.shards.iter().map(service).collect::<Option<Vec<ServiceId>>>()
         });
-        let (Ok(()), Some(route), Some(services)) =
-            (self.check_admission(), route, services)
+        let caller = task.key.and_then(|at| self.keyed_caller(at));
+        let needs_key =
+            route.as_ref().is_some_and(|r| self.table.needs_key(r));
+        let may_send = needs_key == caller.is_some()
+            && self.check_key(now, caller).is_ok();
+        let (Ok(()), true, Some(route), Some(services)) =
+            (self.check_admission(), may_send, route, services)
         else {
             let message = Message::Declined(number);
             self.out.push(ForwardEffect::SendShared(from, message));
@@ -543,6 +558,8 @@
                 delegations: Vec::new(),
                 confirmed: false,
                 next_check: now,
+                priority: self.table.priority(&route, caller.map(|c| c.team)),
+                caller,
                 route,
             },
             None,
--- a/crates/core/src/forward/finish.rs
+++ b/crates/core/src/forward/finish.rs
@@ -30,7 +30,12 @@
             (request.answered_shards(), request.pending_shards());
         let required = request.route.required_shards();
         if answered + pending < required {
-            self.fail(now, token, Reason::TargetFailed);
+            let reason = if self.is_withdrawn(request.caller) {
+                Reason::UnknownKey
+            } else {
+                Reason::TargetFailed
+            };
+            self.fail(now, token, reason);
         } else if pending == 0
             || (now >= request.soft_deadline && answered >= required)
         {
@@ -121,7 +126,9 @@
         } else {
             Verdict::NotRun
         };
-        self.reject(token, reason, verdict, Some(RETRY_AFTER));
+        let retry_after =
+            (reason != Reason::UnknownKey).then_some(RETRY_AFTER);
+        self.reject(token, reason, verdict, retry_after);
     }
 
     /// Removes a request and schedules the cancellation of its attempts. The
@@ -156,7 +163,8 @@
         let refused: u32 = request.shards.iter().map(|s| s.refused).sum();
         let mut detail = format!(
             "request={} route={} took_ms={} objective_ms={} shards={} \
-             answered={} sent={sent} refused={refused} version={}{extra}",
+             answered={} sent={sent} refused={refused} version={} \
+             priority={}{extra}",
             request.id,
             route.name,
             now.since(request.started).as_millis(),
@@ -164,6 +172,7 @@
             request.shards.len(),
             request.answered_shards(),
             self.version,
+            request.priority,
         );
         let unanswered = request
             .shards
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -18,6 +18,7 @@
 pub mod delegate;
 pub mod directory;
 mod finish;
+pub mod keys;
 pub mod latency;
 pub mod merge;
 mod options;
@@ -44,6 +45,7 @@
     id::{
         AttemptId, ConfigVersion, InstanceId, TargetId, TeamId, Token, ZoneId,
     },
+    time::Time,
     verdict::Verdict,
 };
 
@@ -79,6 +81,9 @@
     Unreachable,
     /// The connection failed after the request was sent.
     Broken,
+    /// The time by which the request had to be written had passed; nothing was
+    /// sent.
+    Withheld,
 }
 
 impl Outcome {
@@ -91,6 +96,7 @@
             Outcome::Replaced => "replaced",
             Outcome::Unreachable => "unreachable",
             Outcome::Broken => "broken",
+            Outcome::Withheld => "withheld",
         }
     }
 }
@@ -118,6 +124,9 @@
     /// Whether this instance holds its lease, without which its configuration
     /// may be outdated.
     Lease(bool),
+    /// A control quorum has confirmed that no configuration newer than the one
+    /// in force was accepted before this time.
+    Confirmed(Time),
     /// The process is about to exit; every request gets its response now.
     EndRequests,
     /// The other live entry instances, and the number of instances that share
@@ -226,6 +235,9 @@
     /// Whether the request was charged to the budget for extra requests, as a
     /// retry, a hedge, or an attempt after a delegate may have sent the shard.
     pub extra: bool,
+    /// Time by which the request must be written to its connection, if there
+    /// is a limit.
+    pub write_by: Option<Time>,
 }
 
 /// Output of the reducer.
--- a/crates/core/src/forward/options.rs
+++ b/crates/core/src/forward/options.rs
@@ -4,7 +4,7 @@
 
 use super::{
     budget::BudgetOptions, delegate::DelegateOptions,
-    directory::DirectoryOptions, targets::SelectionOptions,
+    directory::DirectoryOptions, keys::KeyOptions, targets::SelectionOptions,
 };
 
 /// Options of the forwarding path.
@@ -21,6 +21,8 @@
     pub delegate: DelegateOptions,
     /// Options of the selection of targets.
     pub selection: SelectionOptions,
+    /// Options of requests with a key.
+    pub keys: KeyOptions,
     /// Largest number of requests and tasks in flight.
     pub max_in_flight: usize,
     /// Time to merge a response and send it to the caller. From this long
@@ -55,6 +57,7 @@
             directory: DirectoryOptions::default(),
             delegate: DelegateOptions::default(),
             selection: SelectionOptions::default(),
+            keys: KeyOptions::default(),
             max_in_flight: 400,
             // 3 ms each way to the caller, and the merge on a quarter of a
             // core.
--- a/crates/core/src/forward/reducer.rs
+++ b/crates/core/src/forward/reducer.rs
@@ -67,6 +67,11 @@
     /// Whether this instance holds its lease. While it shuts down, it still
     /// completes requests that it has accepted.
     pub(super) leased: bool,
+    /// Time of the request that a control quorum last confirmed.
+    pub(super) confirmed_at: Option<Time>,
+    /// Whether requests with a key were refused for lack of a confirmation
+    /// since the last one.
+    pub(super) refuses_keys: bool,
     /// Effects of the current step.
     pub(super) out: Vec<ForwardEffect>,
 }
@@ -104,6 +109,8 @@
             task_offset,
             serving: false,
             leased: false,
+            confirmed_at: None,
+            refuses_keys: false,
             out: Vec::new(),
             options,
         }
@@ -168,9 +175,11 @@
                 self.version = version;
                 self.targets.set_zones_out(now, zones_out);
                 self.table = table;
+                self.end_withdrawn(now);
             }
             ForwardEvent::Serving(serving) => self.serving = serving,
             ForwardEvent::Lease(leased) => self.leased = leased,
+            ForwardEvent::Confirmed(at) => self.record_confirmation(now, at),
             ForwardEvent::EndRequests => self.end_requests(now),
             ForwardEvent::Peers(peers, instances) => {
                 self.reader.set_peers(peers.iter().map(|p| p.id).collect());
@@ -336,7 +345,7 @@
         shard.open = shard.open.saturating_sub(1);
         match outcome {
             Outcome::Refused | Outcome::Replaced => shard.refused += 1,
-            Outcome::Unreachable => {
+            Outcome::Unreachable | Outcome::Withheld => {
                 shard.refused += 1;
                 if attempt.extra {
                     let service = shard.service;
@@ -407,6 +416,7 @@
             Outcome::Failure | Outcome::Broken => {
                 self.record_failure(now, target, Failure::Answered);
             }
+            Outcome::Withheld => {}
         }
     }
 
--- a/crates/core/src/forward/request.rs
+++ b/crates/core/src/forward/request.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{delegate::Delegation, table::CompiledRoute};
+use super::{delegate::Delegation, keys::KeyedCaller, table::CompiledRoute};
 use crate::{
     id::{AttemptId, InstanceId, ServiceId, TargetId, Token},
     time::Time,
@@ -98,6 +98,11 @@
     pub(super) id: Arc<str>,
     pub(super) origin: Origin,
     pub(super) route: Arc<CompiledRoute>,
+    /// `None` if the route needs no key.
+    pub(super) caller: Option<KeyedCaller>,
+    /// Priority of the team or, if it sets none, of the route; 0 is the most
+    /// urgent.
+    pub(super) priority: u32,
     pub(super) started: Time,
     /// Time from which a response with enough shards is sent at once.
     pub(super) soft_deadline: Time,
--- a/crates/core/src/forward/send.rs
+++ b/crates/core/src/forward/send.rs
@@ -9,6 +9,7 @@
     ForwardEffect, Forwarder, Reason, Submission, TargetRequest,
     attempts::Attempt,
     delegate::Assignment,
+    keys::KeyedCaller,
     request::{Origin, Progress, Request, Shard},
     table::{CompiledRoute, Destination},
     targets::{TargetTable, Unavailable},
@@ -37,9 +38,17 @@
         token: Token,
         submission: Submission,
     ) {
-        let Submission { request_id, route, remaining, .. } = submission;
-        if let Err(reason) = self.check_admission() {
-            let retry_after = Some(NOT_SERVING_RETRY_AFTER);
+        let Submission { request_id, route, remaining, team, key } =
+            submission;
+        let caller = key.zip(team);
+        let caller = caller.map(|(key, team)| KeyedCaller { key, team });
+        let key = self.check_key(now, caller).map(|_| ());
+        if let Err(reason) = self.check_admission().and(key) {
+            if reason == Reason::KeyNotConfirmed {
+                self.record_unconfirmed(now);
+            }
+            let retry_after = (reason != Reason::UnknownKey)
+                .then_some(NOT_SERVING_RETRY_AFTER);
             self.refuse(token, &request_id, &route, reason, retry_after);
             return;
         }
@@ -67,6 +76,8 @@
                 token,
                 id: request_id,
                 origin: Origin::Caller,
+                priority: self.table.priority(&route, team),
+                caller,
                 route,
                 started: now,
                 soft_deadline: soft_deadline.min(hard_deadline),
@@ -236,7 +247,7 @@
     ///
     /// The lease may have ended since the request was admitted. The zones and
     /// the table are then possibly outdated, so nothing is sent until it is
-    /// renewed.
+    /// renewed. The same holds for the key of the caller.
     pub(super) fn send_attempt(
         &mut self,
         now: Time,
@@ -249,6 +260,9 @@
         }
         let Some(index) = self.position(token) else { return false };
         let request = &self.requests[index];
+        let Ok(permit) = self.check_key(now, request.caller) else {
+            return false;
+        };
         let state = &request.shards[shard];
         let (service, route) = (state.service, request.route.id);
         let tried = state.tried.clone();
@@ -310,6 +324,7 @@
             budget,
             repeatable,
             extra,
+            write_by: permit.write_by,
         }));
         true
     }
@@ -354,6 +369,7 @@
     pub(super) fn retry(&mut self, now: Time, token: Token, shard: usize) {
         let Some(index) = self.position(token) else { return };
         let max_refusals = self.options.max_refusals;
+        let withdrawn = self.is_withdrawn(self.requests[index].caller);
         let request = &mut self.requests[index];
         let repeatable = request.route.route.repeatable;
         let max_attempts = request.route.route.max_attempts.max(1);
@@ -365,7 +381,8 @@
         let may_run = state.may_run();
         let allowed = (repeatable || !state.may_have_run)
             && may_run < max_attempts
-            && state.refused <= max_refusals;
+            && state.refused <= max_refusals
+            && !withdrawn;
         if !allowed {
             state.progress = Progress::Failed;
             return;
--- a/crates/core/src/forward/shared.rs
+++ b/crates/core/src/forward/shared.rs
@@ -42,6 +42,10 @@
     /// Time until the delegate starts to report partial results, in
     /// microseconds.
     pub soft_us: u64,
+    /// Position of the caller's key in the table of this revision; `None` if
+    /// the route needs no key. The key itself stays at the root.
+    #[serde(default)]
+    pub key: Option<u32>,
 }
 
 /// A task with the content of its request.
--- a/crates/core/src/forward/table.rs
+++ b/crates/core/src/forward/table.rs
@@ -433,6 +433,16 @@
         !self.teams.is_empty() && !route.route.public
     }
 
+    /// Returns the priority of the requests of a team on a route.
+    pub fn priority(
+        &self,
+        route: &CompiledRoute,
+        team: Option<TeamId>,
+    ) -> u32 {
+        let team = team.and_then(|id| self.team(id));
+        team.and_then(|t| t.team.priority).unwrap_or(route.route.priority)
+    }
+
     /// Returns the team to which a key belongs.
     pub fn team_of_key(&self, key: &KeyDigest) -> Option<TeamId> {
         let found = self.keys.binary_search_by_key(key, |k| k.0);
--- a/crates/core/src/node/forwarding.rs
+++ b/crates/core/src/node/forwarding.rs
@@ -211,10 +211,12 @@
             out.extend([Effect::Log(LogEvent::new(
                 &TABLE_INSTALLED,
                 format!(
-                    "version={version} revision={} routes={} services={}",
+                    "version={version} revision={} routes={} services={} \
+                     teams={}",
                     forwarding.revision,
                     forwarding.routes.len(),
-                    forwarding.services.len()
+                    forwarding.services.len(),
+                    forwarding.teams.len()
                 ),
             ))]);
         }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -336,6 +336,7 @@
         out: &mut impl Extend<Effect>,
     ) {
         let mut effects = Vec::new();
+        let confirmed = self.sync.confirmed_at();
         self.sync.step(now, event, &mut effects);
         for effect in effects {
             match effect {
@@ -352,6 +353,11 @@
                 SyncEffect::Log(event) => out.extend([Effect::Log(event)]),
             }
         }
+        // Queued after the configuration that was confirmed.
+        let confirmed_at = self.sync.confirmed_at();
+        if let Some(at) = confirmed_at.filter(|_| confirmed_at != confirmed) {
+            self.push(Internal::Forward(ForwardEvent::Confirmed(at)));
+        }
     }
 
     fn step_query(
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -717,6 +717,7 @@
         shards: vec![2, 4, 5],
         remaining_us: 900_000,
         soft_us: 60_000,
+        key: None,
     };
     let token = harness.forwarder.next_task_token();
     harness.receive_shared(3, IncomingMessage::Task(token, task.clone()));
@@ -828,6 +829,7 @@
         shards: vec![0, 1],
         remaining_us: 900_000,
         soft_us: 90_000,
+        key: None,
     };
     let token = harness.forwarder.next_task_token();
     harness.receive_shared(3, IncomingMessage::Task(token, task));
--- a/src/daemon/clock.rs
+++ b/src/daemon/clock.rs
@@ -6,17 +6,17 @@
 /// A monotonic clock that starts at zero and also counts the time during which
 /// the machine was suspended. If it did not, an instance could hold its lease
 /// for longer than the other instances granted it.
-#[derive(Debug)]
-pub(super) struct Clock {
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Clock {
     start_us: u64,
 }
 
 impl Clock {
-    pub(super) fn start() -> Clock {
+    pub(crate) fn start() -> Clock {
         Clock { start_us: boot_time_us() }
     }
 
-    pub(super) fn now(&self) -> Time {
+    pub(crate) fn now(&self) -> Time {
         Time::from_micros(boot_time_us().saturating_sub(self.start_us))
     }
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -39,11 +39,12 @@
 };
 use volo_http::server::Server;
 
+pub(crate) use self::clock::Clock;
 pub(crate) use self::forward_metrics::ForwardMetrics;
 pub use self::handle::{Decision, Handle};
 pub(crate) use self::handle::{Input, ViewReply, ViewRequest};
 use self::{
-    clock::Clock, handle::PublishedState, metrics::Metrics, options::options,
+    handle::PublishedState, metrics::Metrics, options::options,
     views::LocalNames,
 };
 use crate::{
@@ -146,10 +147,12 @@
         log_stopped(&settings.name);
         return Ok(());
     };
+    let clock = Clock::start();
     let forwarding =
-        ForwardDriver::new(protocol, handle.clone(), metrics.forward());
-    let mut daemon =
-        Daemon::new(settings, &addresses, handle, metrics, forwarding, opened);
+        ForwardDriver::new(protocol, handle.clone(), metrics.forward(), clock);
+    let mut daemon = Daemon::new(
+        settings, &addresses, handle, metrics, forwarding, opened, clock,
+    );
     spawn_local(peer::serve(daemon.own_id, peers, daemon.handle.clone()));
     if let Some(url) = settings.platform_list.clone() {
         let interval =
@@ -274,6 +277,7 @@
         metrics: Metrics,
         forwarding: ForwardDriver<P>,
         opened: OpenedStorage,
+        clock: Clock,
     ) -> Daemon<P> {
         let own_id = InstanceId::from_name(&settings.name);
         let OpenedStorage { storage, recovered } = opened;
@@ -311,7 +315,7 @@
             seed_count: settings.peers.len(),
             handle,
             metrics,
-            clock: Clock::start(),
+            clock,
             connections: Connections::default(),
             forwarding,
             close_idle_at: Instant::now(),
--- a/src/daemon/options.rs
+++ b/src/daemon/options.rs
@@ -7,6 +7,7 @@
     consensus::ConsensusOptions,
     forward::{
         ForwardOptions, budget::BudgetOptions, directory::DirectoryOptions,
+        keys::KeyOptions,
     },
     membership::MembershipOptions,
     node::NodeOptions,
@@ -93,6 +94,9 @@
             lag: ms(forwarding.list_lag_ms),
             ..DirectoryOptions::default()
         },
+        keys: KeyOptions {
+            withdrawal_bound: forwarding.key_withdrawal_ms.map(ms),
+        },
         ..ForwardOptions::default()
     }
 }
--- a/src/forward/connections.rs
+++ b/src/forward/connections.rs
@@ -31,7 +31,10 @@
 };
 
 use super::protocol::{CallerRequest, Protocol, TargetAnswer};
-use crate::http_exchange::{self, AnswerMemory, SendError, Sender};
+use crate::{
+    daemon::Clock,
+    http_exchange::{self, AnswerMemory, SendError, Sender},
+};
 
 /// Timeout for opening a connection. Covers a few round trips and a pause of
 /// the target of 150 ms.
@@ -92,6 +95,8 @@
 struct Shared {
     pool: Pool,
     memory: AnswerMemory,
+    /// Clock of the reducer.
+    clock: Clock,
 }
 
 /// Running attempts and idle connections.
@@ -100,6 +105,7 @@
     protocol: P,
     pool: Pool,
     memory: AnswerMemory,
+    clock: Clock,
     /// Sorted by attempt: each new attempt has a higher identifier.
     running: Vec<(AttemptId, AbortHandle)>,
 }
@@ -108,11 +114,12 @@
 pub(crate) type AttemptResult = (Outcome, Option<TargetAnswer>);
 
 impl<P: Protocol> Connections<P> {
-    pub(crate) fn new(protocol: P) -> Connections<P> {
+    pub(crate) fn new(protocol: P, clock: Clock) -> Connections<P> {
         Connections {
             protocol,
             pool: Pool::default(),
             memory: AnswerMemory::default(),
+            clock,
             running: Vec::new(),
         }
     }
@@ -130,6 +137,7 @@
         let cx = Shared {
             pool: Rc::clone(&self.pool),
             memory: self.memory.clone(),
+            clock: self.clock,
         };
         let task = spawn_local(async move {
             let result =
@@ -256,6 +264,12 @@
             }
             continue;
         }
+        // The process may have been suspended since the attempt was started.
+        let too_late =
+            target_request.write_by.is_some_and(|at| cx.clock.now() >= at);
+        if too_late {
+            return (Outcome::Withheld, None);
+        }
         let http_req = protocol.target_request(req, target_request);
         let response = match connection.sender.send(http_req).await {
             Ok(response) => response,
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -37,7 +37,7 @@
     forwarded_request, key_rejection_status, read_caller_head,
 };
 pub(crate) use self::{ingress::serve, native::Native};
-use crate::daemon::{ForwardMetrics, Handle, Input};
+use crate::daemon::{Clock, ForwardMetrics, Handle, Input};
 
 /// A forwarded request that has no response yet.
 struct PendingRequest {
@@ -82,9 +82,10 @@
         protocol: P,
         handle: Handle,
         metrics: &ForwardMetrics,
+        clock: Clock,
     ) -> ForwardDriver<P> {
         ForwardDriver {
-            connections: Connections::new(protocol.clone()),
+            connections: Connections::new(protocol.clone(), clock),
             protocol,
             handle,
             requests: Vec::new(),
--- a/src/settings/instance.rs
+++ b/src/settings/instance.rs
@@ -166,6 +166,11 @@
     /// Longest time by which the platform's list may lag behind the actual
     /// state, in milliseconds.
     pub list_lag_ms: u64,
+    /// Time after the acceptance of a table that withdraws a key, after which
+    /// no instance sends a request with that key to a target, in
+    /// milliseconds. If it is not set, an instance that the table has not
+    /// reached may use the key for as long as it holds its lease.
+    pub key_withdrawal_ms: Option<u64>,
 }
 
 impl Default for ForwardingSettings {
@@ -175,6 +180,7 @@
             extra_slack: 10.0,
             extra_window_ms: 10_000,
             list_lag_ms: 1_000,
+            key_withdrawal_ms: None,
         }
     }
 }
@@ -278,9 +284,29 @@
         out.push(Finding::error(path, found, "a URL that starts http://"));
     }
     check_timing(&document["timing"], &mut out);
+    check_key_withdrawal(document, &mut out);
     out
 }
 
+/// Checks that instances do not refuse requests with a key while they hold
+/// their lease and confirmations are merely late.
+fn check_key_withdrawal(document: &Value, out: &mut Vec<Finding>) {
+    let bound = &document["forwarding"]["key_withdrawal_ms"];
+    let lease = match &document["timing"]["lease_ms"] {
+        Value::Null => Some(Timing::default().lease_ms),
+        configured => configured.as_u64(),
+    };
+    if let (Some(bound), Some(lease)) = (bound.as_u64(), lease)
+        && bound < 2 * lease
+    {
+        out.push(Finding::error(
+            segments!["forwarding", "key_withdrawal_ms"],
+            bound.to_string(),
+            format!("at least twice lease_ms, which is {lease}"),
+        ));
+    }
+}
+
 fn check_roles(document: &Value, out: &mut Vec<Finding>) {
     let roles = match document.get("roles") {
         Some(Value::Array(roles)) => roles.clone(),
