--- a/crates/core/tests/forward_support/mod.rs
+++ b/crates/core/tests/forward_support/mod.rs
@@ -14,10 +14,10 @@
         shared::IncomingMessage,
         table::{
             CompiledTable, Destination, ForwardRoute, ForwardService,
-            Forwarding, WeightedService,
+            Forwarding, KeyDigest, WeightedService,
         },
     },
-    id::{AttemptId, ConfigVersion, InstanceId, Token, ZoneId},
+    id::{AttemptId, ConfigVersion, InstanceId, TeamId, Token, ZoneId},
     time::Time,
 };
 
@@ -201,6 +201,36 @@
         &mut self,
         path: &str,
         remaining: Duration,
+    ) -> Token {
+        self.submit_as(path, None, remaining)
+    }
+
+    /// Submits the request of a team with one of its keys.
+    pub fn submit_with_key(
+        &mut self,
+        path: &str,
+        team: &str,
+        key: &str,
+    ) -> Token {
+        self.submit_with_key_for(path, team, key, ms(1_000))
+    }
+
+    pub fn submit_with_key_for(
+        &mut self,
+        path: &str,
+        team: &str,
+        key: &str,
+        remaining: Duration,
+    ) -> Token {
+        let caller = (TeamId::from_name(team), KeyDigest::of(key));
+        self.submit_as(path, Some(caller), remaining)
+    }
+
+    fn submit_as(
+        &mut self,
+        path: &str,
+        caller: Option<(TeamId, KeyDigest)>,
+        remaining: Duration,
     ) -> Token {
         self.last_token += 1;
         let token = Token(self.last_token);
@@ -210,8 +240,8 @@
             request_id: format!("r{}", self.last_token).into(),
             route: Arc::clone(route.expect("a route")),
             remaining,
-            team: None,
-            key: None,
+            team: caller.map(|c| c.0),
+            key: caller.map(|c| c.1),
         };
         self.step(ForwardEvent::Submit(token, submission));
         token
