Prove confirmations and check the bound on withdrawn keys

Cause: nothing tested that a confirmation never counts from after a version that the instance misses, and a key written where its digest belongs appeared in the error. Change: a property over partitions, loss and freezes; a test that the fallback of the lease is no confirmation; key_withdrawal_ms must cover two leases; the schema check does not show values below teams and keys.

--- a/crates/core/tests/config_sync.rs
+++ b/crates/core/tests/config_sync.rs
@@ -125,6 +125,61 @@
     }
 }
 
+proptest! {
+    #![proptest_config(config(60))]
+
+    /// Guards against a confirmation that counts from after a version was
+    /// accepted that the instance does not have. Requests with a key rely on
+    /// it in every partition, also where the fleet renews the lease.
+    #[test]
+    fn a_confirmation_precedes_the_versions_that_are_missed(
+        seed: u64, quorum_side in prop::collection::btree_set(2..10usize, 0..8),
+        one_way: bool, loss in 0.0..0.2, frozen in 2..10usize,
+    ) {
+        let mut net = serving_fleet(seed);
+        net.loss = loss;
+        net.delay_us = (500, 300_000);
+        let with_quorum: Vec<usize> = [0, 1].into_iter()
+            .chain(quorum_side.iter().copied())
+            .collect();
+        let others: Vec<usize> =
+            (0..10).filter(|x| !with_quorum.contains(x)).collect();
+        if one_way {
+            net.partition_one_way(&with_quorum, &others);
+        } else {
+            net.partition(&with_quorum, &others);
+        }
+        net.run(Duration::from_millis(seed % 700));
+        net.freeze(frozen);
+        net.run(Duration::from_millis(seed % 1_300));
+        let accepted = net.now;
+        net.commit(2, 2_000, &[0, 1]);
+        let is_wrong = |net: &Net| net.nodes.iter().any(|node| {
+            node.sync.version() < ConfigVersion(2)
+                && node.sync.confirmed_at() > Some(accepted)
+        });
+        prop_assert!(!net.run_until(secs(10), is_wrong));
+        net.resume(frozen);
+        prop_assert!(!net.run_until(secs(10), is_wrong));
+        net.heal();
+        prop_assert!(!net.run_until(secs(10), is_wrong));
+    }
+}
+
+/// Guards against a majority of the fleet that counts as a confirmation by a
+/// control quorum: it renews the lease, but it may have missed a version.
+#[test]
+fn the_fallback_is_no_confirmation() {
+    let mut net = serving_fleet(6);
+    (0..3).for_each(|x| net.crash(x));
+    let silent = net.now;
+    net.run(secs(20));
+    for node in &net.nodes[3..] {
+        assert!(node.sync.serving());
+        assert!(node.sync.confirmed_at() < Some(silent));
+    }
+}
+
 /// Guards against instances that miss changes or stop serving when they reach
 /// other instances but no control replica.
 #[test]
--- a/src/settings/schema.rs
+++ b/src/settings/schema.rs
@@ -44,6 +44,13 @@
     }
 }
 
+/// Returns whether values at a path are not shown: operators may write a key
+/// where its digest belongs.
+fn is_secret(path: &[Segment]) -> bool {
+    let has = |name: &str| path.contains(&Segment::from(name));
+    has("teams") && has("keys")
+}
+
 fn add_findings(
     schema: &Value,
     error: &ValidationError<'_>,
@@ -57,7 +64,10 @@
             LocationSegment::Index(i) => Segment::Index(i),
         })
         .collect();
-    let found = describe(error.instance());
+    let found = match is_secret(&path) {
+        true => "a value that is not shown".into(),
+        false => describe(error.instance()),
+    };
     match error.kind() {
         ValidationErrorKind::AdditionalProperties { unexpected } => {
             for key in unexpected {
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -409,6 +409,44 @@
     insta::assert_snapshot!(without_folder(&error.to_string()));
 }
 
+// Guards against a bound on withdrawn keys that instances in touch with the
+// control group could not keep without refusing requests.
+#[test]
+fn the_bound_on_withdrawn_keys_covers_two_leases() {
+    let folder = TempDir::new().unwrap();
+    let load = |bound: u64| {
+        let text = format!(
+            r#"{{ "name": "a", "availability_zone": "west",
+            "forwarding": {{ "key_withdrawal_ms": {bound} }} }}"#
+        );
+        load_instance(&write(&folder, "instance.jsonc", &text))
+    };
+    let lease = Timing::default().lease_ms;
+    let settings = load(2 * lease).unwrap_or_else(|e| panic!("{e}"));
+    assert_eq!(settings.forwarding.key_withdrawal_ms, Some(2 * lease));
+    for bound in [0, 2 * lease - 1] {
+        let error = load(bound).unwrap_err().to_string();
+        assert!(error.contains("key_withdrawal_ms"), "{error}");
+        assert!(error.contains("at least twice lease_ms"), "{error}");
+    }
+}
+
+// Guards against a key in an error message, which operators' tools keep, if it
+// is written where its digest belongs.
+#[test]
+fn a_key_in_place_of_its_digest_is_not_shown() {
+    for keys in [r#"["secret"]"#, r#""secret""#, r#"[{"secret": 1}]"#] {
+        let overlay = format!(
+            r#"{{ "forwarding": {{ "revision": 2, "teams": [
+            {{ "name": "red", "keys": {keys}, "priority": null,
+            "limit": null }} ] }} }}"#
+        );
+        let text = problems(BASE, &overlay);
+        assert!(text.contains("keys"), "{text}");
+        assert!(!text.contains("secret"), "{text}");
+    }
+}
+
 // Guards against a forwarding table that passes the check although instances
 // would not put it into force.
 #[test]
