--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -18,6 +18,7 @@
 pub mod delegate;
 pub mod directory;
 mod finish;
+pub mod keys;
 pub mod latency;
 pub mod merge;
 mod options;
@@ -36,7 +37,7 @@
     delegate::Peer,
     directory::Directory,
     shared::{Content, IncomingMessage, Task},
-    table::{CompiledRoute, CompiledTable},
+    table::{CompiledRoute, CompiledTable, KeyDigest},
 };
 pub use self::{options::ForwardOptions, reducer::Forwarder};
 use crate::{
@@ -44,6 +45,7 @@
     id::{
         AttemptId, ConfigVersion, InstanceId, TargetId, TeamId, Token, ZoneId,
     },
+    time::Time,
     verdict::Verdict,
 };
 
@@ -59,6 +61,8 @@
     /// Team of the caller; `None` on public routes and where no teams are
     /// configured.
     pub team: Option<TeamId>,
+    /// Digest of the key by which the caller identified its team.
+    pub key: Option<KeyDigest>,
 }
 
 /// The outcome of an attempt.
@@ -77,6 +81,9 @@
     Unreachable,
     /// The connection failed after the request was sent.
     Broken,
+    /// The time by which the request had to be written had passed; nothing was
+    /// sent.
+    Withheld,
 }
 
 impl Outcome {
@@ -89,6 +96,7 @@
             Outcome::Replaced => "replaced",
             Outcome::Unreachable => "unreachable",
             Outcome::Broken => "broken",
+            Outcome::Withheld => "withheld",
         }
     }
 }
@@ -116,6 +124,9 @@
     /// Whether this instance holds its lease, without which its configuration
     /// may be outdated.
     Lease(bool),
+    /// A control quorum has confirmed that no configuration newer than the one
+    /// in force was accepted before this time.
+    Confirmed(Time),
     /// The process is about to exit; every request gets its response now.
     EndRequests,
     /// The other live entry instances, and the number of instances that share
@@ -140,6 +151,11 @@
     NotServing,
     /// This instance is shutting down.
     ShuttingDown,
+    /// The caller's key is missing or belongs to no team.
+    UnknownKey,
+    /// The control group has not confirmed recently enough that the caller's
+    /// key is still in use.
+    KeyNotConfirmed,
     /// This instance has too many requests in flight.
     Overload,
     /// The caller's team has used up its limit.
@@ -161,6 +177,8 @@
         match self {
             Reason::NotServing => "not_serving",
             Reason::ShuttingDown => "shutting_down",
+            Reason::UnknownKey => "unknown_key",
+            Reason::KeyNotConfirmed => "key_not_confirmed",
             Reason::Overload => "overload",
             Reason::OverLimit => "over_limit",
             Reason::NoTarget => "no_target",
@@ -217,6 +235,9 @@
     /// Whether the request was charged to the budget for extra requests, as a
     /// retry, a hedge, or an attempt after a delegate may have sent the shard.
     pub extra: bool,
+    /// Time by which the request must be written to its connection, if there
+    /// is a limit.
+    pub write_by: Option<Time>,
 }
 
 /// Output of the reducer.
