Limit the requests of a team at all instances together

Cause: the limit of a team in the forwarding table was not enforced, so a team could send any number of requests. Change: the voters of the control group grant tokens, each an equal part of the limit, while a majority of them confirms the list of voters. An instance spends a token within 0.5 s of asking for it and gives back what it will not spend. A request waits for its token before anything is sent; without one it is refused as not run, with the status 429 and a Retry-After. Tables without limits are served as before, and send no new messages.

--- a/crates/core/src/config_sync/lease.rs
+++ b/crates/core/src/config_sync/lease.rs
@@ -50,6 +50,18 @@
         version: ConfigVersion,
         own: Option<Answer>,
     ) -> bool {
+        let logged = |x: &Answer| x.logged <= Some(version);
+        self.confirmed_voters(group, own, logged).is_some()
+    }
+
+    /// Returns the log index of the newest list of voters of `group` and their
+    /// number, if a majority of them knows it and answers as `agrees` asks.
+    pub(crate) fn confirmed_voters(
+        &self,
+        group: u64,
+        own: Option<Answer>,
+        agrees: impl Fn(&Answer) -> bool,
+    ) -> Option<(u64, u32)> {
         let answers = self.answers.iter().chain(&own);
         let of_group =
             answers.filter(|x| x.control_group == group && x.logged.is_some());
@@ -60,9 +72,9 @@
         let newest = of_group.clone().map(|x| x.members_index).max();
         let current = of_group.filter(|x| Some(x.members_index) == newest);
         let voters = current.clone().map(|x| x.voters).max().unwrap_or(0);
-        let agreeing =
-            current.filter(|x| x.logged <= Some(version)).count() as u64;
-        voters > 0 && agreeing * 2 > u64::from(voters)
+        let agreeing = current.filter(|x| agrees(x)).count() as u64;
+        (voters > 0 && agreeing * 2 > u64::from(voters))
+            .then_some((newest?, voters))
     }
 
     /// Returns the age of the youngest confirmation by `group` that another
--- a/crates/core/src/config_sync/reducer.rs
+++ b/crates/core/src/config_sync/reducer.rs
@@ -13,6 +13,7 @@
     event::{EventKind, LogEvent, config as kinds},
     id::{ConfigVersion, InstanceId},
     membership::Member,
+    shares::VoterList,
     time::Time,
 };
 
@@ -88,6 +89,8 @@
     pub(super) ask_control_until: Time,
     /// Rounds whose answers could still renew the lease, newest last.
     pub(super) rounds: VecDeque<Round>,
+    /// The newest list of voters that a majority of them confirmed.
+    pub(super) voter_list: Option<VoterList>,
     pub(super) lease_until: Time,
     pub(super) serving: bool,
     pub(super) fallback: bool,
@@ -123,6 +126,7 @@
             fleet_queried_at: None,
             ask_control_until: Time::ZERO,
             rounds: VecDeque::new(),
+            voter_list: None,
             lease_until: Time::ZERO,
             serving: false,
             fallback: false,
@@ -149,6 +153,13 @@
         self.serving
     }
 
+    /// Returns the last confirmation of the list of voters, if this instance
+    /// is one of them.
+    pub(crate) fn voter_list(&self) -> Option<VoterList> {
+        let replica = self.own_replica.filter(|x| x.voter)?;
+        self.voter_list.filter(|x| x.index == replica.members_index)
+    }
+
     /// Returns the configuration in force.
     pub fn current(&self) -> Option<&Arc<ConfigRecord>> {
         self.current.as_ref()
--- a/crates/core/src/config_sync/rounds.rs
+++ b/crates/core/src/config_sync/rounds.rs
@@ -14,6 +14,7 @@
     event::config as kinds,
     id::{ConfigVersion, InstanceId},
     membership::MemberState,
+    shares::VoterList,
     time::Time,
 };
 
@@ -169,6 +170,12 @@
         let mut newest = None;
         let mut newest_direct = None;
         for round in &mut self.rounds {
+            let voters = round.confirmed_voters(group, own, |_| true);
+            if let Some((index, voters)) = voters {
+                let confirmed_at = round.started;
+                let list = VoterList { index, voters, confirmed_at };
+                self.voter_list = Some(list);
+            }
             if !round.quorum_confirmed {
                 round.quorum_confirmed =
                     round.control_confirms(group, version, own);
--- a/crates/core/src/event/forward.rs
+++ b/crates/core/src/event/forward.rs
@@ -19,4 +19,6 @@
     TABLE_INSTALLED = (730, Info, "A forwarding table came into force.");
     TABLE_REJECTED = (731, Error, "A forwarding table is invalid and was not installed.");
     ZONES_OUT_CHANGED = (732, Info, "The availability zones that this instance sends nothing to have changed.");
+    GRANTOR_CHANGED = (740, Info, "This instance began or stopped granting tokens of the limits that all instances share.");
+    GRANTOR_SILENT = (741, Info, "A grantor of shared limits did not answer in time. Another one is asked.");
 }
--- a/crates/core/src/forward/finish.rs
+++ b/crates/core/src/forward/finish.rs
@@ -41,6 +41,12 @@
     /// Ends every request with the answers that it has. A request that a
     /// target may be working on is not reported as not run.
     pub(super) fn end_requests(&mut self, now: Time) {
+        for unadmitted in std::mem::take(&mut self.unadmitted) {
+            let token = unadmitted.token;
+            self.out.push(ForwardEffect::DropShare(token));
+            let reason = Reason::ShuttingDown;
+            self.reject(token, reason, Verdict::NotRun, Some(RETRY_AFTER));
+        }
         let tokens: Vec<Token> =
             self.requests.iter().map(|r| r.token).collect();
         for token in tokens {
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -42,8 +42,10 @@
 use crate::{
     event::LogEvent,
     id::{
-        AttemptId, ConfigVersion, InstanceId, TargetId, TeamId, Token, ZoneId,
+        AttemptId, ConfigVersion, InstanceId, LimitId, TargetId, TeamId,
+        Token, ZoneId,
     },
+    time::Time,
     verdict::Verdict,
 };
 
@@ -61,6 +63,14 @@
     pub team: Option<TeamId>,
 }
 
+impl Submission {
+    /// Returns the time from the arrival of the request to its deadline.
+    fn time_limit(&self) -> Duration {
+        let timeout = self.route.route.timeout_ms;
+        self.remaining.min(Duration::from_millis(timeout.into()))
+    }
+}
+
 /// The outcome of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -131,6 +141,11 @@
     Directory(InstanceId, directory::Message),
     /// The time of [`Forwarder::next_deadline`] has been reached.
     Tick,
+    /// A request has got a token of the limit of its team.
+    ShareTaken(Token),
+    /// A request gets no token of the limit of its team; one may be there
+    /// after this time.
+    ShareRefused(Token, Duration),
 }
 
 /// The reason why a request is rejected.
@@ -277,4 +292,16 @@
     ReadDirectory,
     /// Write a line to the log.
     Log(LogEvent),
+    /// Take a token of a limit for a request and report the result with
+    /// `ShareTaken` or `ShareRefused`.
+    TakeShare {
+        /// The request.
+        token: Token,
+        /// The limit of its team.
+        limit: LimitId,
+        /// Deadline of the request.
+        until: Time,
+    },
+    /// Forget that a request needs a token.
+    DropShare(Token),
 }
--- a/crates/core/src/forward/reducer.rs
+++ b/crates/core/src/forward/reducer.rs
@@ -12,7 +12,7 @@
     delegate::{Peer, ZonePlan},
     directory::{DirectoryEffect, DirectoryReader},
     latency::Latencies,
-    request::{Progress, Request},
+    request::{Progress, Request, Unadmitted},
     table::CompiledTable,
     targets::{Failure, TargetTable},
 };
@@ -41,6 +41,9 @@
     reader: DirectoryReader,
     /// Requests in flight, sorted by token.
     pub(super) requests: Vec<Request>,
+    /// Requests that need a token of the limit of their team, sorted by
+    /// token.
+    pub(super) unadmitted: Vec<Unadmitted>,
     pub(super) attempts: Attempts,
     /// Budgets for extra requests, sorted by service.
     budgets: Vec<(ServiceId, Budget)>,
@@ -91,6 +94,7 @@
             reader: DirectoryReader::new(own_id, options.directory.clone())
                 .with_first_request(first_request),
             requests: Vec::new(),
+            unadmitted: Vec::new(),
             attempts: Attempts::default(),
             budgets: Vec::new(),
             latencies: Vec::new(),
@@ -111,7 +115,7 @@
 
     /// Returns the number of requests and tasks in flight.
     pub fn in_flight(&self) -> usize {
-        self.requests.len()
+        self.requests.len() + self.unadmitted.len()
     }
 
     /// Returns the number of attempts that have not ended.
@@ -191,6 +195,10 @@
                 self.reader.handle_message(now, from, message, &mut effects);
                 self.directory_effects(now, effects);
             }
+            ForwardEvent::ShareTaken(token) => self.share_taken(now, token),
+            ForwardEvent::ShareRefused(token, retry_after) => {
+                self.share_refused(token, retry_after);
+            }
             ForwardEvent::Tick => {}
         }
         self.tick(now);
@@ -275,7 +283,7 @@
     pub(super) fn check_admission(&self) -> Result<(), Reason> {
         if !self.serving {
             Err(Reason::NotServing)
-        } else if self.requests.len() >= self.options.max_in_flight {
+        } else if self.in_flight() >= self.options.max_in_flight {
             Err(Reason::Overload)
         } else {
             Ok(())
@@ -284,6 +292,10 @@
 
     /// Drops a request whose caller has disconnected and cancels its attempts.
     pub(super) fn caller_gone(&mut self, token: Token) {
+        if self.remove_unadmitted(token).is_some() {
+            self.out.push(ForwardEffect::DropShare(token));
+            return;
+        }
         let Some(index) = self.position(token) else { return };
         let request = self.requests.remove(index);
         self.cancel_delegations(&request, true);
--- a/crates/core/src/forward/request.rs
+++ b/crates/core/src/forward/request.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{delegate::Delegation, table::CompiledRoute};
+use super::{Submission, delegate::Delegation, table::CompiledRoute};
 use crate::{
     id::{AttemptId, InstanceId, ServiceId, TargetId, Token},
     time::Time,
@@ -78,6 +78,15 @@
     }
 }
 
+/// A request that needs a token of the limit of its team. Nothing has been
+/// sent for it.
+#[derive(Clone, Debug)]
+pub(super) struct Unadmitted {
+    pub(super) token: Token,
+    pub(super) submission: Submission,
+    pub(super) started: Time,
+}
+
 /// The origin of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Origin {
--- a/crates/core/src/forward/send.rs
+++ b/crates/core/src/forward/send.rs
@@ -9,13 +9,13 @@
     ForwardEffect, Forwarder, Reason, Submission, TargetRequest,
     attempts::Attempt,
     delegate::Assignment,
-    request::{Origin, Progress, Request, Shard},
+    request::{Origin, Progress, Request, Shard, Unadmitted},
     table::{CompiledRoute, Destination},
     targets::{TargetTable, Unavailable},
 };
 use crate::{
     event::forward as kinds,
-    id::{ServiceId, TargetId, Token},
+    id::{LimitId, ServiceId, TargetId, Token},
     time::Time,
     verdict::Verdict,
 };
@@ -37,12 +37,74 @@
         token: Token,
         submission: Submission,
     ) {
-        let Submission { request_id, route, remaining, team: _ } = submission;
+        let Submission { request_id, route, team, .. } = &submission;
         if let Err(reason) = self.check_admission() {
             let retry_after = Some(NOT_SERVING_RETRY_AFTER);
-            self.refuse(token, &request_id, &route, reason, retry_after);
+            self.refuse(token, request_id, route, reason, retry_after);
             return;
         }
+        let limited = team
+            .and_then(|id| self.table.team(id))
+            .filter(|t| t.team.limit.is_some());
+        let Some(limit) = limited.map(|t| LimitId::from(t.id)) else {
+            self.admit(now, token, submission, now);
+            return;
+        };
+        let until = now + submission.time_limit();
+        // Tokens are allocated before requests are queued, so they may arrive
+        // out of order.
+        let at = self.unadmitted.partition_point(|u| u.token < token);
+        let unadmitted = Unadmitted { token, submission, started: now };
+        self.unadmitted.insert(at, unadmitted);
+        self.out.push(ForwardEffect::TakeShare { token, limit, until });
+    }
+
+    /// Starts a request that has got a token of the limit of its team.
+    pub(super) fn share_taken(&mut self, now: Time, token: Token) {
+        let Some(unadmitted) = self.remove_unadmitted(token) else { return };
+        let Unadmitted { submission, started, .. } = unadmitted;
+        // The lease may have ended while the request waited.
+        if !self.leased {
+            let Submission { request_id, route, .. } = &submission;
+            let retry_after = Some(NOT_SERVING_RETRY_AFTER);
+            let reason = Reason::NotServing;
+            self.refuse(token, request_id, route, reason, retry_after);
+            return;
+        }
+        self.admit(now, token, submission, started);
+    }
+
+    /// Rejects a request whose team has used up its limit.
+    pub(super) fn share_refused(
+        &mut self,
+        token: Token,
+        retry_after: Duration,
+    ) {
+        let Some(unadmitted) = self.remove_unadmitted(token) else { return };
+        let Submission { request_id, route, .. } = &unadmitted.submission;
+        let reason = Reason::OverLimit;
+        self.refuse(token, request_id, route, reason, Some(retry_after));
+    }
+
+    pub(super) fn remove_unadmitted(
+        &mut self,
+        token: Token,
+    ) -> Option<Unadmitted> {
+        let found = self.unadmitted.binary_search_by_key(&token, |u| u.token);
+        Some(self.unadmitted.remove(found.ok()?))
+    }
+
+    /// Starts a request that arrived at `started`, or rejects it if too few
+    /// services have a target.
+    fn admit(
+        &mut self,
+        now: Time,
+        token: Token,
+        submission: Submission,
+        started: Time,
+    ) {
+        let limit = submission.time_limit();
+        let Submission { request_id, route, .. } = submission;
         let services = self.services(&route);
         if let Err(until) = self.enough_targets(now, &route, &services) {
             let (min, max) = RETRY_AFTER_RANGE;
@@ -51,15 +113,13 @@
             self.refuse(token, &request_id, &route, reason, Some(retry_after));
             return;
         }
-        let timeout = Duration::from_millis(route.route.timeout_ms.into());
-        let limit = remaining.min(timeout);
         let hard_deadline =
-            now + limit.saturating_sub(self.options.deadline_margin);
+            started + limit.saturating_sub(self.options.deadline_margin);
         let objective = Duration::from_millis(route.route.objective_ms.into());
         let shards = services.len() as u32;
         let delivery = self.options.delivery_time
             + self.options.delivery_time_per_shard * shards;
-        let soft_deadline = now + objective.saturating_sub(delivery);
+        let soft_deadline = started + objective.saturating_sub(delivery);
         let assignments = self.assign(now, &route);
         self.start(
             now,
@@ -68,7 +128,7 @@
                 id: request_id,
                 origin: Origin::Caller,
                 route,
-                started: now,
+                started,
                 soft_deadline: soft_deadline.min(hard_deadline),
                 hard_deadline,
                 shard_indices: (0..services.len() as u16).collect(),
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -65,6 +65,10 @@
     /// Identifier of a team, the hash of its name.
     TeamId
 );
+identifier!(
+    /// Identifier of a limit that all instances share; that of its team.
+    LimitId
+);
 identifier!(
     /// Identifier of a request to a target on the forwarding path, unique
     /// within an instance.
@@ -101,6 +105,12 @@
 from_name!(ServiceId);
 from_name!(TeamId);
 
+impl From<TeamId> for LimitId {
+    fn from(team: TeamId) -> LimitId {
+        LimitId(team.0)
+    }
+}
+
 /// Version of the site configuration. The first committed version is 1; 0
 /// means that there is none.
 #[derive(
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod node;
 pub mod placement;
 pub mod query;
+pub mod shares;
 pub mod snapshot;
 pub mod target;
 pub mod time;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -9,7 +9,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{config_sync, consensus, control, forward, membership, query};
+use crate::{
+    config_sync, consensus, control, forward, membership, query, shares,
+};
 
 /// A message from one instance to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -28,4 +30,6 @@
     Directory(forward::directory::Message),
     /// Delegation of parts of forwarded requests to other instances.
     Shared(forward::shared::Message),
+    /// Tokens of the limits that all instances share.
+    Shares(shares::Message),
 }
--- a/crates/core/src/node/forwarding.rs
+++ b/crates/core/src/node/forwarding.rs
@@ -19,6 +19,7 @@
     membership::{Member, MemberState},
     message::PeerMessage,
     placement::Candidate,
+    shares::ShareEvent,
     time::Time,
 };
 
@@ -77,6 +78,13 @@
                     }
                 }
                 ForwardEffect::Log(event) => out.extend([Effect::Log(event)]),
+                ForwardEffect::TakeShare { token, limit, until } => {
+                    let event = ShareEvent::Take(token, limit, until);
+                    self.push(Internal::Share(event));
+                }
+                ForwardEffect::DropShare(token) => {
+                    self.push(Internal::Share(ShareEvent::Drop(token)));
+                }
                 ForwardEffect::Send(_)
                 | ForwardEffect::Cancel(_)
                 | ForwardEffect::Respond(..)
@@ -232,6 +240,9 @@
                 format!("version={version} out={:?}", names.join(",")),
             ))]);
         }
+        if valid && changed {
+            self.share_limits_changed();
+        }
         let table = Arc::clone(&self.forward_fleet.table);
         self.push(Internal::Forward(ForwardEvent::Configure {
             version,
--- a/crates/core/src/node/lifecycle.rs
+++ b/crates/core/src/node/lifecycle.rs
@@ -6,6 +6,7 @@
     forward::ForwardEvent,
     membership::MembershipEvent,
     query::QueryEvent,
+    shares::ShareEvent,
     time::Time,
 };
 
@@ -128,6 +129,7 @@
             );
         self.push(Internal::Query(QueryEvent::Serving(accepts)));
         self.push(Internal::Forward(ForwardEvent::Lease(self.serving)));
+        self.push(Internal::Share(ShareEvent::Serving(self.serving)));
         self.push(Internal::Forward(ForwardEvent::Serving(accepts)));
         self.configure_targets(now, out);
     }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -17,6 +17,7 @@
 mod replica;
 mod reports;
 mod roles;
+mod shared_limits;
 mod types;
 mod view;
 
@@ -28,7 +29,7 @@
 };
 use self::{
     auto_bootstrap::AutoBootstrap, forwarding::ForwardFleet, home::HomeJobs,
-    lifecycle::Lifecycle, replica::ControlReplica,
+    lifecycle::Lifecycle, replica::ControlReplica, shared_limits::ShareInputs,
 };
 use crate::{
     config::Configuration,
@@ -41,6 +42,7 @@
     message::PeerMessage,
     placement::Placement,
     query::{self, Queries, QueryEffect, QueryEvent},
+    shares::{ShareEvent, Shares},
     target::{TargetEffect, TargetEvent, TargetReport, Targets},
     time::Time,
 };
@@ -54,6 +56,7 @@
     Target(TargetEvent),
     Client(ClientEvent),
     Forward(ForwardEvent),
+    Share(ShareEvent),
     /// A message of the query path and the instance that sent it, which may
     /// be this one.
     QueryMessage(InstanceId, query::Message),
@@ -68,6 +71,8 @@
     queries: Queries,
     targets: Targets,
     forwarder: Forwarder,
+    shares: Shares,
+    share_inputs: ShareInputs,
     forward_fleet: ForwardFleet,
     auto_bootstrap: AutoBootstrap,
     home_jobs: HomeJobs,
@@ -140,6 +145,13 @@
                 options.forward.clone(),
                 seed ^ 6,
             ),
+            shares: Shares::new(
+                own_member.id,
+                own_member.zone,
+                options.shares.clone(),
+                seed ^ 7,
+            ),
+            share_inputs: ShareInputs::default(),
             forward_fleet: ForwardFleet::default(),
             auto_bootstrap: AutoBootstrap::default(),
             home_jobs: HomeJobs::default(),
@@ -230,6 +242,7 @@
             self.queries.next_deadline(),
             self.targets.next_deadline(),
             self.forwarder.next_deadline(),
+            self.shares.next_deadline(),
             self.forward_fleet.next_deadline(),
             self.auto_bootstrap_deadline(),
             self.client.next_deadline(),
@@ -270,6 +283,9 @@
         if due(self.forwarder.next_deadline()) {
             self.push(Internal::Forward(ForwardEvent::Tick));
         }
+        if due(self.shares.next_deadline()) {
+            self.push(Internal::Share(ShareEvent::Tick));
+        }
         self.forward_fleet_tick(now);
         self.auto_bootstrap_tick(now, out);
         self.replica_tick(now, out);
@@ -291,6 +307,7 @@
                 Internal::Forward(event) => {
                     self.step_forwarder(now, event, out);
                 }
+                Internal::Share(event) => self.step_shares(now, event, out),
                 Internal::QueryMessage(from, message) => {
                     self.handle_query_message(now, from, message, out);
                 }
@@ -352,6 +369,7 @@
                 SyncEffect::Log(event) => out.extend([Effect::Log(event)]),
             }
         }
+        self.voter_list_changed();
     }
 
     fn step_query(
@@ -512,6 +530,9 @@
             PeerMessage::Shared(message) => {
                 self.handle_shared_message(from, message, out);
             }
+            PeerMessage::Shares(message) => {
+                self.push(Internal::Share(ShareEvent::Message(from, message)));
+            }
             PeerMessage::Consensus(envelope) => {
                 self.handle_consensus_message(now, envelope, out);
             }
--- a/crates/core/src/node/replica.rs
+++ b/crates/core/src/node/replica.rs
@@ -21,6 +21,7 @@
     id::{ConfigVersion, InstanceId, ReplicaId, Token},
     membership::{Member, MembershipEvent},
     message::PeerMessage,
+    shares::ShareEvent,
     time::Time,
 };
 
@@ -501,6 +502,9 @@
         let current = (voter, voters, logged, members_index);
         if replica.last_notified != Some(current) {
             replica.last_notified = Some(current);
+            if !voter {
+                self.push(Internal::Share(ShareEvent::NotVoter));
+            }
             self.push(Internal::Sync(SyncEvent::Replica {
                 voter,
                 voters,
--- a/crates/core/src/node/roles.rs
+++ b/crates/core/src/node/roles.rs
@@ -12,6 +12,7 @@
     membership::{Member, MemberState, MembershipEvent},
     placement::{self, BundleKey, BundlePlacement, BundledSearcher},
     query::{DispatchMode, QueryEvent},
+    shares::ShareEvent,
     target::{HomeRole, TargetEvent, TargetSpec},
     time::Time,
 };
@@ -36,6 +37,7 @@
             }
         }
         self.push(Internal::Forward(ForwardEvent::Unreachable(id)));
+        self.push(Internal::Share(ShareEvent::Unreachable(id)));
     }
 
     pub(super) fn mark_reachable(&mut self, now: Time, id: InstanceId) {
@@ -87,6 +89,7 @@
             self.refresh_reports_at = now;
         }
         self.forward_members_changed(now, &present);
+        self.grantors_changed();
     }
 
     /// Updates the entry instances used by the query path, which leaves out
--- a/crates/core/src/node/types.rs
+++ b/crates/core/src/node/types.rs
@@ -15,6 +15,7 @@
     membership::{MembershipOptions, Recipient},
     message::PeerMessage,
     query::{CallerRequest, CallerResponse, QueryOptions},
+    shares::ShareOptions,
     target::{TargetEffect, TargetEvent, TargetOptions},
 };
 
@@ -31,6 +32,8 @@
     pub target: TargetOptions,
     /// Options of the forwarding path.
     pub forward: ForwardOptions,
+    /// Options of the limits that all instances share.
+    pub shares: ShareOptions,
     /// Options of the replicated log.
     pub consensus: ConsensusOptions,
     /// Peer addresses that are contacted to join the fleet.
@@ -68,6 +71,7 @@
             query: QueryOptions::default(),
             target: TargetOptions::default(),
             forward: ForwardOptions::default(),
+            shares: ShareOptions::default(),
             consensus: ConsensusOptions::default(),
             seeds: Vec::new(),
             control_group_size: 3,
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -12,9 +12,11 @@
         ForwardEffect, ForwardEvent, ForwardOptions, Outcome, Reason,
         Response, directory,
         shared::{IncomingMessage, Message, PartialResult, Task},
-        table::{CompiledTable, Destination, Forwarding},
+        table::{
+            CompiledTable, Destination, Forwarding, KeyDigest, RateLimit, Team,
+        },
     },
-    id::{ConfigVersion, InstanceId, RouteId, Token, ZoneId},
+    id::{ConfigVersion, InstanceId, RouteId, TeamId, Token, ZoneId},
     verdict::Verdict,
 };
 
@@ -904,3 +906,100 @@
     harness.end_attempt(first[0].attempt, Outcome::Unreachable);
     assert_eq!(harness.take_sent().len(), 1);
 }
+
+/// A harness whose callers belong to a team, with a limit or without.
+fn team_harness(limit: Option<RateLimit>) -> Harness {
+    let mut forwarding = table(vec![route("a", single_service())]);
+    forwarding.teams.push(Team {
+        name: "team".into(),
+        keys: vec![KeyDigest([1; 32])],
+        priority: None,
+        limit,
+    });
+    let mut harness = Harness::new(&forwarding, 2);
+    harness.team = Some(TeamId::from_name("team"));
+    harness
+}
+
+const LIMIT: RateLimit = RateLimit { per_second: 1.0, burst: 1.0 };
+
+// Guards against a request of a limited team that is sent before it has a
+// token, and against one of another team that waits for one.
+#[test]
+fn a_request_of_a_limited_team_is_sent_once_it_has_a_token() {
+    let mut harness = team_harness(Some(LIMIT));
+    let token = harness.submit("a");
+    assert!(harness.take_sent().is_empty());
+    assert_eq!(harness.forwarder.in_flight(), 1);
+    let taken = harness.effects.iter().any(|e| {
+        matches!(e, ForwardEffect::TakeShare { token: t, .. } if *t == token)
+    });
+    assert!(taken, "{:?}", harness.effects);
+    harness.advance(ms(50));
+    harness.step(ForwardEvent::ShareTaken(token));
+    let sent = harness.take_sent();
+    assert_eq!(sent.len(), 1);
+    // The wait counts against the deadline.
+    assert!(sent[0].budget <= ms(950), "{:?}", sent[0].budget);
+    harness.step(ForwardEvent::ShareTaken(token));
+    assert!(harness.take_sent().is_empty(), "sent twice");
+
+    let mut harness = team_harness(None);
+    harness.submit("a");
+    assert_eq!(harness.take_sent().len(), 1);
+}
+
+// Guards against a refusal for the limit that does not say that the request
+// was not run, or when a repeat may succeed.
+#[test]
+fn a_request_without_a_token_is_refused_as_not_run() {
+    let mut harness = team_harness(Some(LIMIT));
+    let token = harness.submit("a");
+    harness.effects.clear();
+    harness.step(ForwardEvent::ShareRefused(token, ms(300)));
+    let rejected = ForwardEffect::Respond(
+        token,
+        Response::Reject {
+            reason: Reason::OverLimit,
+            verdict: Verdict::NotRun,
+            retry_after: Some(ms(300)),
+        },
+    );
+    assert!(harness.effects.contains(&rejected), "{:?}", harness.effects);
+    assert_eq!(harness.forwarder.in_flight(), 0);
+}
+
+// Guards against requests that are sent, or never answered, because their
+// caller left, the lease ended or the process stopped while they waited.
+#[test]
+fn waiting_for_a_token_ends_with_the_caller_the_lease_and_the_process() {
+    let mut harness = team_harness(Some(LIMIT));
+    let token = harness.submit("a");
+    harness.step(ForwardEvent::CallerGone(token));
+    assert!(harness.effects.contains(&ForwardEffect::DropShare(token)));
+    harness.step(ForwardEvent::ShareTaken(token));
+    assert!(harness.take_sent().is_empty());
+    assert_eq!(harness.forwarder.in_flight(), 0);
+
+    let mut reason = |event: ForwardEvent, then: Option<ForwardEvent>| {
+        let token = harness.submit("a");
+        harness.effects.clear();
+        harness.step(event);
+        if let Some(ForwardEvent::ShareTaken(_)) = then {
+            harness.step(ForwardEvent::ShareTaken(token));
+        }
+        assert!(harness.take_sent().is_empty());
+        let response = harness.effects.iter().find_map(|e| match e {
+            ForwardEffect::Respond(t, response) if *t == token => {
+                Some(response.clone())
+            }
+            _ => None,
+        });
+        rejection(&response.expect("answered"))
+    };
+    let taken = Some(ForwardEvent::ShareTaken(Token(0)));
+    let lease_lost = reason(ForwardEvent::Lease(false), taken);
+    assert_eq!(lease_lost, (Reason::NotServing, Verdict::NotRun));
+    let ended = reason(ForwardEvent::EndRequests, None);
+    assert_eq!(ended, (Reason::ShuttingDown, Verdict::NotRun));
+}
--- a/crates/core/tests/forward_support/mod.rs
+++ b/crates/core/tests/forward_support/mod.rs
@@ -17,7 +17,7 @@
             Forwarding, WeightedService,
         },
     },
-    id::{AttemptId, ConfigVersion, InstanceId, Token, ZoneId},
+    id::{AttemptId, ConfigVersion, InstanceId, TeamId, Token, ZoneId},
     time::Time,
 };
 
@@ -99,6 +99,8 @@
     pub table: Arc<CompiledTable>,
     pub effects: Vec<ForwardEffect>,
     pub directory: Directory,
+    /// Team of the callers.
+    pub team: Option<TeamId>,
     last_token: u64,
 }
 
@@ -144,6 +146,7 @@
             table: Arc::clone(&table),
             effects: Vec::new(),
             directory: Directory { targets },
+            team: None,
             last_token: 0,
         };
         harness.step(ForwardEvent::Configure {
@@ -210,7 +213,7 @@
             request_id: format!("r{}", self.last_token).into(),
             route: Arc::clone(route.expect("a route")),
             remaining,
-            team: None,
+            team: self.team,
         };
         self.step(ForwardEvent::Submit(token, submission));
         token
--- a/crates/core/tests/node.rs
+++ b/crates/core/tests/node.rs
@@ -1,14 +1,20 @@
 //! Tests of the node's reducer: how its subsystems act together.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use primrosemast_core::{
     config::{AvailabilityZone, Configuration, ZoneState},
     config_sync::{ConfigRecord, Message},
     consensus::Recovered,
     control::TableRevision,
-    forward::table::{Destination, ForwardRoute, ForwardService, Forwarding},
-    id::{ConfigVersion, InstanceId, ReplicaId, Token, ZoneId},
+    forward::{
+        ForwardEffect, ForwardEvent, Reason, Response, Submission,
+        table::{
+            Destination, ForwardRoute, ForwardService, Forwarding, KeyDigest,
+            RateLimit, Team,
+        },
+    },
+    id::{ConfigVersion, InstanceId, ReplicaId, TeamId, Token, ZoneId},
     membership::{Member, MemberState},
     message::PeerMessage,
     node::{Effect, Event, Node, NodeOptions, OperatorRequest},
@@ -138,3 +144,58 @@
     assert!(codes.contains(&732), "{codes:?}");
     assert_eq!(node.forwarding_table().revision, 1);
 }
+
+// Guards against a limit that is not passed to the shared limits, tokens that
+// are not passed to the requests, and a voter that grants without waiting.
+#[test]
+fn a_voter_admits_the_requests_of_a_team_up_to_its_limit() {
+    let mut node = node();
+    let recovered = Some((ReplicaId(5), Recovered::default()));
+    run_alone(&mut node, 0, Event::Start { recovered });
+    let bootstrap = OperatorRequest::Bootstrap { group: 77 };
+    run_alone(&mut node, 1_000, Event::Operator(Token(1), bootstrap));
+    let mut forwarding = configuration(1, "known", ZoneState::In).forwarding;
+    forwarding.teams.push(Team {
+        name: "team".into(),
+        keys: vec![KeyDigest([1; 32])],
+        priority: None,
+        limit: Some(RateLimit { per_second: 1.0, burst: 4.0 }),
+    });
+    let table = rmp_serde::to_vec_named(&forwarding).expect("encoded").into();
+    let revise = OperatorRequest::Revise(TableRevision { revision: 1, table });
+    run_alone(&mut node, 2_000, Event::Operator(Token(2), revise));
+    let route = node.forwarding_table().find("site.example", "/one/");
+    let route = Arc::clone(route.expect("a route"));
+    // Requests with a token are refused because there is no target.
+    let mut submit = |ms: u64| {
+        run_alone(&mut node, ms, Event::Tick);
+        let now = Time::from_millis(ms + 1_000);
+        let mut reasons = Vec::new();
+        for i in 0..60 {
+            let submission = Submission {
+                request_id: "r".into(),
+                route: Arc::clone(&route),
+                remaining: Duration::from_secs(1),
+                team: Some(TeamId::from_name("team")),
+            };
+            let token = Token(ms * 100 + i);
+            let event = ForwardEvent::Submit(token, submission);
+            let mut effects = Vec::new();
+            node.step(now, Event::Forward(event), &mut effects);
+            reasons.extend(effects.into_iter().filter_map(|e| match e {
+                Effect::Forward(ForwardEffect::Respond(
+                    _,
+                    Response::Reject { reason, .. },
+                )) => Some(reason),
+                _ => None,
+            }));
+        }
+        let admitted = |r: &&Reason| **r == Reason::NoTarget;
+        (reasons.len(), reasons.iter().filter(admitted).count())
+    };
+    assert_eq!(submit(3_000).1, 0, "granted without waiting");
+    let (answered, admitted) = submit(20_000);
+    assert_eq!(answered, 60, "all are answered at once");
+    // The burst and the tolerated excess: (1 * 5 + 4) * 0.1 + 20.
+    assert!((4..=24).contains(&admitted), "{admitted}");
+}
--- a/src/daemon/effects.rs
+++ b/src/daemon/effects.rs
@@ -121,5 +121,6 @@
         PeerMessage::Control(_) => "control",
         PeerMessage::Directory(_) => "directory",
         PeerMessage::Shared(_) => "shared",
+        PeerMessage::Shares(_) => "shares",
     }
 }
--- a/src/daemon/forward_metrics.rs
+++ b/src/daemon/forward_metrics.rs
@@ -8,6 +8,7 @@
 };
 use primrosemast_core::{
     forward::{Forwarder, Outcome, Response},
+    shares::ShareCounts,
     time::Time,
 };
 
@@ -32,6 +33,10 @@
     open_attempts: Gauge<u64>,
     targets: Gauge<u64>,
     list_age: Gauge<f64>,
+    share_tokens: Counter<f64>,
+    share_refusals: Counter<u64>,
+    share_asked: Counter<u64>,
+    grantor: Gauge<u64>,
 }
 
 impl ForwardMetrics {
@@ -90,6 +95,24 @@
                 .f64_gauge("primrosemast_forward_list_age_seconds")
                 .with_description("Age of the reading that is in use")
                 .build(),
+            share_tokens: meter
+                .f64_counter("primrosemast_share_tokens")
+                .with_description(
+                    "Tokens of shared limits by what became of them here",
+                )
+                .build(),
+            share_refusals: counter(
+                "primrosemast_share_refusals",
+                "Requests without a token, by whether grantors were empty",
+            ),
+            share_asked: counter(
+                "primrosemast_share_asked",
+                "Messages that asked grantors for tokens",
+            ),
+            grantor: gauge(
+                "primrosemast_share_grantor",
+                "Whether this instance grants tokens of shared limits",
+            ),
         }
     }
 
@@ -152,4 +175,32 @@
             self.list_age.record(age.as_secs_f64(), &[]);
         }
     }
+
+    /// Records what the counts of the shared limits have grown by. There is no
+    /// label for the team, because their number is not bounded.
+    pub(super) fn record_shares(
+        &self,
+        old: ShareCounts,
+        new: ShareCounts,
+        grantor: bool,
+    ) {
+        let tokens = [
+            ("granted", new.granted - old.granted),
+            ("spent", (new.spent - old.spent) as f64),
+            ("returned", new.returned - old.returned),
+            ("expired", new.expired - old.expired),
+        ];
+        for (result, count) in tokens.into_iter().filter(|t| t.1 > 0.0) {
+            self.share_tokens.add(count, &[KeyValue::new("result", result)]);
+        }
+        let refusals = [
+            ("empty", new.refused_empty - old.refused_empty),
+            ("silent", new.refused_silent - old.refused_silent),
+        ];
+        for (cause, count) in refusals.into_iter().filter(|r| r.1 > 0) {
+            self.share_refusals.add(count, &[KeyValue::new("cause", cause)]);
+        }
+        self.share_asked.add(new.asked - old.asked, &[]);
+        self.grantor.record(grantor.into(), &[]);
+    }
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -28,6 +28,7 @@
     membership::{Member, MemberState},
     node::{Effect, Event, Node, OperatorReply},
     query::CallerResponse,
+    shares::ShareCounts,
     target::TargetEvent,
     time::Time,
 };
@@ -259,6 +260,8 @@
     connections: Connections,
     forwarding: ForwardDriver<P>,
     close_idle_at: Instant,
+    /// Counts of the shared limits that the metrics contain.
+    share_counts: ShareCounts,
     storage: Option<StorageThread>,
     /// Sorted by token, because tokens only grow.
     callers: Vec<Pending<CallerResponse>>,
@@ -315,6 +318,7 @@
             connections: Connections::default(),
             forwarding,
             close_idle_at: Instant::now(),
+            share_counts: ShareCounts::default(),
             storage,
             callers: Vec::new(),
             operators: Vec::new(),
@@ -501,6 +505,14 @@
             self.metrics.record_backlog(age, queued_inputs);
             let forwarder = self.node.forwarder();
             self.metrics.forward().record_state(self.now(), forwarder);
+            let shares = self.node.shares();
+            let counts = shares.counts();
+            self.metrics.forward().record_shares(
+                self.share_counts,
+                counts,
+                shares.grants(self.now()),
+            );
+            self.share_counts = counts;
         }
         // Closes the connections to members that were replaced. An instance
         // that knows no member yet needs those at which it seeks the fleet.
--- a/src/daemon/options.rs
+++ b/src/daemon/options.rs
@@ -11,6 +11,7 @@
     membership::MembershipOptions,
     node::NodeOptions,
     query::{DispatchMode, QueryOptions},
+    shares::ShareOptions,
     target::TargetOptions,
 };
 
@@ -61,6 +62,7 @@
             ..ConsensusOptions::default()
         },
         forward: forward_options(settings),
+        shares: share_options(settings),
         seeds: settings.peers.clone(),
         min_voters: settings.min_voters,
         replace_voter_after: ms(timing.replace_voter_ms),
@@ -75,6 +77,23 @@
     }
 }
 
+fn share_options(settings: &InstanceSettings) -> ShareOptions {
+    let forwarding = &settings.forwarding;
+    let lease = Duration::from_millis(settings.timing.lease_ms);
+    let defaults = ShareOptions::default();
+    ShareOptions {
+        enabled: forwarding.team_limits,
+        window: Duration::from_millis(forwarding.team_window_ms),
+        overage: forwarding.team_overage,
+        slack: forwarding.team_slack,
+        lease,
+        hold: lease + defaults.validity,
+        // One more while a voter is replaced.
+        max_voters: settings.control_group_size + 1,
+        ..defaults
+    }
+}
+
 fn forward_options(settings: &InstanceSettings) -> ForwardOptions {
     let forwarding = &settings.forwarding;
     let ms = Duration::from_millis;
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -249,6 +249,8 @@
             | ForwardEffect::SendPart { .. }
             | ForwardEffect::SendShared(..)
             | ForwardEffect::SendDirectory(..)
+            | ForwardEffect::TakeShare { .. }
+            | ForwardEffect::DropShare(_)
             | ForwardEffect::Log(_) => {
                 unreachable!(
                     "handled by the node, never sent to the forward driver"
--- a/src/forward/native.rs
+++ b/src/forward/native.rs
@@ -15,7 +15,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, Uri, header};
 use http_body_util::Full;
 use primrosemast_core::{
-    forward::{Outcome, TargetRequest, directory::Directory},
+    forward::{Outcome, Reason, TargetRequest, directory::Directory},
     verdict::Verdict,
 };
 use serde::Deserialize;
@@ -122,6 +122,9 @@
         let text = format!("{}: {}\n", verdict.as_str(), reason.as_str());
         let mut response = CallerResponse::new(Full::new(text.into()));
         *response.status_mut() = match verdict {
+            Verdict::NotRun if reason == Reason::OverLimit => {
+                StatusCode::TOO_MANY_REQUESTS
+            }
             Verdict::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Verdict::MayHaveRun | Verdict::Ran => StatusCode::BAD_GATEWAY,
         };
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -141,7 +141,9 @@
             PeerMessage::Sync(_) => Class::Sync,
             PeerMessage::Query(_) => Class::Query,
             PeerMessage::Control(_) => Class::Control,
-            PeerMessage::Directory(_) | PeerMessage::Shared(_) => Class::Query,
+            PeerMessage::Directory(_)
+            | PeerMessage::Shared(_)
+            | PeerMessage::Shares(_) => Class::Query,
         };
         let resend = is_resendable(message);
         let body = compress_body(rmp_serde::to_vec(message).ok()?);
--- a/src/settings/instance.rs
+++ b/src/settings/instance.rs
@@ -166,6 +166,16 @@
     /// Longest time by which the platform's list may lag behind the actual
     /// state, in milliseconds.
     pub list_lag_ms: u64,
+    /// Whether the limits of teams are in force.
+    pub team_limits: bool,
+    /// Length of the sliding window in which the requests of a team are
+    /// counted, in milliseconds.
+    pub team_window_ms: u64,
+    /// Tolerated excess of a team's requests in a window, as a fraction of
+    /// what its limit allows.
+    pub team_overage: f64,
+    /// Tolerated excess in a window in addition, in requests.
+    pub team_slack: f64,
 }
 
 impl Default for ForwardingSettings {
@@ -175,6 +185,10 @@
             extra_slack: 10.0,
             extra_window_ms: 10_000,
             list_lag_ms: 1_000,
+            team_limits: true,
+            team_window_ms: 5_000,
+            team_overage: 0.1,
+            team_slack: 20.0,
         }
     }
 }
@@ -278,9 +292,27 @@
         out.push(Finding::error(path, found, "a URL that starts http://"));
     }
     check_timing(&document["timing"], &mut out);
+    check_team_limits(&document["forwarding"], &mut out);
     out
 }
 
+/// A window without length counts nothing, and a negative excess would lower
+/// the limits.
+fn check_team_limits(forwarding: &Value, out: &mut Vec<Finding>) {
+    if forwarding["team_window_ms"] == 0 {
+        let path = segments!["forwarding", "team_window_ms"];
+        out.push(Finding::error(path, "0", "at least 1"));
+    }
+    for key in ["team_overage", "team_slack"] {
+        if let Some(value) = forwarding[key].as_f64()
+            && value < 0.0
+        {
+            let path = segments!["forwarding", key];
+            out.push(Finding::error(path, value.to_string(), "at least 0"));
+        }
+    }
+}
+
 fn check_roles(document: &Value, out: &mut Vec<Finding>) {
     let roles = match document.get("roles") {
         Some(Value::Array(roles)) => roles.clone(),
