--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -422,3 +422,28 @@
     assert!(text.contains("unknown service"), "{text}");
     assert!(text.contains("forwarding"), "{text}");
 }
+
+// Guards against settings of team limits that count nothing or lower the
+// limits.
+#[test]
+fn broken_settings_of_team_limits_are_refused() {
+    let folder = TempDir::new().unwrap();
+    let load = |forwarding: &str| {
+        let text = format!(
+            r#"{{ "name": "a", "availability_zone": "west",
+               "forwarding": {forwarding} }}"#
+        );
+        load_instance(&write(&folder, "instance.jsonc", &text))
+    };
+    let settings = load(r#"{ "team_window_ms": 7000 }"#).expect("valid");
+    assert_eq!(settings.forwarding.team_window_ms, 7_000);
+    assert!(settings.forwarding.team_limits);
+    for (key, value) in
+        [("window_ms", "0"), ("overage", "-0.1"), ("slack", "-1")]
+    {
+        let error = load(&format!(r#"{{ "team_{key}": {value} }}"#));
+        let text = error.expect_err("refused").to_string();
+        assert!(text.contains(&format!("forwarding.team_{key}")), "{text}");
+        assert!(text.contains("at least"), "{text}");
+    }
+}
