--- a/crates/core/src/event/forward.rs
+++ b/crates/core/src/event/forward.rs
@@ -18,6 +18,8 @@
     DIRECTORY_FAILED = (721, Warn, "The platform's list could not be read. The last reading stays in use.");
     TABLE_INSTALLED = (730, Info, "A forwarding table came into force.");
     TABLE_REJECTED = (731, Error, "A forwarding table is invalid and was not installed.");
+    KEYS_CONFIRMED = (733, Warn, "Requests with a key are refused because no control quorum confirms that the keys are still in use, or this has ended.");
+    KEYS_WITHDRAWN = (734, Info, "A forwarding table withdrew the keys of requests in flight. Their shards that were not sent are given up.");
     ZONES_OUT_CHANGED = (732, Info, "The availability zones that this instance sends nothing to have changed.");
     GRANTOR_CHANGED = (740, Info, "This instance began or stopped granting tokens of the limits that all instances share.");
     GRANTOR_SILENT = (741, Info, "A grantor of shared limits did not answer in time. Another one is asked.");
--- a/crates/core/src/forward/request.rs
+++ b/crates/core/src/forward/request.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use super::{Submission, delegate::Delegation, table::CompiledRoute};
+use super::{
+    Submission, delegate::Delegation, keys::KeyedCaller, table::CompiledRoute,
+};
 use crate::{
     id::{AttemptId, InstanceId, ServiceId, TargetId, Token},
     time::Time,
@@ -78,12 +80,13 @@
     }
 }
 
-/// A request that needs a token of the limit of its team. Nothing has been
-/// sent for it.
+/// A request for which nothing has been sent, such as one that needs a token
+/// of the limit of its team.
 #[derive(Clone, Debug)]
 pub(super) struct Unadmitted {
     pub(super) token: Token,
     pub(super) submission: Submission,
+    pub(super) services: Vec<ServiceId>,
     pub(super) started: Time,
 }
 
@@ -107,6 +110,11 @@
     pub(super) id: Arc<str>,
     pub(super) origin: Origin,
     pub(super) route: Arc<CompiledRoute>,
+    /// `None` if the route needs no key.
+    pub(super) caller: Option<KeyedCaller>,
+    /// Priority of the team or, if it sets none, of the route; 0 is the most
+    /// urgent.
+    pub(super) priority: u32,
     pub(super) started: Time,
     /// Time from which a response with enough shards is sent at once.
     pub(super) soft_deadline: Time,
--- a/crates/core/src/forward/send.rs
+++ b/crates/core/src/forward/send.rs
@@ -37,41 +37,73 @@
         token: Token,
         submission: Submission,
     ) {
-        let Submission { request_id, route, team, .. } = &submission;
-        if let Err(reason) = self.check_admission() {
-            let retry_after = Some(NOT_SERVING_RETRY_AFTER);
-            self.refuse(token, request_id, route, reason, retry_after);
+        let admissible = self
+            .check_admission()
+            .and(self.check_key(now, submission.caller()).map(|_| ()));
+        if let Err(reason) = admissible {
+            self.refuse_inadmissible(now, token, &submission, reason);
             return;
         }
-        let limited = team
+        let Submission { request_id, route, .. } = &submission;
+        let services = self.services(route);
+        if let Err(until) = self.enough_targets(now, route, &services) {
+            let (min, max) = RETRY_AFTER_RANGE;
+            let retry_after = until.since(now).clamp(min, max);
+            let reason = Reason::NoTarget;
+            self.refuse(token, request_id, route, reason, Some(retry_after));
+            return;
+        }
+        let limited = submission
+            .team
             .and_then(|id| self.table.team(id))
             .filter(|t| t.team.limit.is_some());
-        let Some(limit) = limited.map(|t| LimitId::from(t.id)) else {
-            self.admit(now, token, submission, now);
+        let limit = limited.map(|t| LimitId::from(t.id));
+        let until = now + submission.time_limit();
+        let request = Unadmitted { token, submission, services, started: now };
+        let Some(limit) = limit else {
+            self.admit(now, request);
             return;
         };
-        let until = now + submission.time_limit();
         // Tokens are allocated before requests are queued, so they may arrive
         // out of order.
         let at = self.unadmitted.partition_point(|u| u.token < token);
-        let unadmitted = Unadmitted { token, submission, started: now };
-        self.unadmitted.insert(at, unadmitted);
+        self.unadmitted.insert(at, request);
         self.out.push(ForwardEffect::TakeShare { token, limit, until });
     }
 
+    /// Refuses a request because of this instance or of its key.
+    fn refuse_inadmissible(
+        &mut self,
+        now: Time,
+        token: Token,
+        submission: &Submission,
+        reason: Reason,
+    ) {
+        if reason == Reason::KeyNotConfirmed {
+            self.record_unconfirmed(now);
+        }
+        let retry_after =
+            (reason != Reason::UnknownKey).then_some(NOT_SERVING_RETRY_AFTER);
+        let Submission { request_id, route, .. } = submission;
+        self.refuse(token, request_id, route, reason, retry_after);
+    }
+
     /// Starts a request that has got a token of the limit of its team.
     pub(super) fn share_taken(&mut self, now: Time, token: Token) {
-        let Some(unadmitted) = self.remove_unadmitted(token) else { return };
-        let Unadmitted { submission, started, .. } = unadmitted;
-        // The lease may have ended while the request waited.
-        if !self.leased {
-            let Submission { request_id, route, .. } = &submission;
-            let retry_after = Some(NOT_SERVING_RETRY_AFTER);
-            let reason = Reason::NotServing;
-            self.refuse(token, request_id, route, reason, retry_after);
-            return;
+        let Some(request) = self.remove_unadmitted(token) else { return };
+        // The lease may have ended, or the key have been withdrawn, while the
+        // request waited.
+        let submission = &request.submission;
+        let admissible = match self.leased {
+            true => self.check_key(now, submission.caller()).map(|_| ()),
+            false => Err(Reason::NotServing),
+        };
+        match admissible {
+            Ok(()) => self.admit(now, request),
+            Err(reason) => {
+                self.refuse_inadmissible(now, token, submission, reason);
+            }
         }
-        self.admit(now, token, submission, started);
     }
 
     /// Rejects a request whose team has used up its limit.
@@ -94,25 +126,11 @@
         Some(self.unadmitted.remove(found.ok()?))
     }
 
-    /// Starts a request that arrived at `started`, or rejects it if too few
-    /// services have a target.
-    fn admit(
-        &mut self,
-        now: Time,
-        token: Token,
-        submission: Submission,
-        started: Time,
-    ) {
-        let limit = submission.time_limit();
-        let Submission { request_id, route, .. } = submission;
-        let services = self.services(&route);
-        if let Err(until) = self.enough_targets(now, &route, &services) {
-            let (min, max) = RETRY_AFTER_RANGE;
-            let retry_after = until.since(now).clamp(min, max);
-            let reason = Reason::NoTarget;
-            self.refuse(token, &request_id, &route, reason, Some(retry_after));
-            return;
-        }
+    /// Starts a request that may be sent.
+    fn admit(&mut self, now: Time, request: Unadmitted) {
+        let Unadmitted { token, submission, services, started } = request;
+        let (limit, caller) = (submission.time_limit(), submission.caller());
+        let Submission { request_id, route, team, .. } = submission;
         let hard_deadline =
             started + limit.saturating_sub(self.options.deadline_margin);
         let objective = Duration::from_millis(route.route.objective_ms.into());
@@ -127,6 +145,8 @@
                 token,
                 id: request_id,
                 origin: Origin::Caller,
+                priority: self.table.priority(&route, team),
+                caller,
                 route,
                 started,
                 soft_deadline: soft_deadline.min(hard_deadline),
@@ -296,7 +316,7 @@
     ///
     /// The lease may have ended since the request was admitted. The zones and
     /// the table are then possibly outdated, so nothing is sent until it is
-    /// renewed.
+    /// renewed. The same holds for the key of the caller.
     pub(super) fn send_attempt(
         &mut self,
         now: Time,
@@ -309,6 +329,9 @@
         }
         let Some(index) = self.position(token) else { return false };
         let request = &self.requests[index];
+        let Ok(permit) = self.check_key(now, request.caller) else {
+            return false;
+        };
         let state = &request.shards[shard];
         let (service, route) = (state.service, request.route.id);
         let tried = state.tried.clone();
@@ -370,6 +393,7 @@
             budget,
             repeatable,
             extra,
+            write_by: permit.write_by,
         }));
         true
     }
@@ -414,6 +438,7 @@
     pub(super) fn retry(&mut self, now: Time, token: Token, shard: usize) {
         let Some(index) = self.position(token) else { return };
         let max_refusals = self.options.max_refusals;
+        let withdrawn = self.is_withdrawn(self.requests[index].caller);
         let request = &mut self.requests[index];
         let repeatable = request.route.route.repeatable;
         let max_attempts = request.route.route.max_attempts.max(1);
@@ -425,7 +450,8 @@
         let may_run = state.may_run();
         let allowed = (repeatable || !state.may_have_run)
             && may_run < max_attempts
-            && state.refused <= max_refusals;
+            && state.refused <= max_refusals
+            && !withdrawn;
         if !allowed {
             state.progress = Progress::Failed;
             return;
--- a/crates/core/tests/node.rs
+++ b/crates/core/tests/node.rs
@@ -9,6 +9,7 @@
     control::TableRevision,
     forward::{
         ForwardEffect, ForwardEvent, Reason, Response, Submission,
+        directory::{Directory, ListedTarget},
         table::{
             Destination, ForwardRoute, ForwardService, Forwarding, KeyDigest,
             RateLimit, Team,
@@ -19,6 +20,7 @@
     message::PeerMessage,
     node::{Effect, Event, Node, NodeOptions, OperatorRequest},
     time::Time,
+    verdict::Verdict,
 };
 
 fn node() -> Node {
@@ -88,6 +90,20 @@
     effects.into_iter().filter_map(code).collect()
 }
 
+/// A list with one target of the service `known`.
+fn directory() -> Directory {
+    let target = ListedTarget {
+        name: "known/1".into(),
+        service: "known".into(),
+        address: ([10, 0, 0, 9], 80).into(),
+        availability_zone: "a".into(),
+        slots: 2,
+        leaving: false,
+        cold_ms: 0,
+    };
+    Directory { targets: vec![target] }
+}
+
 /// Steps a node that is alone in its control group for a second, and completes
 /// its writes at once.
 fn run_alone(node: &mut Node, from_ms: u64, event: Event) {
@@ -102,6 +118,10 @@
                 Effect::Persist { ticket, .. } => {
                     Some(Event::Persisted(ticket))
                 }
+                Effect::Forward(ForwardEffect::ReadDirectory) => {
+                    let event = ForwardEvent::DirectoryRead(Ok(directory()));
+                    Some(Event::Forward(event))
+                }
                 _ => None,
             }));
         }
@@ -166,36 +186,46 @@
     run_alone(&mut node, 2_000, Event::Operator(Token(2), revise));
     let route = node.forwarding_table().find("site.example", "/one/");
     let route = Arc::clone(route.expect("a route"));
-    // Requests with a token are refused because there is no target.
+    // The requests that are refused for the limit, and those that are not.
     let mut submit = |ms: u64| {
         run_alone(&mut node, ms, Event::Tick);
         let now = Time::from_millis(ms + 1_000);
-        let mut reasons = Vec::new();
+        let mut refused = 0;
+        let mut sent = 0;
         for i in 0..60 {
             let submission = Submission {
                 request_id: "r".into(),
                 route: Arc::clone(&route),
                 remaining: Duration::from_secs(1),
                 team: Some(TeamId::from_name("team")),
+                key: Some(KeyDigest([1; 32])),
             };
             let token = Token(ms * 100 + i);
             let event = ForwardEvent::Submit(token, submission);
             let mut effects = Vec::new();
             node.step(now, Event::Forward(event), &mut effects);
-            reasons.extend(effects.into_iter().filter_map(|e| match e {
-                Effect::Forward(ForwardEffect::Respond(
-                    _,
-                    Response::Reject { reason, .. },
-                )) => Some(reason),
-                _ => None,
-            }));
+            for effect in effects {
+                match effect {
+                    Effect::Forward(ForwardEffect::Respond(
+                        _,
+                        Response::Reject { reason, verdict, .. },
+                    )) => {
+                        assert_eq!(reason, Reason::OverLimit);
+                        assert_eq!(verdict, Verdict::NotRun);
+                        refused += 1;
+                    }
+                    Effect::Forward(ForwardEffect::Send(_)) => sent += 1,
+                    _ => {}
+                }
+            }
         }
-        let admitted = |r: &&Reason| **r == Reason::NoTarget;
-        (reasons.len(), reasons.iter().filter(admitted).count())
+        (refused, node.forwarder().in_flight(), sent)
     };
-    assert_eq!(submit(3_000).1, 0, "granted without waiting");
-    let (answered, admitted) = submit(20_000);
-    assert_eq!(answered, 60, "all are answered at once");
+    // No grantor yet: the requests wait for one.
+    assert_eq!(submit(3_000), (0, 60, 0));
+    let (refused, admitted, sent) = submit(20_000);
+    assert_eq!(refused + admitted, 60, "all are answered at once");
+    assert!(sent > 0);
     // The burst and the tolerated excess: (1 * 5 + 4) * 0.1 + 20.
     assert!((4..=24).contains(&admitted), "{admitted}");
 }
--- a/src/daemon/forward_metrics.rs
+++ b/src/daemon/forward_metrics.rs
@@ -37,6 +37,7 @@
     share_refusals: Counter<u64>,
     share_asked: Counter<u64>,
     grantor: Gauge<u64>,
+    key_refusals: Counter<u64>,
 }
 
 impl ForwardMetrics {
@@ -113,6 +114,10 @@
                 "primrosemast_share_grantor",
                 "Whether this instance grants tokens of shared limits",
             ),
+            key_refusals: counter(
+                "primrosemast_forward_key_refusals",
+                "Requests refused on arrival because of their key, by reason",
+            ),
         }
     }
 
@@ -165,6 +170,11 @@
         self.attempts.add(1, &[KeyValue::new("outcome", "cancelled")]);
     }
 
+    /// Records a request that was refused on arrival because of its key.
+    pub(crate) fn record_key_refusal(&self, reason: &'static str) {
+        self.key_refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Records the gauges of the forwarding path.
     pub(super) fn record_state(&self, now: Time, forwarder: &Forwarder) {
         self.in_flight.record(forwarder.in_flight() as u64, &[]);
--- a/src/settings/instance.rs
+++ b/src/settings/instance.rs
@@ -176,6 +176,11 @@
     pub team_overage: f64,
     /// Tolerated excess in a window in addition, in requests.
     pub team_slack: f64,
+    /// Time after the acceptance of a table that withdraws a key, after which
+    /// no instance sends a request with that key to a target, in
+    /// milliseconds. If it is not set, an instance that the table has not
+    /// reached may use the key for as long as it holds its lease.
+    pub key_withdrawal_ms: Option<u64>,
 }
 
 impl Default for ForwardingSettings {
@@ -189,6 +194,7 @@
             team_window_ms: 5_000,
             team_overage: 0.1,
             team_slack: 20.0,
+            key_withdrawal_ms: None,
         }
     }
 }
@@ -293,6 +299,7 @@
     }
     check_timing(&document["timing"], &mut out);
     check_team_limits(&document["forwarding"], &mut out);
+    check_key_withdrawal(document, &mut out);
     out
 }
 
@@ -313,6 +320,25 @@
     }
 }
 
+/// Checks that instances do not refuse requests with a key while they hold
+/// their lease and confirmations are merely late.
+fn check_key_withdrawal(document: &Value, out: &mut Vec<Finding>) {
+    let bound = &document["forwarding"]["key_withdrawal_ms"];
+    let lease = match &document["timing"]["lease_ms"] {
+        Value::Null => Some(Timing::default().lease_ms),
+        configured => configured.as_u64(),
+    };
+    if let (Some(bound), Some(lease)) = (bound.as_u64(), lease)
+        && bound < 2 * lease
+    {
+        out.push(Finding::error(
+            segments!["forwarding", "key_withdrawal_ms"],
+            bound.to_string(),
+            format!("at least twice lease_ms, which is {lease}"),
+        ));
+    }
+}
+
 fn check_roles(document: &Value, out: &mut Vec<Finding>) {
     let roles = match document.get("roles") {
         Some(Value::Array(roles)) => roles.clone(),
