Take back the token of a request that was not run

Cause: a request of a limited team that targets refused used up a token, and so did its repeat, so that a team inside its limit could be refused in an overload. Change: the holder keeps a spent token until it ends, and uses it again if the forwarding path reports that the request was not run.

--- a/crates/core/src/forward/delegate.rs
+++ b/crates/core/src/forward/delegate.rs
@@ -550,6 +550,7 @@
                 token,
                 id: task.request_id,
                 origin: Origin::Root { from, number },
+                has_share: false,
                 started: now,
                 soft_deadline: after(task.soft_us),
                 hard_deadline: after(task.remaining_us),
--- a/crates/core/src/forward/finish.rs
+++ b/crates/core/src/forward/finish.rs
@@ -134,6 +134,9 @@
         };
         let retry_after =
             (reason != Reason::UnknownKey).then_some(RETRY_AFTER);
+        if request.has_share && verdict == Verdict::NotRun {
+            self.out.push(ForwardEffect::DropShare(token));
+        }
         self.reject(token, reason, verdict, retry_after);
     }
 
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -328,6 +328,6 @@
         /// Deadline of the request.
         until: Time,
     },
-    /// Forget that a request needs a token.
+    /// A request that needs a token, or has got one, is not run.
     DropShare(Token),
 }
--- a/crates/core/src/forward/request.rs
+++ b/crates/core/src/forward/request.rs
@@ -109,6 +109,8 @@
     pub(super) token: Token,
     pub(super) id: Arc<str>,
     pub(super) origin: Origin,
+    /// Whether it has a token of the limit of its team.
+    pub(super) has_share: bool,
     pub(super) route: Arc<CompiledRoute>,
     /// `None` if the route needs no key.
     pub(super) caller: Option<KeyedCaller>,
--- a/crates/core/src/forward/send.rs
+++ b/crates/core/src/forward/send.rs
@@ -61,7 +61,7 @@
         let until = now + submission.time_limit();
         let request = Unadmitted { token, submission, services, started: now };
         let Some(limit) = limit else {
-            self.admit(now, request);
+            self.admit(now, request, false);
             return;
         };
         // Tokens are allocated before requests are queued, so they may arrive
@@ -99,8 +99,9 @@
             false => Err(Reason::NotServing),
         };
         match admissible {
-            Ok(()) => self.admit(now, request),
+            Ok(()) => self.admit(now, request, true),
             Err(reason) => {
+                self.out.push(ForwardEffect::DropShare(token));
                 self.refuse_inadmissible(now, token, submission, reason);
             }
         }
@@ -127,7 +128,7 @@
     }
 
     /// Starts a request that may be sent.
-    fn admit(&mut self, now: Time, request: Unadmitted) {
+    fn admit(&mut self, now: Time, request: Unadmitted, has_share: bool) {
         let Unadmitted { token, submission, services, started } = request;
         let (limit, caller) = (submission.time_limit(), submission.caller());
         let Submission { request_id, route, team, .. } = submission;
@@ -145,6 +146,7 @@
                 token,
                 id: request_id,
                 origin: Origin::Caller,
+                has_share,
                 priority: self.table.priority(&route, team),
                 caller,
                 route,
--- a/crates/core/src/shares/holder.rs
+++ b/crates/core/src/shares/holder.rs
@@ -12,7 +12,7 @@
 than it needs at once, by the recent rate.
 */
 
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
@@ -79,6 +79,14 @@
     rate: Rate,
 }
 
+/// A token that was spent and has not ended.
+#[derive(Clone, Copy, Debug)]
+struct Spent {
+    token: Token,
+    limit: LimitId,
+    parcel: Parcel,
+}
+
 /// Requests a second, as an average that decays with the validity of tokens.
 #[derive(Clone, Copy, Debug, Default)]
 struct Rate {
@@ -124,19 +132,24 @@
         self.parcels.iter().map(|p| p.tokens.0).sum()
     }
 
-    /// Spends one token. Those that end first are spent first.
-    fn spend(&mut self) -> bool {
+    /// Spends one token. Those that end first are spent first. Returns the
+    /// first part of the token, which is all of it unless it was put together
+    /// from fractions.
+    fn spend(&mut self) -> Option<Parcel> {
         if self.held() < ONE {
-            return false;
+            return None;
         }
         let mut missing = ONE;
+        let mut first = None;
         for parcel in &mut self.parcels {
             let spent = missing.min(parcel.tokens.0);
             parcel.tokens.0 -= spent;
             missing -= spent;
+            let tokens = Millitokens(spent);
+            first.get_or_insert(Parcel { tokens, ..*parcel });
         }
         self.parcels.retain(|p| p.tokens.0 > 0);
-        true
+        first
     }
 
     fn add(&mut self, parcel: Parcel) {
@@ -232,6 +245,8 @@
     stocks: Vec<Stock>,
     /// Sorted by grantor.
     links: Vec<Link>,
+    /// Tokens that can be taken back, in the order in which they were spent.
+    spent: VecDeque<Spent>,
     last_sequence: u64,
     pub(super) counts: ShareCounts,
     effects: Vec<ShareEffect>,
@@ -252,6 +267,7 @@
             options,
             stocks: Vec::new(),
             links: Vec::new(),
+            spent: VecDeque::new(),
             // A random start keeps replies to requests from before a restart
             // from matching.
             last_sequence: rng.random(),
@@ -351,11 +367,24 @@
         self.serve(now, i);
     }
 
-    /// Forgets a request that waits.
-    pub fn drop_request(&mut self, token: Token) {
+    /// Forgets a request that waits, or takes the token back of one that was
+    /// not run.
+    pub fn drop_request(&mut self, now: Time, token: Token) {
         for stock in &mut self.stocks {
             stock.waiters.retain(|w| w.token != token);
         }
+        let found = self.spent.iter().position(|s| s.token == token);
+        let Some(Spent { limit, parcel, .. }) =
+            found.and_then(|i| self.spent.remove(i))
+        else {
+            return;
+        };
+        if let Some(i) = self.stock(limit)
+            && now < parcel.end
+        {
+            self.counts.spent -= 1;
+            self.stocks[i].add(parcel);
+        }
     }
 
     /// Admits the requests for which there are tokens, and asks for those that
@@ -364,9 +393,16 @@
         let stock = &mut self.stocks[i];
         self.counts.expired += stock.expire(now);
         let mut admitted = 0;
-        while admitted < stock.waiters.len() && stock.spend() {
+        while admitted < stock.waiters.len()
+            && let Some(parcel) = stock.spend()
+        {
+            let (token, limit) = (stock.waiters[admitted].token, stock.id);
+            self.spent.push_back(Spent { token, limit, parcel });
             admitted += 1;
         }
+        while self.spent.front().is_some_and(|s| s.parcel.end <= now) {
+            self.spent.pop_front();
+        }
         self.counts.spent += admitted as u64;
         let tokens = stock.waiters.drain(..admitted).map(|w| w.token);
         self.effects.extend(tokens.map(ShareEffect::Admit));
--- a/crates/core/src/shares/mod.rs
+++ b/crates/core/src/shares/mod.rs
@@ -162,7 +162,8 @@
     /// A request needs a token of a limit. It waits until this time at the
     /// latest.
     Take(Token, LimitId, Time),
-    /// A request no longer waits for a token.
+    /// A request no longer waits for a token, or was not run after it had got
+    /// one.
     Drop(Token),
     /// A message from another instance.
     Message(InstanceId, Message),
--- a/crates/core/src/shares/reducer.rs
+++ b/crates/core/src/shares/reducer.rs
@@ -65,7 +65,9 @@
             ShareEvent::Take(token, limit, until) => {
                 self.holder.take(now, token, limit, until);
             }
-            ShareEvent::Drop(token) => self.holder.drop_request(token),
+            ShareEvent::Drop(token) => {
+                self.holder.drop_request(now, token);
+            }
             ShareEvent::Message(from, message) => {
                 self.handle_message(now, from, message, out);
             }
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -1006,3 +1006,26 @@
     let ended = reason(ForwardEvent::EndRequests, None);
     assert_eq!(ended, (Reason::ShuttingDown, Verdict::NotRun));
 }
+
+// Guards against a token that is lost with a request that no target has run,
+// and against one that is used again although a target may have run it.
+#[test]
+fn the_token_of_a_request_is_given_up_only_if_it_was_not_run() {
+    for (outcome, given_up) in
+        [(Outcome::Refused, true), (Outcome::Broken, false)]
+    {
+        let mut harness = team_harness(Some(LIMIT));
+        let token = harness.submit("a");
+        harness.step(ForwardEvent::ShareTaken(token));
+        harness.effects.retain(|e| matches!(e, ForwardEffect::Send(_)));
+        for _ in 0..200 {
+            for sent in harness.take_sent() {
+                harness.end_attempt(sent.attempt, outcome);
+            }
+            harness.advance(ms(10));
+        }
+        let drop = ForwardEffect::DropShare(token);
+        assert_eq!(harness.effects.contains(&drop), given_up, "{outcome:?}");
+        assert_eq!(harness.forwarder.in_flight(), 0);
+    }
+}
--- a/crates/core/tests/shares.rs
+++ b/crates/core/tests/shares.rs
@@ -608,3 +608,22 @@
         assert_eq!(matches!(reply, Message::Granted { .. }), grants);
     }
 }
+
+// Guards against a team that uses up its limit by requests that were refused
+// and not run, and against a token that is used again after its end.
+#[test]
+fn the_token_of_a_request_that_was_not_run_is_used_again() {
+    let mut shares = holder();
+    let sent = Time::from_millis(1_000);
+    let (from, sequence) = asked(&take(&mut shares, sent, 1));
+    step(&mut shares, sent, granted(from, sequence, 1_000));
+    let now = sent + ms(100);
+    step(&mut shares, now, ShareEvent::Drop(Token(1)));
+    step(&mut shares, now, ShareEvent::Drop(Token(1)));
+    assert_eq!(shares.held(LIMIT), 1);
+    let effects = take(&mut shares, now, 2);
+    assert!(effects.contains(&ShareEffect::Admit(Token(2))));
+    let late = sent + ms(500);
+    step(&mut shares, late, ShareEvent::Drop(Token(2)));
+    assert_eq!(shares.held(LIMIT), 0);
+}
--- a/crates/core/tests/shares_support/mod.rs
+++ b/crates/core/tests/shares_support/mod.rs
@@ -82,6 +82,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Offered {
     pub at: Time,
+    pub instance: usize,
     pub limit: LimitId,
     pub admitted_at: Option<Time>,
     pub refused_at: Option<Time>,
@@ -262,6 +263,7 @@
         let token = Token(self.offered.len() as u64);
         self.offered.push(Offered {
             at: self.now,
+            instance: i,
             limit,
             admitted_at: None,
             refused_at: None,
@@ -273,6 +275,20 @@
         self.schedule(at, i, Delivery::Event(take));
     }
 
+    /// Reports that an admitted request was not run, so that it no longer
+    /// counts.
+    pub fn not_run(&mut self, token: Token) {
+        let offered = &mut self.offered[token.0 as usize];
+        let i = offered.instance;
+        if offered.admitted_at.is_some()
+            && self.now >= self.instances[i].frozen_until
+        {
+            offered.admitted_at = None;
+            offered.refused_at = Some(self.now);
+            self.step(i, ShareEvent::Drop(token));
+        }
+    }
+
     fn local(&self, i: usize, at: Time) -> Time {
         Time::ZERO + at.since(self.instances[i].started)
     }
