--- a/crates/core/tests/shares_support/mod.rs
+++ b/crates/core/tests/shares_support/mod.rs
@@ -226,6 +226,14 @@
         }
     }
 
+    /// Gives an instance a random part of the instances that may be grantors,
+    /// as if it knew other members than the rest.
+    pub fn change_view(&mut self, i: usize) {
+        let mut grantors = self.grantors();
+        grantors.retain(|_| self.rng.random_bool(0.7));
+        self.step(i, ShareEvent::Grantors(grantors));
+    }
+
     pub fn voters(&self) -> &[usize] {
         &self.lists[self.lists.len() - 1].1
     }
