Count tokens taken back instead of lowering the spent ones

Cause: found in review. The count of spent tokens fell when a token was taken back, and the metrics subtract the last count from the new one, which then overflows. Change: a count of its own for tokens that were taken back. An accessor that nothing used is removed.

--- a/crates/core/src/shares/holder.rs
+++ b/crates/core/src/shares/holder.rs
@@ -277,11 +277,6 @@
         }
     }
 
-    /// Returns whether a limit is in force.
-    pub fn has_limit(&self, limit: LimitId) -> bool {
-        self.stock(limit).is_some()
-    }
-
     /// Returns the whole tokens of a limit that this instance holds.
     pub fn held(&self, limit: LimitId) -> u32 {
         self.stock(limit).map_or(0, |i| self.stocks[i].held() / ONE)
@@ -382,7 +377,7 @@
         if let Some(i) = self.stock(limit)
             && now < parcel.end
         {
-            self.counts.spent -= 1;
+            self.counts.taken_back += 1;
             self.stocks[i].add(parcel);
         }
     }
--- a/crates/core/src/shares/mod.rs
+++ b/crates/core/src/shares/mod.rs
@@ -149,8 +149,7 @@
 pub enum ShareEvent {
     /// The limits in force, sorted by identifier.
     Limits(Vec<(LimitId, RateLimit)>),
-    /// The instances that may be grantors, and those among them that cannot
-    /// be reached.
+    /// The instances that may be grantors.
     Grantors(Vec<Candidate>),
     /// A majority of the voters has confirmed the list that this instance
     /// knows.
@@ -196,6 +195,8 @@
 pub struct ShareCounts {
     /// Requests that got a token.
     pub spent: u64,
+    /// Tokens taken back from requests that were not run.
+    pub taken_back: u64,
     /// Requests refused because the grantors had no token left.
     pub refused_empty: u64,
     /// Requests refused because no grantor answered in time.
--- a/crates/core/src/shares/reducer.rs
+++ b/crates/core/src/shares/reducer.rs
@@ -149,11 +149,6 @@
         self.holder.next_deadline(self.last_step)
     }
 
-    /// Returns whether a limit is in force.
-    pub fn has_limit(&self, limit: LimitId) -> bool {
-        self.holder.has_limit(limit)
-    }
-
     /// Returns the whole tokens of a limit that this instance holds.
     pub fn held(&self, limit: LimitId) -> u32 {
         self.holder.held(limit)
--- a/crates/core/tests/shares.rs
+++ b/crates/core/tests/shares.rs
@@ -626,4 +626,7 @@
     let late = sent + ms(500);
     step(&mut shares, late, ShareEvent::Drop(Token(2)));
     assert_eq!(shares.held(LIMIT), 0);
+    // The metrics need counts that never fall.
+    let counts = shares.counts();
+    assert_eq!((counts.spent, counts.taken_back), (2, 1));
 }
--- a/src/daemon/forward_metrics.rs
+++ b/src/daemon/forward_metrics.rs
@@ -197,6 +197,7 @@
         let tokens = [
             ("granted", new.granted - old.granted),
             ("spent", (new.spent - old.spent) as f64),
+            ("taken_back", (new.taken_back - old.taken_back) as f64),
             ("returned", new.returned - old.returned),
             ("expired", new.expired - old.expired),
         ];
