--- a/crates/core/src/forward/finish.rs
+++ b/crates/core/src/forward/finish.rs
@@ -46,6 +46,12 @@
     /// Ends every request with the answers that it has. A request that a
     /// target may be working on is not reported as not run.
     pub(super) fn end_requests(&mut self, now: Time) {
+        for unadmitted in std::mem::take(&mut self.unadmitted) {
+            let token = unadmitted.token;
+            self.out.push(ForwardEffect::DropShare(token));
+            let reason = Reason::ShuttingDown;
+            self.reject(token, reason, Verdict::NotRun, Some(RETRY_AFTER));
+        }
         let tokens: Vec<Token> =
             self.requests.iter().map(|r| r.token).collect();
         for token in tokens {
@@ -128,6 +134,9 @@
         };
         let retry_after =
             (reason != Reason::UnknownKey).then_some(RETRY_AFTER);
+        if request.has_share && verdict == Verdict::NotRun {
+            self.out.push(ForwardEffect::DropShare(token));
+        }
         self.reject(token, reason, verdict, retry_after);
     }
 
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -36,6 +36,7 @@
 use self::{
     delegate::Peer,
     directory::Directory,
+    keys::KeyedCaller,
     shared::{Content, IncomingMessage, Task},
     table::{CompiledRoute, CompiledTable, KeyDigest},
 };
@@ -43,7 +44,8 @@
 use crate::{
     event::LogEvent,
     id::{
-        AttemptId, ConfigVersion, InstanceId, TargetId, TeamId, Token, ZoneId,
+        AttemptId, ConfigVersion, InstanceId, LimitId, TargetId, TeamId,
+        Token, ZoneId,
     },
     time::Time,
     verdict::Verdict,
@@ -65,6 +67,19 @@
     pub key: Option<KeyDigest>,
 }
 
+impl Submission {
+    fn caller(&self) -> Option<KeyedCaller> {
+        let (key, team) = self.key.zip(self.team)?;
+        Some(KeyedCaller { key, team })
+    }
+
+    /// Returns the time from the arrival of the request to its deadline.
+    fn time_limit(&self) -> Duration {
+        let timeout = self.route.route.timeout_ms;
+        self.remaining.min(Duration::from_millis(timeout.into()))
+    }
+}
+
 /// The outcome of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -142,6 +157,11 @@
     Directory(InstanceId, directory::Message),
     /// The time of [`Forwarder::next_deadline`] has been reached.
     Tick,
+    /// A request has got a token of the limit of its team.
+    ShareTaken(Token),
+    /// A request gets no token of the limit of its team; one may be there
+    /// after this time.
+    ShareRefused(Token, Duration),
 }
 
 /// The reason why a request is rejected.
@@ -298,4 +318,16 @@
     ReadDirectory,
     /// Write a line to the log.
     Log(LogEvent),
+    /// Take a token of a limit for a request and report the result with
+    /// `ShareTaken` or `ShareRefused`.
+    TakeShare {
+        /// The request.
+        token: Token,
+        /// The limit of its team.
+        limit: LimitId,
+        /// Deadline of the request.
+        until: Time,
+    },
+    /// A request that needs a token, or has got one, is not run.
+    DropShare(Token),
 }
--- a/crates/core/src/forward/request.rs
+++ b/crates/core/src/forward/request.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use super::{delegate::Delegation, keys::KeyedCaller, table::CompiledRoute};
+use super::{
+    Submission, delegate::Delegation, keys::KeyedCaller, table::CompiledRoute,
+};
 use crate::{
     id::{AttemptId, InstanceId, ServiceId, TargetId, Token},
     time::Time,
@@ -78,6 +80,16 @@
     }
 }
 
+/// A request for which nothing has been sent, such as one that needs a token
+/// of the limit of its team.
+#[derive(Clone, Debug)]
+pub(super) struct Unadmitted {
+    pub(super) token: Token,
+    pub(super) submission: Submission,
+    pub(super) services: Vec<ServiceId>,
+    pub(super) started: Time,
+}
+
 /// The origin of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Origin {
@@ -97,6 +109,8 @@
     pub(super) token: Token,
     pub(super) id: Arc<str>,
     pub(super) origin: Origin,
+    /// Whether it has a token of the limit of its team.
+    pub(super) has_share: bool,
     pub(super) route: Arc<CompiledRoute>,
     /// `None` if the route needs no key.
     pub(super) caller: Option<KeyedCaller>,
--- a/crates/core/src/forward/send.rs
+++ b/crates/core/src/forward/send.rs
@@ -9,14 +9,13 @@
     ForwardEffect, Forwarder, Reason, Submission, TargetRequest,
     attempts::Attempt,
     delegate::Assignment,
-    keys::KeyedCaller,
-    request::{Origin, Progress, Request, Shard},
+    request::{Origin, Progress, Request, Shard, Unadmitted},
     table::{CompiledRoute, Destination},
     targets::{TargetTable, Unavailable},
 };
 use crate::{
     event::forward as kinds,
-    id::{ServiceId, TargetId, Token},
+    id::{LimitId, ServiceId, TargetId, Token},
     time::Time,
     verdict::Verdict,
 };
@@ -38,37 +37,108 @@
         token: Token,
         submission: Submission,
     ) {
-        let Submission { request_id, route, remaining, team, key } =
-            submission;
-        let caller = key.zip(team);
-        let caller = caller.map(|(key, team)| KeyedCaller { key, team });
-        let key = self.check_key(now, caller).map(|_| ());
-        if let Err(reason) = self.check_admission().and(key) {
-            if reason == Reason::KeyNotConfirmed {
-                self.record_unconfirmed(now);
-            }
-            let retry_after = (reason != Reason::UnknownKey)
-                .then_some(NOT_SERVING_RETRY_AFTER);
-            self.refuse(token, &request_id, &route, reason, retry_after);
+        let admissible = self
+            .check_admission()
+            .and(self.check_key(now, submission.caller()).map(|_| ()));
+        if let Err(reason) = admissible {
+            self.refuse_inadmissible(now, token, &submission, reason);
             return;
         }
-        let services = self.services(&route);
-        if let Err(until) = self.enough_targets(now, &route, &services) {
+        let Submission { request_id, route, .. } = &submission;
+        let services = self.services(route);
+        if let Err(until) = self.enough_targets(now, route, &services) {
             let (min, max) = RETRY_AFTER_RANGE;
             let retry_after = until.since(now).clamp(min, max);
             let reason = Reason::NoTarget;
-            self.refuse(token, &request_id, &route, reason, Some(retry_after));
+            self.refuse(token, request_id, route, reason, Some(retry_after));
             return;
         }
-        let timeout = Duration::from_millis(route.route.timeout_ms.into());
-        let limit = remaining.min(timeout);
+        let limited = submission
+            .team
+            .and_then(|id| self.table.team(id))
+            .filter(|t| t.team.limit.is_some());
+        let limit = limited.map(|t| LimitId::from(t.id));
+        let until = now + submission.time_limit();
+        let request = Unadmitted { token, submission, services, started: now };
+        let Some(limit) = limit else {
+            self.admit(now, request, false);
+            return;
+        };
+        // Tokens are allocated before requests are queued, so they may arrive
+        // out of order.
+        let at = self.unadmitted.partition_point(|u| u.token < token);
+        self.unadmitted.insert(at, request);
+        self.out.push(ForwardEffect::TakeShare { token, limit, until });
+    }
+
+    /// Refuses a request because of this instance or of its key.
+    fn refuse_inadmissible(
+        &mut self,
+        now: Time,
+        token: Token,
+        submission: &Submission,
+        reason: Reason,
+    ) {
+        if reason == Reason::KeyNotConfirmed {
+            self.record_unconfirmed(now);
+        }
+        let retry_after =
+            (reason != Reason::UnknownKey).then_some(NOT_SERVING_RETRY_AFTER);
+        let Submission { request_id, route, .. } = submission;
+        self.refuse(token, request_id, route, reason, retry_after);
+    }
+
+    /// Starts a request that has got a token of the limit of its team.
+    pub(super) fn share_taken(&mut self, now: Time, token: Token) {
+        let Some(request) = self.remove_unadmitted(token) else { return };
+        // The lease may have ended, or the key have been withdrawn, while the
+        // request waited.
+        let submission = &request.submission;
+        let admissible = match self.leased {
+            true => self.check_key(now, submission.caller()).map(|_| ()),
+            false => Err(Reason::NotServing),
+        };
+        match admissible {
+            Ok(()) => self.admit(now, request, true),
+            Err(reason) => {
+                self.out.push(ForwardEffect::DropShare(token));
+                self.refuse_inadmissible(now, token, submission, reason);
+            }
+        }
+    }
+
+    /// Rejects a request whose team has used up its limit.
+    pub(super) fn share_refused(
+        &mut self,
+        token: Token,
+        retry_after: Duration,
+    ) {
+        let Some(unadmitted) = self.remove_unadmitted(token) else { return };
+        let Submission { request_id, route, .. } = &unadmitted.submission;
+        let reason = Reason::OverLimit;
+        self.refuse(token, request_id, route, reason, Some(retry_after));
+    }
+
+    pub(super) fn remove_unadmitted(
+        &mut self,
+        token: Token,
+    ) -> Option<Unadmitted> {
+        let found = self.unadmitted.binary_search_by_key(&token, |u| u.token);
+        Some(self.unadmitted.remove(found.ok()?))
+    }
+
+    /// Starts a request that may be sent.
+    fn admit(&mut self, now: Time, request: Unadmitted, has_share: bool) {
+        let Unadmitted { token, submission, services, started } = request;
+        let (limit, caller) = (submission.time_limit(), submission.caller());
+        let Submission { request_id, route, team, .. } = submission;
         let hard_deadline =
-            now + limit.saturating_sub(self.options.deadline_margin);
+            started + limit.saturating_sub(self.options.deadline_margin);
         let objective = Duration::from_millis(route.route.objective_ms.into());
         let shards = services.len() as u32;
         let delivery = self.options.delivery_time
             + self.options.delivery_time_per_shard * shards;
-        let soft_deadline = now + objective.saturating_sub(delivery);
+        let soft_deadline = started + objective.saturating_sub(delivery);
         let assignments = self.assign(now, &route);
         self.start(
             now,
@@ -76,10 +146,11 @@
                 token,
                 id: request_id,
                 origin: Origin::Caller,
+                has_share,
                 priority: self.table.priority(&route, team),
                 caller,
                 route,
-                started: now,
+                started,
                 soft_deadline: soft_deadline.min(hard_deadline),
                 hard_deadline,
                 shard_indices: (0..services.len() as u16).collect(),
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -9,7 +9,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{config_sync, consensus, control, forward, membership, query};
+use crate::{
+    config_sync, consensus, control, forward, membership, query, shares,
+};
 
 /// A message from one instance to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -28,6 +30,8 @@
     Directory(forward::directory::Message),
     /// Delegation of parts of forwarded requests to other instances.
     Shared(forward::shared::Message),
+    /// Tokens of the limits that all instances share.
+    Shares(shares::Message),
 }
 
 impl PeerMessage {
@@ -42,6 +46,7 @@
             PeerMessage::Control(_) => "control",
             PeerMessage::Directory(_) => "directory",
             PeerMessage::Shared(_) => "shared",
+            PeerMessage::Shares(_) => "shares",
         }
     }
 
@@ -85,7 +90,9 @@
                 control::Message::Request { .. } => "request",
                 control::Message::Reply { .. } => "reply",
             },
-            PeerMessage::Consensus(_) | PeerMessage::Query(_) => self.class(),
+            PeerMessage::Consensus(_)
+            | PeerMessage::Query(_)
+            | PeerMessage::Shares(_) => self.class(),
         }
     }
 }
--- a/crates/core/tests/forward_support/mod.rs
+++ b/crates/core/tests/forward_support/mod.rs
@@ -99,6 +99,8 @@
     pub table: Arc<CompiledTable>,
     pub effects: Vec<ForwardEffect>,
     pub directory: Directory,
+    /// Team of the callers.
+    pub team: Option<TeamId>,
     last_token: u64,
 }
 
@@ -144,6 +146,7 @@
             table: Arc::clone(&table),
             effects: Vec::new(),
             directory: Directory { targets },
+            team: None,
             last_token: 0,
         };
         harness.step(ForwardEvent::Configure {
@@ -240,7 +243,7 @@
             request_id: format!("r{}", self.last_token).into(),
             route: Arc::clone(route.expect("a route")),
             remaining,
-            team: caller.map(|c| c.0),
+            team: caller.map(|c| c.0).or(self.team),
             key: caller.map(|c| c.1),
         };
         self.step(ForwardEvent::Submit(token, submission));
--- a/src/forward/native.rs
+++ b/src/forward/native.rs
@@ -17,7 +17,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, Uri, header};
 use http_body_util::Full;
 use primrosemast_core::{
-    forward::{Outcome, TargetRequest, directory::Directory},
+    forward::{Outcome, Reason, TargetRequest, directory::Directory},
     verdict::Verdict,
 };
 use serde::Deserialize;
@@ -130,6 +130,9 @@
         let text = format!("{}: {}\n", verdict.as_str(), reason.as_str());
         let mut response = CallerResponse::new(Full::new(text.into()));
         let status = match verdict {
+            Verdict::NotRun if reason == Reason::OverLimit => {
+                StatusCode::TOO_MANY_REQUESTS
+            }
             Verdict::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Verdict::MayHaveRun | Verdict::Ran => StatusCode::BAD_GATEWAY,
         };
