Log withdrawn keys only where requests wait

Cause: each later table logged again while a request with a withdrawn key ran. Change: only requests with shards that wait are ended and counted.

--- a/crates/core/src/forward/keys.rs
+++ b/crates/core/src/forward/keys.rs
@@ -125,6 +125,9 @@
             .requests
             .iter()
             .filter(|r| self.is_withdrawn(r.caller))
+            .filter(|r| {
+                r.shards.iter().any(|s| s.progress == Progress::Waiting)
+            })
             .map(|r| r.token)
             .collect();
         if withdrawn.is_empty() {
--- a/crates/core/tests/forward_keys.rs
+++ b/crates/core/tests/forward_keys.rs
@@ -206,7 +206,7 @@
     let first = harness.take_sent();
     assert_eq!(first.len(), 1);
     // A process that was frozen finds many deadlines at once.
-    harness.now = harness.now + BOUND;
+    harness.now += BOUND;
     harness.step(ForwardEvent::Tick);
     harness.end_attempt(first[0].attempt, Outcome::Refused);
     harness.advance(ms(500));
@@ -409,7 +409,7 @@
         match *step {
             Step::Run(millis) => harness.advance(ms(millis)),
             Step::Freeze(millis) => {
-                harness.now = harness.now + ms(millis);
+                harness.now += ms(millis);
                 harness.step(ForwardEvent::Tick);
             }
             Step::Confirm(age) => {
