Add settings for the memory and descriptors of a process

An instance does not know how much memory and how many descriptors it may use, so it cannot refuse what would exceed them. Nothing reads them yet; without them nothing is limited. Compiled; not tested on its own.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 */
 
 pub mod client;
+pub mod crowd;
 pub mod fleet;
 mod http;
 pub mod load;
--- a/src/settings/instance.rs
+++ b/src/settings/instance.rs
@@ -14,6 +14,16 @@
     problem::{Finding, segments},
 };
 
+/// Least memory of a process, in megabytes. An idle one needs about a third
+/// of it.
+const MIN_MEMORY_MB: u64 = 32;
+
+/// Most memory that can be named, in megabytes: a pebibyte.
+const MAX_MEMORY_MB: u64 = 1 << 30;
+
+/// Least number of descriptors, so that each kind of connection has some.
+const MIN_DESCRIPTORS: u64 = 64;
+
 /// Settings of one instance.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
@@ -50,6 +60,8 @@
     /// URL of the list of live and leaving instances that the platform
     /// serves.
     pub platform_list: Option<String>,
+    /// Memory and file descriptors of the process.
+    pub resources: Resources,
     /// Log filter in the syntax of `env_logger`.
     pub log: String,
     /// Intervals and timeouts that differ from the defaults.
@@ -72,6 +84,7 @@
             found_control_group: false,
             forwarding: ForwardingSettings::default(),
             platform_list: None,
+            resources: Resources::default(),
             log: "info".into(),
             timing: Timing::default(),
         }
@@ -179,6 +192,37 @@
     }
 }
 
+/// Memory and file descriptors that the process may use, and the shares of
+/// them that clients may take. What is not limited here is not limited for
+/// clients either.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema,
+)]
+#[serde(default, deny_unknown_fields)]
+pub struct Resources {
+    /// Memory of the process, in megabytes; not limited if it is missing.
+    pub memory_mb: Option<u64>,
+    /// Sockets and data files that the process may open; not limited if it
+    /// is missing.
+    pub descriptors: Option<u64>,
+    /// Share of the memory for bodies that are held for others, in percent.
+    pub held_percent: u64,
+    /// Share of the descriptors for connections of callers and operators, in
+    /// percent. The remainder is for other instances, targets and files.
+    pub connection_percent: u64,
+}
+
+impl Default for Resources {
+    fn default() -> Resources {
+        Resources {
+            memory_mb: None,
+            descriptors: None,
+            held_percent: 40,
+            connection_percent: 60,
+        }
+    }
+}
+
 /// Intervals and timeouts, in milliseconds.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema,
@@ -277,6 +321,7 @@
         let found = format!("\"{url}\"");
         out.push(Finding::error(path, found, "a URL that starts http://"));
     }
+    check_resources(&document["resources"], &mut out);
     check_timing(&document["timing"], &mut out);
     out
 }
@@ -363,6 +408,27 @@
     }
 }
 
+fn check_resources(resources: &Value, out: &mut Vec<Finding>) {
+    let ranges = [
+        ("memory_mb", MIN_MEMORY_MB, MAX_MEMORY_MB),
+        ("descriptors", MIN_DESCRIPTORS, u64::MAX),
+        ("held_percent", 1, 80),
+        ("connection_percent", 1, 90),
+    ];
+    for (key, min, max) in ranges {
+        let Some(value) = resources[key].as_u64() else { continue };
+        if !(min..=max).contains(&value) {
+            let expected = if max == u64::MAX {
+                format!("at least {min}")
+            } else {
+                format!("{min} to {max}")
+            };
+            let path = segments!["resources", key];
+            out.push(Finding::error(path, value.to_string(), expected));
+        }
+    }
+}
+
 fn check_timing(timing: &Value, out: &mut Vec<Finding>) {
     let defaults = serde_json::to_value(Timing::default())
         .expect("the settings are representable in JSON");
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -25,7 +25,8 @@
 
 pub use check::check_configuration;
 pub use instance::{
-    Dispatch, ForwardingSettings, InstanceSettings, Listen, Role, Timing,
+    Dispatch, ForwardingSettings, InstanceSettings, Listen, Resources, Role,
+    Timing,
 };
 pub use problem::{Problem, SettingsError, SettingsErrorKind, Severity};
 
