Limit what a process holds for others by one account

Each body was bounded, but not all of them together, so that a crowd of slow or endless bodies, responses that are not read, or connections took all memory or all descriptors. One account (core::held, a reducer without I/O) divides a share of the memory that the settings name among callers, operators and targets, with reserves, and a share of the descriptors among the listeners. Bytes are counted as they come, at the capacity of their buffer; small pieces are copied together. When room is short, stalled and larger bodies are given up, and the connections that have made no progress for the longest time are closed, never one whose request has been passed on. The listeners of the APIs are served by the code of the forwarding path, because the server of volo-http neither limits its connections nor ends one. Without `resources` nothing is limited but answers, which were before.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod control;
 pub mod event;
 pub mod forward;
+pub mod held;
 pub mod id;
 pub mod membership;
 pub mod message;
--- a/crates/standin/src/crowd.rs
+++ b/crates/standin/src/crowd.rs
@@ -6,7 +6,11 @@
 connection at any time.
 */
 
-use std::{fs, io, net::SocketAddr, time::Duration};
+use std::{
+    fs, io,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use tokio::{
     io::AsyncWriteExt,
@@ -23,6 +27,12 @@
 /// keeps its connection open as it is.
 const SCRIPT_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time without progress after which a process hangs.
+pub const HANG_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Interval between two looks at what a process has read.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// What a client sends before it stalls.
 #[derive(Clone, Debug)]
 pub struct Script {
@@ -116,14 +126,31 @@
     }
 }
 
-/// Returns the bytes that have arrived at a listener's connections and that
-/// the process has not read, and the number of connections that it has not
-/// accepted, as one sum.
+/// Waits until a listener's process has accepted all connections and read what
+/// has arrived on them.
 ///
 /// # Errors
 ///
-/// Fails if the system's table of connections cannot be read.
-pub fn unread(address: SocketAddr) -> io::Result<u64> {
+/// Fails if it stops reading for [`HANG_TIMEOUT`] before.
+pub async fn wait_read(address: SocketAddr) -> io::Result<()> {
+    let (mut last, mut since) = (unread(address)?, Instant::now());
+    while last > 0 {
+        if since.elapsed() > HANG_TIMEOUT {
+            return Err(io::Error::other(format!("{last} are not read")));
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+        let now = unread(address)?;
+        if now != last {
+            (last, since) = (now, Instant::now());
+        }
+    }
+    Ok(())
+}
+
+/// Returns the bytes that have arrived at a listener's connections and that
+/// the process has not read, and the number of connections that it has not
+/// accepted, as one sum.
+fn unread(address: SocketAddr) -> io::Result<u64> {
     let SocketAddr::V4(v4) = address else { return Ok(0) };
     let ip = u32::from_ne_bytes(v4.ip().octets());
     let local = format!("{ip:08X}:{:04X}", v4.port());
--- a/src/daemon/handle.rs
+++ b/src/daemon/handle.rs
@@ -1,6 +1,7 @@
 //! The handle through which listeners use the daemon.
 
 use std::{
+    fmt,
     net::SocketAddr,
     sync::{
         Arc, RwLock,
@@ -9,6 +10,8 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
+use hyper::body::Body;
 use primrosemast_core::{
     config::{Configuration, ZoneState},
     control::{ControlReply, TableRevision, ZoneStateChange},
@@ -16,14 +19,25 @@
         Outcome, Submission,
         table::{CompiledTable, Forwarding},
     },
+    held::{Holder, Listener},
     id::{AttemptId, ConfigVersion, Token},
     node::{Event, OperatorReply, OperatorRequest},
     query,
 };
-use tokio::sync::{mpsc, oneshot};
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, oneshot, watch},
+    task::spawn_local,
+    time::timeout,
+};
+use volo_http::server::route::Router;
 
 use super::metrics::Metrics;
-use crate::forward::{self, CallerRequest, TargetAnswer};
+use crate::{
+    forward::{self, CallerRequest, TargetAnswer},
+    held::{Account, ReadError},
+    http_server,
+};
 
 /// Input of the daemon's loop.
 #[derive(Debug)]
@@ -94,6 +108,7 @@
     ready: Arc<AtomicBool>,
     max_body_bytes: Arc<AtomicU32>,
     published: Arc<RwLock<PublishedState>>,
+    account: Account,
     metrics: Metrics,
 }
 
@@ -107,6 +122,9 @@
     pub(crate) table: Arc<CompiledTable>,
 }
 
+/// Time for the body of an operator's request.
+const OPERATOR_BODY_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// Time within which this instance has to receive a version that was accepted.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -127,6 +145,7 @@
 impl Handle {
     pub(crate) fn new(
         inputs: mpsc::UnboundedSender<Input>,
+        account: Account,
         metrics: Metrics,
     ) -> Handle {
         Handle {
@@ -135,10 +154,57 @@
             ready: Arc::new(AtomicBool::new(false)),
             max_body_bytes: Arc::new(AtomicU32::new(1 << 20)),
             published: Arc::default(),
+            account,
             metrics,
         }
     }
 
+    /// Returns the account of what the process holds for others.
+    pub(crate) fn account(&self) -> &Account {
+        &self.account
+    }
+
+    /// Reads the complete body of an operator's request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is longer than `limit` bytes, if there is no room
+    /// for it, and if the connection breaks.
+    pub async fn read_operator_body<B>(
+        &self,
+        body: B,
+        limit: usize,
+    ) -> Result<Bytes, ReadError>
+    where
+        B: Body<Data = Bytes>,
+        B::Error: fmt::Display,
+    {
+        let read = self.account.read(Holder::Operators, body, limit);
+        match timeout(OPERATOR_BODY_TIMEOUT, read).await {
+            Ok(read) => read,
+            Err(_) => {
+                Err(ReadError::Broken("it did not arrive in time".into()))
+            }
+        }
+    }
+
+    /// Starts a server for an API of the adapter. It runs until the process
+    /// ends, on the thread of the daemon.
+    pub fn serve_api(
+        &self,
+        listener: TcpListener,
+        router: Router,
+        kind: Listener,
+    ) {
+        let account = self.account.clone();
+        spawn_local(async move {
+            // It has no shutdown of its own, so the channel stays open.
+            let (_open, never) = watch::channel(false);
+            http_server::serve_router(listener, router, account, kind, never)
+                .await;
+        });
+    }
+
     /// Queues an event for the reducer.
     pub(crate) fn event(&self, event: Event) {
         self.input(Input::Event(event));
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -9,6 +9,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use primrosemast_core::{
     event::LogEvent,
+    held::{Gauges, Holder, Listener},
     query::{CallerResponse, FailureReason},
 };
 use prometheus::{Encoder, Registry, TextEncoder};
@@ -35,6 +36,10 @@
     confirmation_age: Gauge<f64>,
     queued_inputs: Gauge<u64>,
     timer_lag: Histogram<f64>,
+    held_bytes: Gauge<u64>,
+    open_connections: Gauge<u64>,
+    refused_bodies: Counter<u64>,
+    closed_connections: Counter<u64>,
     forward: ForwardMetrics,
 }
 
@@ -124,6 +129,22 @@
                     0.001, 0.005, 0.02, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0,
                 ])
                 .build(),
+            held_bytes: gauge(
+                "primrosemast_held_bytes",
+                "Bytes of bodies that are held, by holder",
+            ),
+            open_connections: gauge(
+                "primrosemast_open_connections",
+                "Connections that others have opened, by listener",
+            ),
+            refused_bodies: counter(
+                "primrosemast_refused_bodies",
+                "Bodies refused or given up for lack of room, by holder",
+            ),
+            closed_connections: counter(
+                "primrosemast_closed_connections",
+                "Connections closed for lack of room, by listener",
+            ),
             forward: ForwardMetrics::new(&meter),
             registry,
             _provider: provider,
@@ -213,6 +234,24 @@
         self.queued_inputs.record(queued_inputs as u64, &[]);
     }
 
+    /// Records what is held for others now, and what was refused since
+    /// `before`.
+    pub(crate) fn record_held(&self, before: &Gauges, now: &Gauges) {
+        for (n, holder) in Holder::ALL.into_iter().enumerate() {
+            let label = [KeyValue::new("holder", holder.as_str())];
+            self.held_bytes.record(now.bytes[n] as u64, &label);
+            let refused = now.refused_bodies[n] - before.refused_bodies[n];
+            self.refused_bodies.add(refused, &label);
+        }
+        for (n, listener) in Listener::ALL.into_iter().enumerate() {
+            let label = [KeyValue::new("listener", listener.as_str())];
+            self.open_connections.record(now.connections[n] as u64, &label);
+            let closed =
+                now.closed_connections[n] - before.closed_connections[n];
+            self.closed_connections.add(closed, &label);
+        }
+    }
+
     /// Records by how much a timer of the reducer ran late.
     pub(crate) fn record_timer_lag(&self, lag: Duration) {
         self.timer_lag.record(lag.as_secs_f64(), &[]);
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -24,6 +24,7 @@
 use primrosemast_core::{
     event::{Level, LogEvent},
     forward::ForwardEvent,
+    held::{Gauges, Listener},
     id::{ConfigVersion, InstanceId, Token, ZoneId},
     membership::{Member, MemberState},
     node::{Effect, Event, Node, OperatorReply},
@@ -37,7 +38,6 @@
     sync::{mpsc, oneshot, watch},
     task::{LocalSet, spawn_local},
 };
-use volo_http::server::Server;
 
 pub(crate) use self::forward_metrics::ForwardMetrics;
 pub use self::handle::{Decision, Handle};
@@ -46,10 +46,12 @@
     clock::Clock, handle::PublishedState, metrics::Metrics, options::options,
     views::LocalNames,
 };
+pub use crate::held::ReadError;
 use crate::{
     forward::{self, ForwardDriver, Native, Protocol},
+    held::Account,
     http::{caller_router, operator_router},
-    listener::{DrainingIncoming, FIRST_REQUEST_TIMEOUT},
+    http_server,
     log_output::EVENT_TARGET,
     peer::{self, Peers, Received},
     settings::{InstanceSettings, Role},
@@ -125,11 +127,24 @@
 
     let metrics = Metrics::new()?;
     let (tx, mut rx) = mpsc::unbounded_channel();
-    let handle = Handle::new(tx, metrics.clone());
+    let account = Account::new(&settings.resources);
+    let handle = Handle::new(tx, account.clone(), metrics.clone());
     let (drained_tx, drained) = watch::channel(false);
     let servers = [
-        spawn_server(callers, caller_router(&handle), drained.clone()),
-        spawn_server(operators, operator_router(&handle), drained.clone()),
+        spawn_local(http_server::serve_router(
+            callers,
+            caller_router(&handle),
+            account.clone(),
+            Listener::Callers,
+            drained.clone(),
+        )),
+        spawn_local(http_server::serve_router(
+            operators,
+            operator_router(&handle),
+            account,
+            Listener::Operators,
+            drained.clone(),
+        )),
     ];
     if let Some(address) = settings.listen.forward {
         let listener = bind(address, "forwarded requests").await?;
@@ -199,28 +214,6 @@
     }
 }
 
-/// Starts an HTTP server that stops once `drained` is true and the requests
-/// that it has accepted by then are answered. The server also handles stop
-/// signals itself, but waits for its shutdown hook first.
-fn spawn_server(
-    listener: TcpListener,
-    router: volo_http::server::route::Router,
-    drained: watch::Receiver<bool>,
-) -> tokio::task::JoinHandle<()> {
-    let (incoming, mut finished) = DrainingIncoming::new(listener, drained);
-    let server = Server::new(router).register_shutdown_hook(move || {
-        Box::pin(async move {
-            let _ = finished.wait_for(|finished| *finished).await;
-            tokio::time::sleep(FIRST_REQUEST_TIMEOUT).await;
-        })
-    });
-    tokio::spawn(async move {
-        if let Err(e) = server.run(incoming).await {
-            log::error!("HTTP server failed: {e}");
-        }
-    })
-}
-
 impl target_client::EventSink for Handle {
     fn report(&self, event: TargetEvent) {
         self.event(Event::Target(event));
@@ -259,6 +252,8 @@
     connections: Connections,
     forwarding: ForwardDriver<P>,
     close_idle_at: Instant,
+    /// What was held for others when it was last recorded.
+    held: Gauges,
     storage: Option<StorageThread>,
     /// Sorted by token, because tokens only grow.
     callers: Vec<Pending<CallerResponse>>,
@@ -296,6 +291,7 @@
         };
         let node = Node::new(member, options(settings), rand::random());
         handle.event(Event::Start { recovered });
+        let account = handle.account().clone();
         Daemon {
             own_id,
             local_names: LocalNames {
@@ -312,9 +308,10 @@
             handle,
             metrics,
             clock: Clock::start(),
-            connections: Connections::default(),
+            connections: Connections::new(account),
             forwarding,
             close_idle_at: Instant::now(),
+            held: Gauges::default(),
             storage,
             callers: Vec::new(),
             operators: Vec::new(),
@@ -499,6 +496,16 @@
             self.forwarding.close_idle();
             let age = self.node.confirmation_age(self.now());
             self.metrics.record_backlog(age, queued_inputs);
+            let account = self.handle.account();
+            let limits = self.node.forwarding_table().limits;
+            let idle = Duration::from_millis(limits.idle_timeout_ms.into());
+            for event in account.sweep(idle) {
+                self.metrics.record_log_event(&event);
+                log_event(&event);
+            }
+            let held = account.gauges();
+            self.metrics.record_held(&self.held, &held);
+            self.held = held;
             let forwarder = self.node.forwarder();
             self.metrics.forward().record_state(self.now(), forwarder);
         }
--- a/src/forward/connections.rs
+++ b/src/forward/connections.rs
@@ -31,7 +31,10 @@
 };
 
 use super::protocol::{CallerRequest, Protocol, TargetAnswer};
-use crate::http_exchange::{self, AnswerMemory, SendError, Sender};
+use crate::{
+    held::Account,
+    http_exchange::{self, SendError, Sender},
+};
 
 /// Timeout for opening a connection. Covers a few round trips and a pause of
 /// the target of 150 ms.
@@ -91,7 +94,7 @@
 /// What all attempts share.
 struct Shared {
     pool: Pool,
-    memory: AnswerMemory,
+    account: Account,
 }
 
 /// Running attempts and idle connections.
@@ -99,7 +102,7 @@
 pub(crate) struct Connections<P> {
     protocol: P,
     pool: Pool,
-    memory: AnswerMemory,
+    account: Account,
     /// Sorted by attempt: each new attempt has a higher identifier.
     running: Vec<(AttemptId, AbortHandle)>,
 }
@@ -108,11 +111,11 @@
 pub(crate) type AttemptResult = (Outcome, Option<TargetAnswer>);
 
 impl<P: Protocol> Connections<P> {
-    pub(crate) fn new(protocol: P) -> Connections<P> {
+    pub(crate) fn new(protocol: P, account: Account) -> Connections<P> {
         Connections {
             protocol,
             pool: Pool::default(),
-            memory: AnswerMemory::default(),
+            account,
             running: Vec::new(),
         }
     }
@@ -129,7 +132,7 @@
         let protocol = self.protocol.clone();
         let cx = Shared {
             pool: Rc::clone(&self.pool),
-            memory: self.memory.clone(),
+            account: self.account.clone(),
         };
         let task = spawn_local(async move {
             let result =
@@ -300,7 +303,7 @@
     let Some(head) = head.filter(|h| h.names_request || fresh) else {
         return (Outcome::Broken, None);
     };
-    let Some((body, memory)) = cx.memory.read(body).await else {
+    let Some(body) = cx.account.read_answer(body).await else {
         return (Outcome::Broken, None);
     };
     if head.outcome != Outcome::Success {
@@ -316,7 +319,6 @@
         headers: parts.headers,
         signatures: head.signature.into_iter().collect(),
         body,
-        memory: Some(Arc::new(memory)),
     };
     (head.outcome, Some(answer))
 }
--- a/src/forward/ingress.rs
+++ b/src/forward/ingress.rs
@@ -1,14 +1,14 @@
 //! The listener for callers of the forwarding path.
 
-use std::{cell::Cell, convert::Infallible, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderValue, StatusCode, header};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use http_body_util::Full;
+use hyper::body::Incoming;
 use primrosemast_core::{
     forward::{Reason, Submission, table::CallerLimits},
+    held::{Holder, Listener, Phase},
     verdict::Verdict,
 };
 use tokio::{
@@ -21,16 +21,13 @@
 use super::protocol::{CallerRequest, CallerResponse, Protocol, Rejection};
 use crate::{
     daemon::Handle,
-    listener::{FIRST_REQUEST_TIMEOUT, accept_remaining},
+    held::{Connection, ROOM_RETRY, ReadError},
+    http_server::{ConnectionOptions, Follower, accept, serve_connection},
 };
 
 /// Smallest buffer size that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
-/// Pause after a failed accept, so that the loop does not spin while the
-/// process has no free file descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// Time after which callers may try again while this instance has no
 /// forwarding table or does not serve.
 const NOT_SERVING_RETRY: Duration = Duration::from_millis(200);
@@ -44,96 +41,49 @@
     listener: TcpListener,
     protocol: impl Protocol,
     handle: Handle,
-    mut drained: watch::Receiver<bool>,
+    drained: watch::Receiver<bool>,
 ) {
-    let start = |stream: TcpStream, drained: &watch::Receiver<bool>| {
+    let account = handle.account().clone();
+    let start = |stream: TcpStream, _, held: Connection| {
         let _ = stream.set_nodelay(true);
-        spawn_local(serve_connection(
-            stream,
-            protocol.clone(),
-            handle.clone(),
-            drained.clone(),
-        ));
-    };
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = drained.wait_for(|drained| *drained) => break,
+        let limits = handle.table().limits;
+        // hyper measures the time to read a head from the end of the previous
+        // request, so the timeout has to cover the idle time as well.
+        let head_timeout = Duration::from_millis(
+            u64::from(limits.idle_timeout_ms)
+                + u64::from(limits.header_timeout_ms),
+        );
+        let buffer_bytes =
+            (limits.header_bytes as usize).max(MIN_BUFFER_BYTES);
+        let options = ConnectionOptions {
+            head_timeout: Some(head_timeout),
+            buffer_bytes: Some(buffer_bytes),
+            last_read: LAST_READ_TIME,
         };
-        match accepted {
-            Ok((stream, _)) => start(stream, &drained),
-            Err(e) => {
-                log::warn!("cannot accept a caller's connection: {e}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
-    match accept_remaining(listener) {
-        Ok(streams) => streams.into_iter().for_each(|s| start(s, &drained)),
-        Err(e) => log::warn!("cannot accept the last connections: {e}"),
-    }
-}
-
-/// Serves the requests of one connection.
-async fn serve_connection(
-    stream: TcpStream,
-    protocol: impl Protocol,
-    handle: Handle,
-    mut drained: watch::Receiver<bool>,
-) {
-    let limits = handle.table().limits;
-    let used = Cell::new(false);
-    let service = service_fn(|req| {
         let (protocol, handle) = (protocol.clone(), handle.clone());
-        used.set(true);
-        async move {
-            let mut response = handle_request(&protocol, &handle, req).await;
-            if handle.draining() {
-                let close = HeaderValue::from_static("close");
-                response.headers_mut().insert(header::CONNECTION, close);
+        let respond = move |req, follower: Arc<Follower>| {
+            let (protocol, handle) = (protocol.clone(), handle.clone());
+            async move {
+                let mut response =
+                    handle_request(&protocol, &handle, &follower, req).await;
+                if handle.draining() {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(header::CONNECTION, close);
+                }
+                response
             }
-            Ok::<_, Infallible>(response)
-        }
-    });
-    // hyper measures the time to read a head from the end of the previous
-    // request, so the timeout has to cover the idle time as well.
-    let header_timeout = Duration::from_millis(
-        u64::from(limits.idle_timeout_ms)
-            + u64::from(limits.header_timeout_ms),
-    );
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(header_timeout)
-        .max_buf_size((limits.header_bytes as usize).max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    let last_read = async {
-        // Fails only if the daemon has ended.
-        let _ = drained.wait_for(|drained| *drained).await;
-        tokio::time::sleep(if used.get() {
-            LAST_READ_TIME
-        } else {
-            FIRST_REQUEST_TIMEOUT
-        })
-        .await;
-    };
-    let result = tokio::select! {
-        biased;
-        result = connection.as_mut() => result,
-        () = last_read => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
+        };
+        let drained = drained.clone();
+        spawn_local(serve_connection(stream, held, options, drained, respond));
     };
-    if let Err(e) = result {
-        log::debug!("a caller's connection failed: {e}");
-    }
+    accept(listener, account, Listener::Callers, drained.clone(), start).await;
 }
 
 /// Handles one request: finds its route, reads its body and forwards it.
 async fn handle_request(
     protocol: &impl Protocol,
     handle: &Handle,
+    follower: &Follower,
     req: http::Request<Incoming>,
 ) -> CallerResponse {
     let (parts, body) = req.into_parts();
@@ -166,10 +116,12 @@
         Ok(head) => head,
         Err(e) => return text_response(StatusCode::BAD_REQUEST, e.0 + "\n"),
     };
-    let body = match read_body(body, table.limits).await {
+    follower.set_phase(Phase::Reading);
+    let body = match read_body(protocol, handle, body, table.limits).await {
         Ok(body) => body,
         Err(response) => return response,
     };
+    follower.set_phase(Phase::Running);
     let timeout = Duration::from_millis(route.route.timeout_ms.into());
     let submission = Submission {
         request_id: Arc::clone(&head.request_id),
@@ -196,20 +148,33 @@
 
 /// Reads a complete body within the limits; fails with the response to send.
 async fn read_body(
+    protocol: &impl Protocol,
+    handle: &Handle,
     body: Incoming,
     limits: CallerLimits,
 ) -> Result<Bytes, CallerResponse> {
     let limit = limits.body_bytes as usize;
     let idle_timeout = Duration::from_millis(limits.idle_timeout_ms.into());
-    match timeout(idle_timeout, Limited::new(body, limit).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => {
-            let text = format!("the body is longer than {limit} bytes\n");
+    let read = handle.account().read(Holder::Callers, body, limit);
+    match timeout(idle_timeout, read).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(ReadError::NoRoom)) => {
+            let mut response = protocol.rejection_response(Rejection {
+                reason: Reason::Overload,
+                verdict: Verdict::NotRun,
+                retry_after: Some(ROOM_RETRY),
+            });
+            // What is left of the body is not read.
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+            Err(response)
+        }
+        Ok(Err(e @ ReadError::TooLong(_))) => {
+            let text = format!("{e}\n");
             Err(text_response(StatusCode::PAYLOAD_TOO_LARGE, text))
         }
-        Ok(Err(e)) => {
-            let text = format!("the body cannot be read: {e}\n");
-            Err(text_response(StatusCode::BAD_REQUEST, text))
+        Ok(Err(e @ ReadError::Broken(_))) => {
+            Err(text_response(StatusCode::BAD_REQUEST, format!("{e}\n")))
         }
         Err(_) => Err(text_response(
             StatusCode::REQUEST_TIMEOUT,
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -83,7 +83,10 @@
         metrics: &ForwardMetrics,
     ) -> ForwardDriver<P> {
         ForwardDriver {
-            connections: Connections::new(protocol.clone()),
+            connections: Connections::new(
+                protocol.clone(),
+                handle.account().clone(),
+            ),
             protocol,
             handle,
             requests: Vec::new(),
@@ -218,7 +221,9 @@
                 self.respond(token, response);
             }
             ForwardEffect::ReadDirectory => self.read_directory(),
-            ForwardEffect::StoreContent(token, content) => {
+            ForwardEffect::StoreContent(token, mut content) => {
+                let account = self.handle.account();
+                content.body = account.hold_for_peer(content.body);
                 match shared::decode_request(content) {
                     Ok(req) => {
                         let req = Arc::new(req);
@@ -241,6 +246,7 @@
                 records,
             } => {
                 if self.position(token).is_ok() {
+                    let records = self.handle.account().hold_for_peer(records);
                     let answer = shared::delegate_answer(signatures, records);
                     self.store_answer(attempt, token, answer);
                 }
--- a/src/forward/protocol.rs
+++ b/src/forward/protocol.rs
@@ -13,8 +13,6 @@
     verdict::Verdict,
 };
 
-use crate::http_exchange::Reservation;
-
 /// A response to a caller.
 pub type CallerResponse = http::Response<Full<Bytes>>;
 
@@ -70,9 +68,6 @@
     pub signatures: Vec<HeaderValue>,
     /// The complete body.
     pub body: Bytes,
-    /// The memory that the body holds; `None` if it came from a delegate.
-    #[expect(dead_code, reason = "releases the memory when it is dropped")]
-    pub(crate) memory: Option<Arc<Reservation>>,
 }
 
 /// The rejection of a caller's request.
--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -68,6 +68,5 @@
         headers: HeaderMap::new(),
         signatures,
         body: records,
-        memory: None,
     }
 }
--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -1,14 +1,17 @@
 //! The callers' API.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, StatusCode, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use primrosemast_core::{
+    held::Holder,
     query::{Answer, CallerRequest, CallerResponse, Failure, FailureReason},
     verdict::Verdict,
 };
 use serde::{Serialize, de::IgnoredAny};
 use serde_json::value::RawValue;
+use tokio::time::timeout;
 use volo_http::{
     body::Body,
     request::Request,
@@ -20,12 +23,15 @@
 };
 
 use super::{json, text};
-use crate::daemon::Handle;
+use crate::{daemon::Handle, held::ReadError};
 
 /// Longest request id or key that is accepted, in bytes. Request ids are
 /// stored in the replicated state, so their size has to be bounded.
 const MAX_ID_BYTES: usize = 200;
 
+/// Time for the body of a request; no deadline is longer.
+const BODY_TIMEOUT: Duration = Duration::from_millis(MAX_DEADLINE_MS);
+
 /// Longest deadline that is accepted, in milliseconds.
 const MAX_DEADLINE_MS: u64 = 600_000;
 
@@ -128,20 +134,33 @@
         }
     };
     let limit = handle.max_body_bytes();
-    let body = match Limited::new(body, limit).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(e) if e.is::<LengthLimitError>() => {
+    let read = handle.account().read(Holder::Callers, body, limit);
+    let body = match timeout(BODY_TIMEOUT, read).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(ReadError::TooLong(limit))) => {
             return Err(fail(
                 FailureReason::BodyTooLarge,
                 &format!("the body exceeds {limit} bytes"),
             ));
         }
-        Err(_) => {
+        Ok(Err(ReadError::NoRoom)) => {
+            return Err(fail(
+                FailureReason::Overloaded,
+                "there is no room for the body now",
+            ));
+        }
+        Ok(Err(ReadError::Broken(_))) => {
             return Err(fail(
                 FailureReason::BadRequest,
                 "the body could not be read",
             ));
         }
+        Err(_) => {
+            return Err(fail(
+                FailureReason::BadRequest,
+                "the body did not arrive in time",
+            ));
+        }
     };
     if serde_json::from_slice::<IgnoredAny>(&body).is_err() {
         return Err(fail(FailureReason::BadRequest, "the body is not JSON"));
--- a/src/http/operator.rs
+++ b/src/http/operator.rs
@@ -3,7 +3,6 @@
 use bytes::Bytes;
 use futures::{FutureExt, future::BoxFuture};
 use http::StatusCode;
-use http_body_util::{BodyExt, Limited};
 use primrosemast_core::{
     config::Configuration,
     control::{Change, ChangeOutcome, ControlReply},
@@ -27,6 +26,7 @@
         ReplicaRequest, ReplicaResponse,
     },
     daemon::{Handle, ViewReply, ViewRequest},
+    held::ReadError,
     settings::{Problem, check_configuration},
 };
 
@@ -138,15 +138,28 @@
 }
 
 /// Reads a JSON body; fails with the response to send.
-async fn read_json<T: DeserializeOwned>(req: Request) -> Result<T, Response> {
-    let body = Limited::new(req.into_body(), MAX_BODY_BYTES).collect().await;
+async fn read_json<T: DeserializeOwned>(
+    handle: &Handle,
+    req: Request,
+) -> Result<T, Response> {
     let bad = |message| error(StatusCode::BAD_REQUEST, "bad_request", message);
-    let body = body.map_err(|e| bad(e.to_string()))?.to_bytes();
+    let read = handle.read_operator_body(req.into_body(), MAX_BODY_BYTES);
+    let body = match read.await {
+        Ok(body) => body,
+        Err(e @ ReadError::NoRoom) => {
+            return Err(error(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no_room",
+                e.to_string(),
+            ));
+        }
+        Err(e) => return Err(bad(e.to_string())),
+    };
     serde_json::from_slice(&body).map_err(|e| bad(e.to_string()))
 }
 
 async fn change(handle: &Handle, req: Request) -> Response {
-    let req: ChangeRequest = match read_json(req).await {
+    let req: ChangeRequest = match read_json(handle, req).await {
         Ok(req) => req,
         Err(response) => return response,
     };
@@ -258,7 +271,7 @@
 }
 
 async fn replicas(handle: &Handle, req: Request) -> Response {
-    let req: ReplicaRequest = match read_json(req).await {
+    let req: ReplicaRequest = match read_json(handle, req).await {
         Ok(req) => req,
         Err(response) => return response,
     };
--- a/src/http_exchange.rs
+++ b/src/http_exchange.rs
@@ -3,10 +3,8 @@
 
 A server may send bytes without end, in a head or a body, until its client
 closes the connection. Heads, with the interim responses before them, are
-limited for each exchange. The bodies of answers share a limited amount of
-memory: an answer may hold at most as much as is still free, so that a few
-long ones cannot displace the others (dynamic thresholds; Choudhury and Hahne,
-1998).
+limited for each exchange. Bodies are limited by the account of what the
+process holds.
 */
 
 use std::{
@@ -19,9 +17,9 @@
     task::{Context, Poll, ready},
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::{
     body::Incoming,
     client::conn::http1::{self, SendRequest},
@@ -40,13 +38,6 @@
 /// head, and what the last read holds of the body.
 const MAX_HEAD_BYTES: usize = 2 * MAX_BUFFER_BYTES;
 
-/// Memory for the bodies of answers, in bytes: a fifth of the memory of the
-/// smallest instances, 160 MB.
-const ANSWER_MEMORY_BYTES: usize = 32 << 20;
-
-/// Largest body of one answer, in bytes.
-const MAX_ANSWER_BYTES: usize = 16 << 20;
-
 /// The driver of a connection, which runs as a task of its own.
 pub(crate) type Driver = http1::Connection<TokioIo<Stream>, Full<Bytes>>;
 
@@ -239,76 +230,3 @@
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
-
-/// Memory that the bodies of answers share.
-#[derive(Clone, Debug)]
-pub(crate) struct AnswerMemory(Arc<AtomicUsize>);
-
-impl Default for AnswerMemory {
-    fn default() -> AnswerMemory {
-        AnswerMemory(Arc::new(AtomicUsize::new(ANSWER_MEMORY_BYTES)))
-    }
-}
-
-impl AnswerMemory {
-    /// Reads the complete body of an answer. Returns `None` if it breaks off
-    /// or is too long. The memory is released with the reservation.
-    pub(crate) async fn read(
-        &self,
-        mut body: Incoming,
-    ) -> Option<(Bytes, Reservation)> {
-        let mut reservation = Reservation { memory: self.clone(), bytes: 0 };
-        let mut first = Bytes::new();
-        let mut buf = BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            let Ok(data) = frame.ok()?.into_data() else { continue };
-            if !reservation.grow(data.len()) {
-                return None;
-            }
-            if first.is_empty() && buf.is_empty() {
-                // Most bodies arrive in one piece, which needs no copy.
-                first = data;
-            } else {
-                if buf.is_empty() {
-                    buf.extend_from_slice(&std::mem::take(&mut first));
-                }
-                buf.extend_from_slice(&data);
-            }
-        }
-        let body = if buf.is_empty() { first } else { buf.freeze() };
-        Some((body, reservation))
-    }
-}
-
-/// Memory that an answer holds; released when it is dropped.
-#[derive(Debug)]
-pub(crate) struct Reservation {
-    memory: AnswerMemory,
-    bytes: usize,
-}
-
-impl Reservation {
-    /// Reserves further bytes. Returns false if the answer would hold more
-    /// than is left to the others.
-    fn grow(&mut self, count: usize) -> bool {
-        let bytes = self.bytes + count;
-        if bytes > MAX_ANSWER_BYTES {
-            return false;
-        }
-        let reserved = self.memory.0.fetch_update(
-            Ordering::Relaxed,
-            Ordering::Relaxed,
-            |free| free.checked_sub(count).filter(|&rest| bytes <= rest),
-        );
-        if reserved.is_ok() {
-            self.bytes = bytes;
-        }
-        reserved.is_ok()
-    }
-}
-
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        self.memory.0.fetch_add(self.bytes, Ordering::Relaxed);
-    }
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,8 +16,10 @@
 pub mod settings;
 pub mod storage;
 
+mod held;
 mod http;
 mod http_exchange;
+mod http_server;
 mod listener;
 mod peer;
 mod target_client;
--- a/src/target_client.rs
+++ b/src/target_client.rs
@@ -29,7 +29,10 @@
     time::timeout,
 };
 
-use crate::http_exchange::{self, AnswerMemory, SendError, Sender};
+use crate::{
+    held::Account,
+    http_exchange::{self, SendError, Sender},
+};
 
 /// Timeout for opening a connection. A target that takes longer is treated
 /// like one that refuses connections.
@@ -61,10 +64,10 @@
 }
 
 /// All open connections, sorted by identifier.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Connections {
     open: Vec<Connection>,
-    memory: AnswerMemory,
+    account: Account,
 }
 
 #[derive(Debug)]
@@ -81,6 +84,10 @@
 }
 
 impl Connections {
+    pub(crate) fn new(account: Account) -> Connections {
+        Connections { open: Vec::new(), account }
+    }
+
     /// Opens a connection in the background.
     pub(crate) fn open(
         &mut self,
@@ -89,9 +96,9 @@
         events: impl EventSink,
     ) {
         let (tx, rx) = mpsc::unbounded_channel();
-        let memory = self.memory.clone();
+        let account = self.account.clone();
         let task =
-            spawn_local(run_connection(id, address, rx, memory, events))
+            spawn_local(run_connection(id, address, rx, account, events))
                 .abort_handle();
         let connection = Connection { id, requests: tx, task };
         match self.position(id) {
@@ -126,7 +133,7 @@
     id: ConnId,
     address: SocketAddr,
     mut requests: mpsc::UnboundedReceiver<Outgoing>,
-    memory: AnswerMemory,
+    account: Account,
     events: impl EventSink,
 ) {
     let Some((mut sender, mut closed)) = connect(address).await else {
@@ -146,7 +153,7 @@
         let Some(Outgoing { job, budget }) = outgoing else { return };
         let job_id = job.id;
         let req = build_request(address, job, budget);
-        let result = exchange(id, &mut sender, &memory, req, &events).await;
+        let result = exchange(id, &mut sender, &account, req, &events).await;
         match result {
             Ok(answer) => {
                 events.report(TargetEvent::Answer(id, job_id, answer));
@@ -183,7 +190,7 @@
 async fn exchange(
     id: ConnId,
     sender: &mut Sender,
-    memory: &AnswerMemory,
+    account: &Account,
     req: Request<Full<Bytes>>,
     events: &impl EventSink,
 ) -> Result<TargetAnswer, CloseReason> {
@@ -196,8 +203,8 @@
     })?;
     events.report(TargetEvent::Received(id));
     let (parts, body) = response.into_parts();
-    let body = memory.read(body).await;
-    let (body, _memory) = body.ok_or(CloseReason::MayHaveSent)?;
+    let body = account.read_answer(body).await;
+    let body = body.ok_or(CloseReason::MayHaveSent)?;
     Ok(parse_answer(parts.status.as_u16(), &parts.headers, body))
 }
 
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -13,7 +13,7 @@
 
 use primrosemast_standin::{
     client,
-    crowd::{Crowd, Script, Usage, unread},
+    crowd::{Crowd, Script, Usage, wait_read},
     fleet::{Fleet, FleetOptions, wait_for},
     site::{SearcherGroup, Site},
 };
@@ -107,10 +107,7 @@
         let crowd = Crowd::open(address, count, script).await?;
         assert!(!crowd.is_empty());
         // What the process keeps, it has read by then.
-        wait_for("the process reads what has arrived", || async {
-            (unread(address).ok()? == 0).then_some(())
-        })
-        .await?;
+        wait_read(address).await?;
         let during = self.usage()?;
         self.request().await?;
         self.get(self.callers(), "/ready").await?;
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -409,6 +409,27 @@
     insta::assert_snapshot!(without_folder(&error.to_string()));
 }
 
+// Guards against resources with which a process could serve nobody, or that
+// leave nothing to the process itself.
+#[test]
+fn broken_resources_are_refused() {
+    let folder = TempDir::new().unwrap();
+    let text = r#"{ "name": "a", "availability_zone": "west",
+      "resources": { "memory_mb": 8, "descriptors": 63,
+                     "held_percent": 0, "connection_percent": 91 } }"#;
+    let path = write(&folder, "instance.jsonc", text);
+    let error = load_instance(&path).unwrap_err().to_string();
+    for part in ["at least 64", "32 to ", "1 to 80", "1 to 90"] {
+        assert!(error.contains(part), "{part}: {error}");
+    }
+    let text = r#"{ "name": "a", "availability_zone": "west",
+      "resources": { "memory_mb": 112, "descriptors": 2670 } }"#;
+    let path = write(&folder, "instance.jsonc", text);
+    let settings = load_instance(&path).unwrap_or_else(|e| panic!("{e}"));
+    assert_eq!(settings.resources.memory_mb, Some(112));
+    assert_eq!(settings.resources.held_percent, 40);
+}
+
 // Guards against a forwarding table that passes the check although instances
 // would not put it into force.
 #[test]
