Count answers at the capacity of their buffers

hostile_targets::bytes_without_end_cost_only_their_own_request failed with 162 MB: the limit of answers was 64 MiB where the settings name no memory, for both paths together, and a buffer that doubles was counted by its length. The limit is 32 MiB again and the capacity is counted.

--- a/crates/core/src/held/options.rs
+++ b/crates/core/src/held/options.rs
@@ -18,7 +18,7 @@
 const CONNECTION_BYTES: usize = 32 << 10;
 
 /// Bytes for answers of targets if the memory is not limited.
-const ANSWER_BYTES: usize = 64 << 20;
+const ANSWER_BYTES: usize = 32 << 20;
 
 /// Limits of an account.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/held.rs
+++ b/src/held.rs
@@ -302,19 +302,31 @@
     where
         B: Body<Data = Bytes> + Unpin,
     {
+        let expected = body.size_hint().exact();
+        let expected = expected.and_then(|n| usize::try_from(n).ok());
         let mut first = Bytes::new();
-        let mut buf = Vec::new();
+        let mut buf: Vec<u8> = Vec::new();
         let mut held =
             Held { account: self.clone(), holder: Holder::Targets, count: 0 };
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame.ok()?.into_data() else { continue };
-            if !self.grow_answer(&mut held, data.len()).await {
-                return None;
+            let before = first.len() + buf.len();
+            let len = before + data.len();
+            if len > held.count {
+                // The capacity of the buffer is counted.
+                let doubled = (2 * before).min(expected.unwrap_or(usize::MAX));
+                let wanted = doubled.max(len);
+                if !self.grow_answer(&mut held, wanted).await
+                    && !self.grow_answer(&mut held, len).await
+                {
+                    return None;
+                }
             }
-            if first.is_empty() && buf.is_empty() {
+            if before == 0 {
                 // Most bodies arrive in one piece, which needs no copy.
                 first = data;
             } else {
+                buf.reserve_exact(held.count - buf.len());
                 if buf.is_empty() {
                     buf.extend_from_slice(&std::mem::take(&mut first));
                 }
@@ -328,12 +340,13 @@
         Some(Bytes::from_owner(Owned { bytes: body, _held: held }))
     }
 
-    /// Counts further bytes of an answer. Responses that callers do not read
-    /// are given up for it.
-    async fn grow_answer(&self, held: &mut Held, count: usize) -> bool {
-        if held.count + count > MAX_ANSWER_BYTES {
+    /// Counts an answer of `len` bytes. Responses that callers do not read are
+    /// given up for it.
+    async fn grow_answer(&self, held: &mut Held, len: usize) -> bool {
+        if len > MAX_ANSWER_BYTES {
             return false;
         }
+        let count = len.saturating_sub(held.count);
         loop {
             let released = self.0.released.notified();
             {
