--- a/src/forward/connections.rs
+++ b/src/forward/connections.rs
@@ -33,7 +33,8 @@
 use super::protocol::{CallerRequest, Protocol, TargetAnswer};
 use crate::{
     daemon::Clock,
-    http_exchange::{self, AnswerMemory, SendError, Sender},
+    held::Account,
+    http_exchange::{self, SendError, Sender},
 };
 
 /// Timeout for opening a connection. Covers a few round trips and a pause of
@@ -94,7 +95,7 @@
 /// What all attempts share.
 struct Shared {
     pool: Pool,
-    memory: AnswerMemory,
+    account: Account,
     /// Clock of the reducer.
     clock: Clock,
 }
@@ -104,7 +105,7 @@
 pub(crate) struct Connections<P> {
     protocol: P,
     pool: Pool,
-    memory: AnswerMemory,
+    account: Account,
     clock: Clock,
     /// Sorted by attempt: each new attempt has a higher identifier.
     running: Vec<(AttemptId, AbortHandle)>,
@@ -114,11 +115,15 @@
 pub(crate) type AttemptResult = (Outcome, Option<TargetAnswer>);
 
 impl<P: Protocol> Connections<P> {
-    pub(crate) fn new(protocol: P, clock: Clock) -> Connections<P> {
+    pub(crate) fn new(
+        protocol: P,
+        account: Account,
+        clock: Clock,
+    ) -> Connections<P> {
         Connections {
             protocol,
             pool: Pool::default(),
-            memory: AnswerMemory::default(),
+            account,
             clock,
             running: Vec::new(),
         }
@@ -136,7 +141,7 @@
         let protocol = self.protocol.clone();
         let cx = Shared {
             pool: Rc::clone(&self.pool),
-            memory: self.memory.clone(),
+            account: self.account.clone(),
             clock: self.clock,
         };
         let task = spawn_local(async move {
@@ -314,7 +319,7 @@
     let Some(head) = head.filter(|h| h.names_request || fresh) else {
         return (Outcome::Broken, None);
     };
-    let Some((body, memory)) = cx.memory.read(body).await else {
+    let Some(body) = cx.account.read_answer(body).await else {
         return (Outcome::Broken, None);
     };
     if head.outcome != Outcome::Success {
@@ -330,7 +335,6 @@
         headers: parts.headers,
         signatures: head.signature.into_iter().collect(),
         body,
-        memory: Some(Arc::new(memory)),
     };
     (head.outcome, Some(answer))
 }
