Move services between versions in stages, and judge the new version

Cause: the versions of targets were not read, and no order could move the traffic of a service to another version.

Change: orders are commands in the replicated log, and their records are part of the configuration. They move forward only; a change of the configuration keeps them. The time since an order is recorded as the leader measures it, so no wall clock is compared. Each instance bounds the share of its own attempts, reports totals to all control replicas and stops sending to a version that fails there. The leader's supervisor compares failures and slow answers by Fisher's exact test and proposes the next stage. `primrosemast rollout start|status|abort`, its API, events and metrics. Without `forwarding.rollouts` versions decide nothing.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -16,6 +16,7 @@
 use crate::{
     forward::table::Forwarding,
     id::{RouteId, TargetId, ZoneId},
+    rollout::{self, Rollout},
 };
 
 /// The whole configuration of a site.
@@ -36,6 +37,11 @@
     /// Forwarding routes, to targets on the platform's list.
     #[serde(default)]
     pub forwarding: Forwarding,
+    /// Last roll-out of each service that had one, sorted by service. The
+    /// control group keeps them; operators do not write them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[schemars(skip)]
+    pub rollouts: Vec<Rollout>,
 }
 
 /// An availability zone and whether its targets get new requests.
@@ -227,6 +233,7 @@
         self.availability_zones.sort_by(|a, b| a.name.cmp(&b.name));
         self.services.sort_by(|a, b| a.name.cmp(&b.name));
         self.routes.sort_by(|a, b| a.name.cmp(&b.name));
+        self.rollouts.sort_by(|a, b| a.service.cmp(&b.service));
         for service in &mut self.services {
             service.searchers.sort_by(|a, b| a.name.cmp(&b.name));
         }
@@ -261,6 +268,11 @@
         Some(&self.services[i])
     }
 
+    /// Finds the last roll-out of a service.
+    pub fn rollout(&self, service: &str) -> Option<&Rollout> {
+        rollout::find(&self.rollouts, service)
+    }
+
     /// Returns whether operators have taken the zone out of service.
     pub fn zone_is_out(&self, name: &str) -> bool {
         self.availability_zones
--- a/crates/core/src/control/service.rs
+++ b/crates/core/src/control/service.rs
@@ -3,13 +3,15 @@
 use bytes::Bytes;
 
 use super::{
-    Applied, Command, ControlReply, ControlRequest, Message, ZoneStateChange,
+    Applied, Command, ControlReply, ControlRequest, Message, RolloutReply,
+    ZoneStateChange,
 };
 use crate::{
     consensus::{MemberChange, ProposeError, Status},
     event::{EventKind, LogEvent, control as kinds},
     id::{InstanceId, ReplicaId, Token},
     query::ClaimResult,
+    rollout::OrderResult,
 };
 
 /// Longest change id or request id, in bytes. Every snapshot holds the ids,
@@ -156,9 +158,13 @@
             }
             _ => None,
         };
+        let refusal = refusal.map(str::to_owned).or_else(|| match &request {
+            ControlRequest::StartRollout(order) => order.problem(),
+            _ => None,
+        });
         if let Some(text) = refusal {
-            log_refusal(text, out);
-            send_reply(origin, ControlReply::Refused(text.into()), out);
+            log_refusal(&text, out);
+            send_reply(origin, ControlReply::Refused(text), out);
             return;
         }
         if let ControlRequest::Join(replica) = &request
@@ -192,6 +198,18 @@
             ControlRequest::ReadZone(zone) => {
                 (ReplyKind::Version, propose(token, &Command::ReadZone(zone)))
             }
+            ControlRequest::StartRollout(order) => {
+                let command = Command::StartRollout(order);
+                (ReplyKind::Version, propose(token, &command))
+            }
+            ControlRequest::MoveRollout(change) => {
+                let command = Command::MoveRollout(change);
+                (ReplyKind::Version, propose(token, &command))
+            }
+            ControlRequest::MarkRollouts(clocks) => {
+                let command = Command::MarkRollouts(clocks);
+                (ReplyKind::Done, propose(token, &command))
+            }
             ControlRequest::Join(replica) => {
                 let change = MemberChange::AddLearner(replica);
                 (ReplyKind::Done, ServiceEffect::ChangeMembers(token, change))
@@ -240,7 +258,13 @@
                 (&kinds::CLAIM_DECIDED, format!("result={result:?}"))
             }
             Applied::Malformed => (&kinds::COMMAND_MALFORMED, String::new()),
-            Applied::Settled => return,
+            Applied::Rollout { reply, changed: true } => {
+                (&kinds::ROLLOUT_MOVED, describe_rollout(reply))
+            }
+            Applied::Rollout { reply, changed: false } => {
+                (&kinds::ROLLOUT_UNCHANGED, describe_rollout(reply))
+            }
+            Applied::Settled | Applied::RolloutsMarked => return,
         };
         log_event(kind, detail, out);
     }
@@ -274,6 +298,11 @@
                     Some((i, Applied::OutdatedZone { .. })) if i == index => {
                         ControlReply::Refused(OUTDATED_ORDER.into())
                     }
+                    Some((i, Applied::Rollout { reply, .. }))
+                        if i == index =>
+                    {
+                        ControlReply::Rollout(Box::new(reply))
+                    }
                     Some((i, Applied::ZoneOrders(orders))) if i == index => {
                         ControlReply::ZoneOrders(orders)
                     }
@@ -315,6 +344,28 @@
     format!("zone={zone:?} state={state:?} after={after}")
 }
 
+fn describe_rollout(reply: &RolloutReply) -> String {
+    let result = match reply.result {
+        OrderResult::Started => "changed",
+        OrderResult::Repeated => "repeated",
+        OrderResult::Busy => "busy",
+        OrderResult::UnknownService => "unknown_service",
+    };
+    match &reply.rollout {
+        Some(rollout) => format!(
+            "result={result} service={:?} number={} version={:?} stage={} \
+             config={} reason={:?}",
+            rollout.service,
+            rollout.number,
+            rollout.version,
+            rollout.stage.as_str(),
+            reply.version,
+            rollout.reason
+        ),
+        None => format!("result={result} config={}", reply.version),
+    }
+}
+
 fn propose(token: Token, command: &Command) -> ServiceEffect {
     ServiceEffect::Propose(token, command.encode())
 }
--- a/crates/core/src/control/state.rs
+++ b/crates/core/src/control/state.rs
@@ -7,14 +7,17 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
-    Change, ChangeOutcome, Claim, Command, Settle, TableRevision,
-    ZoneStateChange,
+    Change, ChangeOutcome, Claim, Command, RolloutReply, Settle,
+    TableRevision, ZoneStateChange,
 };
 use crate::{
     config::{AvailabilityZone, Configuration, ZoneState},
     config_sync::ConfigRecord,
     id::{ConfigVersion, QueryId},
     query::ClaimResult,
+    rollout::{
+        self, OrderResult, Rollout, RolloutClock, RolloutMove, RolloutOrder,
+    },
     verdict::Verdict,
 };
 
@@ -28,7 +31,7 @@
 pub const CLAIM_TTL_MS: u64 = 24 * 60 * 60 * 1_000;
 
 /// Result of applying a command.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Applied {
     /// A change has an outcome.
     Change {
@@ -69,6 +72,15 @@
     },
     /// Number of orders for a zone.
     ZoneOrders(u64),
+    /// An order for a roll-out or a change of its stage was applied.
+    Rollout {
+        /// The result.
+        reply: RolloutReply,
+        /// Whether the command changed the configuration.
+        changed: bool,
+    },
+    /// The times since the orders of running roll-outs were recorded.
+    RolloutsMarked,
     /// The command cannot be decoded and has no effect.
     Malformed,
 }
@@ -115,6 +127,12 @@
     /// Orders for availability zones, sorted by zone.
     #[serde(default)]
     zone_orders: Vec<ZoneOrders>,
+    /// Roll-outs, sorted by service; the configuration holds the same.
+    #[serde(default)]
+    rollouts: Vec<Rollout>,
+    /// Times since the orders of the running roll-outs, sorted by service.
+    #[serde(default)]
+    rollout_clocks: Vec<RolloutClock>,
 }
 
 impl Command {
@@ -149,6 +167,14 @@
                 self.settle(&settle);
                 Applied::Settled
             }
+            Some(Command::StartRollout(order)) => self.start_rollout(&order),
+            Some(Command::MoveRollout(change)) => self.move_rollout(&change),
+            Some(Command::MarkRollouts(clocks)) => {
+                for clock in clocks {
+                    self.mark_rollout(clock);
+                }
+                Applied::RolloutsMarked
+            }
             None => Applied::Malformed,
         }
     }
@@ -176,6 +202,12 @@
         self.index
     }
 
+    /// Returns the last roll-out of each service, and the times since the
+    /// orders of the running ones.
+    pub fn rollouts(&self) -> (&[Rollout], &[RolloutClock]) {
+        (&self.rollouts, &self.rollout_clocks)
+    }
+
     /// Returns the configuration.
     pub fn record(&self) -> ConfigRecord {
         self.record.clone()
@@ -200,6 +232,8 @@
                         Command::Change(_)
                             | Command::Revise(_)
                             | Command::SetZone(_)
+                            | Command::StartRollout(_)
+                            | Command::MoveRollout(_)
                     )
                 )
             })
@@ -231,6 +265,7 @@
         let version = self.record.version;
         let outcome = if expected_version == version {
             let version = ConfigVersion(version.0 + 1);
+            let document = self.keep_rollouts(document);
             let hash = xxh3_64(&document);
             self.record = ConfigRecord { version, hash, document };
             ChangeOutcome::Accepted(version)
@@ -247,6 +282,116 @@
         Applied::Change { change_id, outcome, repeated: false }
     }
 
+    /// Returns the document of a change with the roll-outs of the state, which
+    /// the change does not touch.
+    fn keep_rollouts(&self, document: Bytes) -> Bytes {
+        if self.rollouts.is_empty() {
+            return document;
+        }
+        // The document was validated and encoded by the instance that received
+        // the operator's request. If this release cannot decode it, no
+        // instance of this release will install it either.
+        match rmp_serde::from_slice::<Configuration>(&document) {
+            Ok(mut configuration) => {
+                configuration.rollouts.clone_from(&self.rollouts);
+                rmp_serde::to_vec_named(&configuration)
+                    .unwrap_or_default()
+                    .into()
+            }
+            Err(_) => document,
+        }
+    }
+
+    fn start_rollout(&mut self, order: &RolloutOrder) -> Applied {
+        let mut result = OrderResult::UnknownService;
+        let applied = self.edit_rollouts(|configuration| {
+            let services = &configuration.forwarding.services;
+            if services.iter().any(|s| s.name == order.service) {
+                result = rollout::start(&mut configuration.rollouts, order);
+            }
+            (result == OrderResult::Started).then_some(())
+        });
+        if result == OrderResult::Started {
+            self.rollout_clocks.retain(|c| c.service != order.service);
+        }
+        self.rollout_applied(applied, result, &order.service)
+    }
+
+    fn move_rollout(&mut self, change: &RolloutMove) -> Applied {
+        let mut result = OrderResult::Repeated;
+        let mut number = 0;
+        let applied = self.edit_rollouts(|configuration| {
+            let moved = rollout::advance(&mut configuration.rollouts, change)?;
+            number = moved.number;
+            result = OrderResult::Started;
+            Some(())
+        });
+        if result == OrderResult::Started {
+            let clock = RolloutClock {
+                service: change.service.clone(),
+                number,
+                elapsed_ms: change.elapsed_ms,
+            };
+            self.mark_rollout(clock);
+            if change.to.is_final() {
+                self.rollout_clocks.retain(|c| c.service != change.service);
+            }
+        }
+        self.rollout_applied(applied, result, &change.service)
+    }
+
+    /// Applies `change` to the configuration with the roll-outs of the state,
+    /// and keeps those that result.
+    fn edit_rollouts(
+        &mut self,
+        change: impl FnOnce(&mut Configuration) -> Option<()>,
+    ) -> Applied {
+        let mut rollouts = std::mem::take(&mut self.rollouts);
+        let applied = self.edit_configuration(|configuration| {
+            configuration.rollouts.clone_from(&rollouts);
+            let changed = change(configuration);
+            rollouts.clone_from(&configuration.rollouts);
+            changed
+        });
+        self.rollouts = rollouts;
+        applied
+    }
+
+    fn rollout_applied(
+        &self,
+        applied: Applied,
+        result: OrderResult,
+        service: &str,
+    ) -> Applied {
+        let Applied::Version { version, changed } = applied else {
+            return applied;
+        };
+        let rollout = rollout::find(&self.rollouts, service).cloned();
+        let reply = RolloutReply { version, result, rollout };
+        Applied::Rollout { reply, changed }
+    }
+
+    /// Records the time since an order, which only grows.
+    fn mark_rollout(&mut self, clock: RolloutClock) {
+        let runs = rollout::find(&self.rollouts, &clock.service)
+            .is_some_and(|r| r.number == clock.number && !r.stage.is_final());
+        if !runs {
+            return;
+        }
+        let clocks = &mut self.rollout_clocks;
+        match clocks.binary_search_by(|c| c.service.cmp(&clock.service)) {
+            Ok(i) => {
+                let known = &mut clocks[i];
+                if known.number != clock.number
+                    || known.elapsed_ms < clock.elapsed_ms
+                {
+                    *known = clock;
+                }
+            }
+            Err(i) => clocks.insert(i, clock),
+        }
+    }
+
     /// Installs a table unless the table in force has the same or a higher
     /// revision.
     fn revise(&mut self, revision: &TableRevision) -> Applied {
--- a/crates/core/src/control/types.rs
+++ b/crates/core/src/control/types.rs
@@ -8,6 +8,10 @@
     consensus::Replica,
     id::{ConfigVersion, InstanceId, QueryId},
     query::ClaimResult,
+    rollout::{
+        OrderResult, Rollout, RolloutClock, RolloutMove, RolloutOrder,
+        report::Report,
+    },
     verdict::Verdict,
 };
 
@@ -31,6 +35,12 @@
     /// Changes nothing; its reply holds the number of orders for this
     /// availability zone before its position in the log.
     ReadZone(String),
+    /// Starts a roll-out.
+    StartRollout(RolloutOrder),
+    /// Changes the stage of a roll-out.
+    MoveRollout(RolloutMove),
+    /// Records the time since the orders of running roll-outs.
+    MarkRollouts(Vec<RolloutClock>),
 }
 
 /// A change of the configuration.
@@ -118,6 +128,8 @@
         /// The reply.
         reply: ControlReply,
     },
+    /// What an instance has counted in a running roll-out, for every replica.
+    Report(Report),
 }
 
 /// A request for the control leader.
@@ -141,6 +153,12 @@
     Join(Replica),
     /// Removes a replica from the group.
     Remove(crate::id::ReplicaId),
+    /// Starts a roll-out.
+    StartRollout(RolloutOrder),
+    /// Changes the stage of a roll-out.
+    MoveRollout(RolloutMove),
+    /// Records the time since the orders of running roll-outs.
+    MarkRollouts(Vec<RolloutClock>),
 }
 
 /// A reply of a control replica.
@@ -169,4 +187,18 @@
     /// The leader cannot propose the request at present, for this reason.
     /// Nothing was proposed; the request may be sent again.
     NotReady(String),
+    /// Result of an order for a roll-out, or of a change of its stage.
+    Rollout(Box<RolloutReply>),
+}
+
+/// Result of an order for a roll-out, or of a change of its stage.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RolloutReply {
+    /// Version of the configuration after the command.
+    pub version: ConfigVersion,
+    /// Result of an order; for a change of the stage, `Started` if it had an
+    /// effect and `Repeated` otherwise.
+    pub result: OrderResult,
+    /// The last roll-out of the service, if there is one.
+    pub rollout: Option<Rollout>,
 }
--- a/crates/core/src/event/control.rs
+++ b/crates/core/src/event/control.rs
@@ -31,5 +31,8 @@
     STORAGE_FULL = (429, Warn, "The disk of the control replica is full. The replica acknowledges nothing until disk space is freed.");
     ZONE_ORDERED = (430, Info, "An order for an availability zone was accepted.");
     ZONE_ORDER_OUTDATED = (431, Info, "An order for an availability zone had no effect, because another one came after its sender had read the number of orders.");
+    ROLLOUT_MOVED = (432, Info, "A roll-out was ordered, or its stage changed. The reason has the figures that decided it.");
+    ROLLOUT_UNCHANGED = (433, Info, "An order for a roll-out or a change of its stage had no effect, because it was repeated, came too late, or another roll-out of the service is running.");
+    ROLLOUT_DECIDED = (434, Info, "The control leader proposes another stage of a roll-out. The reason has the figures that decided it.");
     COMMAND_MALFORMED = (428, Error, "A committed command cannot be decoded and has no effect. The replicas run different releases; update the older ones.");
 }
--- a/crates/core/src/event/forward.rs
+++ b/crates/core/src/event/forward.rs
@@ -18,5 +18,7 @@
     DIRECTORY_FAILED = (721, Warn, "The platform's list could not be read. The last reading stays in use.");
     TABLE_INSTALLED = (730, Info, "A forwarding table came into force.");
     TABLE_REJECTED = (731, Error, "A forwarding table is invalid and was not installed.");
+    ROLLOUT_BRAKE = (733, Warn, "A new version failed at this instance, which sends it nothing for some time. The control leader decides on the roll-out.");
+    ROLLOUT_STAGE = (734, Info, "A stage of a roll-out came into force at this instance.");
     ZONES_OUT_CHANGED = (732, Info, "The availability zones that this instance sends nothing to have changed.");
 }
--- a/crates/core/src/forward/directory.rs
+++ b/crates/core/src/forward/directory.rs
@@ -69,6 +69,9 @@
     pub leaving: bool,
     /// Time until the target is warm, in milliseconds.
     pub cold_ms: u32,
+    /// Version of the target's software; empty if the list has none.
+    #[serde(default)]
+    pub version: String,
 }
 
 /// The platform's target list, as one call returned it.
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -27,6 +27,7 @@
 pub mod shared;
 pub mod table;
 pub mod targets;
+mod versions;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -44,6 +45,7 @@
     id::{
         AttemptId, ConfigVersion, InstanceId, TargetId, TeamId, Token, ZoneId,
     },
+    rollout::{Rollout, report::Report},
     verdict::Verdict,
 };
 
@@ -111,6 +113,8 @@
         /// Zones that receive no new requests.
         zones_out: Vec<ZoneId>,
     },
+    /// The last roll-out of each service, from the configuration in force.
+    Rollouts(Vec<Rollout>),
     /// Whether this instance accepts new requests.
     Serving(bool),
     /// Whether this instance holds its lease, without which its configuration
@@ -273,6 +277,8 @@
     SendShared(InstanceId, shared::Message),
     /// Send a message about the target list to another instance.
     SendDirectory(InstanceId, directory::Message),
+    /// Send what was counted in a running roll-out to the control replicas.
+    Report(Report),
     /// Fetch the platform's target list and report it with `DirectoryRead`.
     ReadDirectory,
     /// Write a line to the log.
--- a/crates/core/src/forward/options.rs
+++ b/crates/core/src/forward/options.rs
@@ -6,6 +6,7 @@
     budget::BudgetOptions, delegate::DelegateOptions,
     directory::DirectoryOptions, targets::SelectionOptions,
 };
+use crate::rollout::Bounds;
 
 /// Options of the forwarding path.
 #[derive(Clone, Debug)]
@@ -45,6 +46,8 @@
     pub deadline_margin: Duration,
     /// Number of refused attempts of one shard that are sent again.
     pub max_refusals: u32,
+    /// Bounds of roll-outs; `None` if the versions of targets decide nothing.
+    pub rollouts: Option<Bounds>,
 }
 
 impl Default for ForwardOptions {
@@ -70,6 +73,7 @@
             retry_pause: Duration::from_millis(10),
             deadline_margin: Duration::from_millis(15),
             max_refusals: 3,
+            rollouts: None,
         }
     }
 }
--- a/crates/core/src/forward/reducer.rs
+++ b/crates/core/src/forward/reducer.rs
@@ -15,6 +15,7 @@
     request::{Progress, Request},
     table::CompiledTable,
     targets::{Failure, TargetTable},
+    versions::Versions,
 };
 use crate::{
     event::{EventKind, LogEvent, forward as kinds},
@@ -38,6 +39,7 @@
     pub(super) version: ConfigVersion,
     pub(super) table: Arc<CompiledTable>,
     pub(super) targets: TargetTable,
+    pub(super) versions: Versions,
     reader: DirectoryReader,
     /// Requests in flight, sorted by token.
     pub(super) requests: Vec<Request>,
@@ -45,7 +47,7 @@
     /// Budgets for extra requests, sorted by service.
     budgets: Vec<(ServiceId, Budget)>,
     /// Recent latencies, sorted by route.
-    latencies: Vec<(RouteId, Latencies)>,
+    pub(super) latencies: Vec<(RouteId, Latencies)>,
     /// Weighted round-robin credits of split routes, sorted by route.
     pub(super) split_credits: Vec<(RouteId, Vec<f64>)>,
     /// The other live entry instances, sorted by identifier.
@@ -88,6 +90,7 @@
             version: ConfigVersion(0),
             table: Arc::default(),
             targets: TargetTable::new(options.selection.clone(), zone, lag),
+            versions: Versions::default(),
             reader: DirectoryReader::new(own_id, options.directory.clone())
                 .with_first_request(first_request),
             requests: Vec::new(),
@@ -169,6 +172,9 @@
                 self.targets.set_zones_out(now, zones_out);
                 self.table = table;
             }
+            ForwardEvent::Rollouts(rollouts) => {
+                self.set_rollouts(now, rollouts);
+            }
             ForwardEvent::Serving(serving) => self.serving = serving,
             ForwardEvent::Lease(leased) => self.leased = leased,
             ForwardEvent::EndRequests => self.end_requests(now),
@@ -204,7 +210,8 @@
         let reader = (self.table.revision > 0)
             .then(|| self.reader.next_deadline())
             .flatten();
-        [check, reader, self.attempts.next_deadline()]
+        let report = self.versions.next_report();
+        [check, reader, report, self.attempts.next_deadline()]
             .into_iter()
             .flatten()
             .min()
@@ -216,6 +223,7 @@
             self.reader.tick(now, &mut effects);
             self.directory_effects(now, effects);
         }
+        self.report_rollouts(now);
         for id in self.attempts.overdue(now) {
             self.cancel(now, id);
         }
@@ -308,6 +316,7 @@
             self.record_failure(now, attempt.target, Failure::Silent);
         }
         self.record_slowness(now, &attempt);
+        self.record_version_cancelled(now, &attempt);
         self.targets.attempt_ended(attempt.target, id);
         self.out.push(ForwardEffect::Cancel(id));
     }
@@ -383,6 +392,7 @@
         outcome: Outcome,
     ) {
         let target = attempt.target;
+        self.record_version_outcome(now, attempt, outcome);
         match outcome {
             Outcome::Success => {
                 let latency = now.since(attempt.sent_at);
--- a/crates/core/src/forward/send.rs
+++ b/crates/core/src/forward/send.rs
@@ -223,7 +223,7 @@
 
     /// Returns the connections that a target of the service accepts from all
     /// instances together.
-    fn connections(&self, service: ServiceId) -> u32 {
+    pub(super) fn connections(&self, service: ServiceId) -> u32 {
         let services = &self.table.services;
         services
             .binary_search_by_key(&service, |s| s.0)
@@ -258,7 +258,11 @@
         let choose = |targets: &TargetTable| {
             targets.choose(now, service, connections, typical, &tried, random)
         };
-        let mut choice = choose(&self.targets);
+        let probe = self.choose_probe(now, index, shard, extra);
+        let mut choice = match probe {
+            Some(target) => Ok(target),
+            None => choose(&self.targets),
+        };
         if choice == Err(Unavailable::Busy)
             && self.free_connection(now, service)
         {
@@ -298,6 +302,7 @@
             cancel_at: None,
         });
         self.targets.attempt_sent(now, target, attempt);
+        self.record_version_sent(service, target);
         if self.options.log_debug {
             self.log_sent(now, token, shard, target, extra);
         }
--- a/crates/core/src/forward/targets.rs
+++ b/crates/core/src/forward/targets.rs
@@ -3,7 +3,10 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use super::directory::{Directory, ListedTarget};
+use super::{
+    directory::{Directory, ListedTarget},
+    versions::{Side, VersionRules},
+};
 use crate::{
     id::{AttemptId, ServiceId, TargetId, ZoneId},
     time::Time,
@@ -107,7 +110,11 @@
     pub zone: ZoneId,
     /// Number of requests that the target runs concurrently.
     pub slots: u32,
-    leaving: bool,
+    /// Version of the target's software; empty if the list has none.
+    pub version: Arc<str>,
+    /// Which requests the target's version may get.
+    pub(super) side: Side,
+    pub(super) leaving: bool,
     warm_at: Time,
     /// Whether another incarnation answers at the target's address.
     replaced: bool,
@@ -137,6 +144,11 @@
 }
 
 impl Target {
+    /// Returns the number of unanswered attempts of this instance.
+    pub(super) fn open_attempts(&self) -> u64 {
+        self.open.len() as u64
+    }
+
     /// Returns whether an attempt has been unanswered for longer than `limit`.
     fn has_waited_longer(&self, now: Time, limit: Duration) -> bool {
         self.open.first().is_some_and(|o| now.since(o.1) > limit)
@@ -185,6 +197,8 @@
     /// Zones that receive new requests again, and since when. Their targets
     /// may be cold until a target list confirms them.
     returned_zones: Vec<(ZoneId, Time)>,
+    /// Rules for the versions of targets; `None` if versions decide nothing.
+    version_rules: Option<VersionRules>,
 }
 
 impl TargetTable {
@@ -238,6 +252,7 @@
             self.by_service =
                 self.targets.iter().map(|t| (t.service, t.id)).collect();
             self.by_service.sort_unstable();
+            self.apply_version_rules();
         }
         let (read_at, lag) = (self.read_at, self.lag);
         self.returned_zones.retain(|z| read_at < z.1 + lag);
@@ -269,6 +284,8 @@
             address: listed.address,
             zone: ZoneId::from_name(&listed.availability_zone),
             slots: listed.slots.max(1),
+            version: listed.version.as_str().into(),
+            side: Side::Open,
             leaving: false,
             warm_at: Time::ZERO,
             replaced: false,
@@ -284,6 +301,9 @@
             confirm_after: None,
         });
         target.leaving = listed.leaving;
+        if *target.version != *listed.version {
+            target.version = listed.version.as_str().into();
+        }
         if listed.cold_ms > 0 {
             let cold = Duration::from_millis(listed.cold_ms.into());
             target.warm_at = target.warm_at.max(read_at + cold);
@@ -294,6 +314,36 @@
         }
     }
 
+    /// Sets the rules for the versions of targets.
+    pub(super) fn set_version_rules(&mut self, rules: VersionRules) {
+        self.version_rules = Some(rules);
+        self.apply_version_rules();
+    }
+
+    /// Returns the rules for the versions of targets, if they are in force.
+    pub(super) fn version_rules(&self) -> Option<&VersionRules> {
+        self.version_rules.as_ref()
+    }
+
+    fn apply_version_rules(&mut self) {
+        let Some(mut rules) = self.version_rules.take() else { return };
+        let services: Vec<ServiceId> = self
+            .by_service
+            .chunk_by(|a, b| a.0 == b.0)
+            .map(|targets| targets[0].0)
+            .collect();
+        for service in services {
+            let targets: Vec<&Target> = self.of_service(service).collect();
+            let sides = rules.sides(service, &targets);
+            for (id, side) in sides {
+                if let Some(target) = self.get_mut(id) {
+                    target.side = side;
+                }
+            }
+        }
+        self.version_rules = Some(rules);
+    }
+
     /// Returns the target with this identifier.
     pub fn get(&self, id: TargetId) -> Option<&Target> {
         let i = self.targets.binary_search_by_key(&id, |t| t.id).ok()?;
@@ -326,6 +376,7 @@
     pub fn usable_zones(&self, now: Time, service: ServiceId) -> Vec<ZoneId> {
         let mut zones: Vec<ZoneId> = self
             .of_service(service)
+            .filter(|t| t.side != Side::Probe)
             .filter(|t| self.unavailable_until(now, t).is_none())
             .map(|t| t.zone)
             .collect();
@@ -342,10 +393,8 @@
         (share as usize).clamp(1, 2 * target.slots as usize)
     }
 
-    /// Chooses the target with the lowest score for a request to `service`,
-    /// except those in `tried`. If no target is usable or busy, a target that
-    /// is paused because some of its requests fail is chosen nevertheless: it
-    /// is better than none.
+    /// Chooses a target for a request to `service`, except those in `tried`.
+    /// Targets in reserve are used if no other is usable.
     ///
     /// `typical` is the typical latency of such a request, and `random` a
     /// number between 0 and 1 that breaks ties.
@@ -357,14 +406,63 @@
         typical: Duration,
         tried: &[TargetId],
         random: f64,
+    ) -> Result<TargetId, Unavailable> {
+        let choose = |side| {
+            let targets = self
+                .of_service(service)
+                .filter(|t| t.side == side && !tried.contains(&t.id));
+            self.choose_among(now, targets, connections, typical, random)
+        };
+        let braked = self
+            .version_rules
+            .as_ref()
+            .is_some_and(|r| r.is_braked(now, service));
+        if braked && let Ok(id) = choose(Side::Reserve) {
+            return Ok(id);
+        }
+        match choose(Side::Open) {
+            Err(Unavailable::Until(at)) => match choose(Side::Reserve) {
+                Err(Unavailable::Until(other)) => {
+                    Err(Unavailable::Until(at.min(other)))
+                }
+                reserve => reserve,
+            },
+            open => open,
+        }
+    }
+
+    /// Chooses a target of the version that is rolled out, for a request that
+    /// may go to it.
+    pub(super) fn choose_probe(
+        &self,
+        now: Time,
+        service: ServiceId,
+        connections: u32,
+        typical: Duration,
+        random: f64,
+    ) -> Result<TargetId, Unavailable> {
+        let targets =
+            self.of_service(service).filter(|t| t.side == Side::Probe);
+        self.choose_among(now, targets, connections, typical, random)
+    }
+
+    /// Chooses the target with the lowest score. If no target is usable or
+    /// busy, a target that is paused because some of its requests fail is
+    /// chosen nevertheless: it is better than none.
+    fn choose_among<'a>(
+        &self,
+        now: Time,
+        targets: impl Iterator<Item = &'a Target>,
+        connections: u32,
+        typical: Duration,
+        random: f64,
     ) -> Result<TargetId, Unavailable> {
         let mut best: Option<(f64, TargetId)> = None;
         let mut failing: Option<(Time, TargetId)> = None;
         let mut busy = false;
         let mut until = now + self.options.pause_max;
         let mut jitter = random;
-        let targets = self.of_service(service);
-        for target in targets.filter(|t| !tried.contains(&t.id)) {
+        for target in targets {
             match self.availability(now, target, connections, typical) {
                 Availability::Usable => {
                     // Adds a different small number to the score of each
@@ -430,7 +528,8 @@
     fn excluded_until(&self, now: Time, target: &Target) -> Option<Time> {
         let unknown = now + self.options.pause_max;
         let zone_out = self.zones_out.binary_search(&target.zone).is_ok();
-        if target.leaving || target.replaced || zone_out {
+        let barred = target.side == Side::Barred;
+        if target.leaving || target.replaced || zone_out || barred {
             return Some(unknown);
         }
         if target.warm_at > now {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod node;
 pub mod placement;
 pub mod query;
+pub mod rollout;
 pub mod snapshot;
 pub mod target;
 pub mod time;
--- a/crates/core/src/node/forwarding.rs
+++ b/crates/core/src/node/forwarding.rs
@@ -76,6 +76,9 @@
                         out.extend([Effect::SendContent { address, effect }]);
                     }
                 }
+                ForwardEffect::Report(report) => {
+                    self.send_report(now, &report, out);
+                }
                 ForwardEffect::Log(event) => out.extend([Effect::Log(event)]),
                 ForwardEffect::Send(_)
                 | ForwardEffect::Cancel(_)
@@ -233,6 +236,8 @@
             ))]);
         }
         let table = Arc::clone(&self.forward_fleet.table);
+        let rollouts = configuration.rollouts.clone();
+        self.push(Internal::Forward(ForwardEvent::Rollouts(rollouts)));
         self.push(Internal::Forward(ForwardEvent::Configure {
             version,
             table,
--- a/crates/core/src/node/group.rs
+++ b/crates/core/src/node/group.rs
@@ -67,6 +67,18 @@
             OperatorRequest::ReadZone(zone) => ControlRequest::ReadZone(zone),
             OperatorRequest::Barrier => ControlRequest::Barrier,
             OperatorRequest::Remove(id) => ControlRequest::Remove(id),
+            OperatorRequest::StartRollout(order) => {
+                let Some(order) = self.complete_order(order) else {
+                    let text = "the settings do not enable roll-outs";
+                    let reply = OperatorReply::Refused(text.into());
+                    out.extend([Effect::Reply(token, reply)]);
+                    return;
+                };
+                ControlRequest::StartRollout(order)
+            }
+            OperatorRequest::MoveRollout(change) => {
+                ControlRequest::MoveRollout(change)
+            }
         };
         debug_assert_eq!(token.0 & INTERNAL_TOKEN, 0);
         self.push(Internal::Client(ClientEvent::Submit {
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -17,6 +17,7 @@
 mod replica;
 mod reports;
 mod roles;
+mod rollouts;
 mod types;
 mod view;
 
@@ -273,6 +274,7 @@
         self.forward_fleet_tick(now);
         self.auto_bootstrap_tick(now, out);
         self.replica_tick(now, out);
+        self.supervisor_tick(now, out);
         self.expire_unreachable(now);
         self.flush_reports(now, out);
     }
--- a/crates/core/src/node/replica.rs
+++ b/crates/core/src/node/replica.rs
@@ -21,6 +21,10 @@
     id::{ConfigVersion, InstanceId, ReplicaId, Token},
     membership::{Member, MembershipEvent},
     message::PeerMessage,
+    rollout::{
+        Stage,
+        supervisor::{Supervisor, SupervisorEvent, SupervisorOptions},
+    },
     time::Time,
 };
 
@@ -44,6 +48,7 @@
     pub(super) state: ControlState,
     pub(super) service: Service,
     pub(super) repair: Repair,
+    pub(super) supervisor: Supervisor,
     pub(super) status: Status,
     /// When the next request to join a group may be sent.
     pub(super) join_at: Time,
@@ -60,10 +65,15 @@
         let may_join =
             self.status.role == Role::Idle || self.leaderless_since.is_some();
         let join = may_join.then_some(self.join_at);
-        [self.consensus.next_deadline(), self.repair.next_deadline(), join]
-            .into_iter()
-            .flatten()
-            .min()
+        [
+            self.consensus.next_deadline(),
+            self.repair.next_deadline(),
+            self.supervisor.next_deadline(),
+            join,
+        ]
+        .into_iter()
+        .flatten()
+        .min()
     }
 }
 
@@ -88,6 +98,7 @@
             state: ControlState::default(),
             service: Service::new(1),
             repair: Repair::new(repair, FIRST_REPAIR_TOKEN),
+            supervisor: Supervisor::new(SupervisorOptions::default()),
             status: Status::default(),
             join_at: now + JOIN_INTERVAL,
             leaderless_since: None,
@@ -207,6 +218,10 @@
                     reply,
                 }));
             }
+            Message::Report(report) => {
+                let event = SupervisorEvent::Report(from, report);
+                self.step_supervisor(now, event, out);
+            }
         }
     }
 
@@ -227,13 +242,7 @@
             .replica
             .as_ref()
             .is_some_and(|r| r.status.role == Role::Leader);
-        let changes = matches!(
-            request,
-            ControlRequest::Change(_)
-                | ControlRequest::Revise(_)
-                | ControlRequest::SetZone(_)
-        );
-        changes
+        is_guarded(request)
             && leads
             && self.members().len() <= self.options.sync.max_direct_members
             && !self.sync.reaches_fleet_majority(now)
@@ -242,15 +251,10 @@
     /// Returns whether a change has to wait until the control group has more
     /// voters, or no dead one.
     fn waits_for_repair(&self, request: &ControlRequest) -> bool {
-        let waits = matches!(
-            request,
-            ControlRequest::Change(_)
-                | ControlRequest::Revise(_)
-                | ControlRequest::SetZone(_)
-        );
-        let Some(replica) = self.replica.as_ref().filter(|_| waits) else {
+        if !is_guarded(request) {
             return false;
-        };
+        }
+        let Some(replica) = &self.replica else { return false };
         let status = replica.consensus.status();
         let min_voters = self.options.min_voters as usize;
         let group_size = self.options.control_group_size as usize;
@@ -368,6 +372,7 @@
                 }
                 ConsensusEffect::Restore { data, .. } => {
                     self.restore_snapshot(&data);
+                    self.supervise_records(now, out);
                 }
                 ConsensusEffect::TakeSnapshot => {
                     self.take_snapshot(now, out);
@@ -422,6 +427,11 @@
                 ..
             } | Applied::Version { changed: true, .. }
                 | Applied::Zone { changed: true, .. }
+                | Applied::Rollout { changed: true, .. }
+        );
+        let rollouts = matches!(
+            applied,
+            Applied::Rollout { changed: true, .. } | Applied::RolloutsMarked
         );
         if accepted {
             let record = replica.state.record();
@@ -429,6 +439,9 @@
         }
         let event = ServiceEvent::Applied { index, applied };
         self.step_service(now, event, out);
+        if rollouts {
+            self.supervise_records(now, out);
+        }
     }
 
     fn restore_snapshot(&mut self, data: &[u8]) {
@@ -474,6 +487,7 @@
             others.map(|m| m.address).collect()
         });
         replica.status = status.clone();
+        let leading = status.role == Role::Leader;
         if let Some(addresses) = addresses {
             self.push(Internal::Membership(MembershipEvent::SeedAddresses(
                 addresses,
@@ -486,6 +500,7 @@
             }));
         }
         self.step_service(now, ServiceEvent::Status(status), out);
+        self.step_supervisor(now, SupervisorEvent::Leading(leading), out);
     }
 
     /// Notifies the configuration sync of changes to the replica's log and
@@ -510,3 +525,17 @@
         }
     }
 }
+
+/// Returns whether a request changes the configuration, so that it must
+/// survive losses and reach the fleet. Taking a roll-out back is not held up
+/// by that, because it sends nothing where nothing may go.
+fn is_guarded(request: &ControlRequest) -> bool {
+    match request {
+        ControlRequest::Change(_)
+        | ControlRequest::Revise(_)
+        | ControlRequest::SetZone(_)
+        | ControlRequest::StartRollout(_) => true,
+        ControlRequest::MoveRollout(change) => change.to != Stage::RolledBack,
+        _ => false,
+    }
+}
--- a/crates/core/src/node/types.rs
+++ b/crates/core/src/node/types.rs
@@ -15,6 +15,7 @@
     membership::{MembershipOptions, Recipient},
     message::PeerMessage,
     query::{CallerRequest, CallerResponse, QueryOptions},
+    rollout::{RolloutMove, RolloutOrder},
     target::{TargetEffect, TargetEvent, TargetOptions},
 };
 
@@ -150,6 +151,10 @@
     },
     /// Remove a replica from the control group.
     Remove(ReplicaId),
+    /// Start a roll-out.
+    StartRollout(RolloutOrder),
+    /// Change the stage of a roll-out.
+    MoveRollout(RolloutMove),
 }
 
 /// Reply to an operator.
--- a/crates/core/tests/forward_parts.rs
+++ b/crates/core/tests/forward_parts.rs
@@ -284,6 +284,7 @@
             slots: 3,
             leaving: false,
             cold_ms: if n.is_multiple_of(20) { self.revision } else { 0 },
+            version: String::new(),
         };
         Directory { targets: (0..self.listed).map(target).collect() }
     }
--- a/crates/core/tests/forward_support/mod.rs
+++ b/crates/core/tests/forward_support/mod.rs
@@ -90,6 +90,7 @@
         slots: 2,
         leaving: false,
         cold_ms: 0,
+        version: String::new(),
     }
 }
 
--- a/src/api.rs
+++ b/src/api.rs
@@ -14,6 +14,7 @@
     consensus,
     id::{ConfigVersion, InstanceId, ReplicaId},
     membership::MemberState,
+    rollout::Rollout,
     target::TargetReport,
 };
 use serde::{Deserialize, Serialize};
@@ -145,6 +146,26 @@
     Refused,
 }
 
+/// Body of `POST /v1/rollouts`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RolloutRequest {
+    /// Name of the service.
+    pub service: String,
+    /// Version that is to get the traffic.
+    pub version: String,
+    /// Time within which the roll-out has to end, in milliseconds.
+    pub duration_ms: u64,
+}
+
+/// Response to `POST /v1/rollouts`, `GET /v1/rollouts/{service}` and
+/// `POST /v1/rollouts/{service}/abort`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RolloutResponse {
+    /// The last roll-out of the service.
+    pub rollout: Rollout,
+}
+
 /// Body of `POST /v1/replicas`.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -1,6 +1,6 @@
 //! Arguments of the tool.
 
-use std::{net::SocketAddr, path::PathBuf};
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
 use clap::{Arg, ArgAction, ArgGroup, Command, value_parser};
 
@@ -100,6 +100,7 @@
                 ),
         )
         .subcommand(query())
+        .subcommand(rollout())
         .subcommand(replica())
 }
 
@@ -300,6 +301,61 @@
         )
 }
 
+fn rollout() -> Command {
+    let service = || {
+        Arg::new("service")
+            .value_name("SERVICE")
+            .required(true)
+            .help("Service of the forwarding table")
+    };
+    let start = Command::new("start")
+        .about("Move the traffic of a service to another version")
+        .arg(service())
+        .arg(
+            Arg::new("version")
+                .value_name("VERSION")
+                .required(true)
+                .help("Version of the targets that are to get the traffic"),
+        )
+        .arg(
+            Arg::new("within")
+                .long("within")
+                .value_name("SECONDS")
+                .required(true)
+                .value_parser(parse_seconds)
+                .help("Time within which the roll-out has to end"),
+        );
+    Command::new("rollout")
+        .about("Move a service to another version of its targets")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(start)
+        .subcommand(
+            Command::new("status")
+                .about("Show the last roll-out of a service")
+                .arg(service()),
+        )
+        .subcommand(
+            Command::new("abort")
+                .about("Take the running roll-out of a service back")
+                .arg(service()),
+        )
+        .after_help(
+            "Example:\n  primrosemast rollout start crew-finder v2 --within \
+             60 --operator 127.0.0.1:7401",
+        )
+}
+
+fn parse_seconds(text: &str) -> Result<Duration, String> {
+    let seconds: f64 = text
+        .parse()
+        .map_err(|_| format!("found \"{text}\", expected a number"))?;
+    Duration::try_from_secs_f64(seconds)
+        .ok()
+        .filter(|d| !d.is_zero())
+        .ok_or_else(|| format!("found {text}, expected more than 0"))
+}
+
 fn replica() -> Command {
     let bootstrap = Command::new("bootstrap")
         .about("Found a control group on the instance at the one --operator")
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -12,6 +12,7 @@
 mod output;
 mod replica;
 mod request_log;
+mod rollout;
 mod view;
 
 use std::{
@@ -139,6 +140,7 @@
         "status" => view::status(args).await,
         "explain" => view::explain(args).await,
         "query" => view::query(args).await,
+        "rollout" => rollout::rollout(args).await,
         "replica" => replica::replica(args).await,
         _ => unreachable!("clap knows no other command"),
     }
--- a/src/daemon/forward_metrics.rs
+++ b/src/daemon/forward_metrics.rs
@@ -32,6 +32,8 @@
     open_attempts: Gauge<u64>,
     targets: Gauge<u64>,
     list_age: Gauge<f64>,
+    rollout_attempts: Gauge<u64>,
+    rollout_stage: Gauge<u64>,
 }
 
 impl ForwardMetrics {
@@ -90,6 +92,16 @@
                 .f64_gauge("primrosemast_forward_list_age_seconds")
                 .with_description("Age of the reading that is in use")
                 .build(),
+            rollout_attempts: gauge(
+                "primrosemast_rollout_attempts",
+                "Requests to targets of a service since the order of its \
+                 running roll-out, by version",
+            ),
+            rollout_stage: gauge(
+                "primrosemast_rollout_stage",
+                "Stage of the last roll-out: 1 canary, 2 trial, 3 full, 4 \
+                 completed, 5 rolled back",
+            ),
         }
     }
 
@@ -151,5 +163,20 @@
         if let Some(age) = forwarder.directory_age(now) {
             self.list_age.record(age.as_secs_f64(), &[]);
         }
+        for (service, stage) in forwarder.rollout_stages() {
+            let service = KeyValue::new("service", service.to_owned());
+            self.rollout_stage.record(stage as u64 + 1, &[service]);
+        }
+        for (service, attempts, exposed) in forwarder.rollout_exposure() {
+            let record = |version, count| {
+                let labels = [
+                    KeyValue::new("service", service.to_owned()),
+                    KeyValue::new("version", version),
+                ];
+                self.rollout_attempts.record(count, &labels);
+            };
+            record("new", exposed);
+            record("old", attempts.saturating_sub(exposed));
+        }
     }
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -13,6 +13,7 @@
 mod metrics;
 mod options;
 mod platform;
+mod rollouts;
 mod views;
 
 use std::{
@@ -40,12 +41,15 @@
 use volo_http::server::Server;
 
 pub(crate) use self::forward_metrics::ForwardMetrics;
-pub use self::handle::{Decision, Handle};
 pub(crate) use self::handle::{Input, ViewReply, ViewRequest};
 use self::{
     clock::Clock, handle::PublishedState, metrics::Metrics, options::options,
     views::LocalNames,
 };
+pub use self::{
+    handle::{Decision, Handle},
+    rollouts::RolloutDecision,
+};
 use crate::{
     forward::{self, ForwardDriver, Native, Protocol},
     http::{caller_router, operator_router},
--- a/src/daemon/options.rs
+++ b/src/daemon/options.rs
@@ -11,6 +11,7 @@
     membership::MembershipOptions,
     node::NodeOptions,
     query::{DispatchMode, QueryOptions},
+    rollout::Bounds,
     target::TargetOptions,
 };
 
@@ -93,6 +94,10 @@
             lag: ms(forwarding.list_lag_ms),
             ..DirectoryOptions::default()
         },
+        rollouts: forwarding.rollouts.then_some(Bounds {
+            share: forwarding.rollout_share,
+            slack: forwarding.rollout_slack,
+        }),
         ..ForwardOptions::default()
     }
 }
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -249,6 +249,7 @@
             | ForwardEffect::SendPart { .. }
             | ForwardEffect::SendShared(..)
             | ForwardEffect::SendDirectory(..)
+            | ForwardEffect::Report(_)
             | ForwardEffect::Log(_) => {
                 unreachable!(
                     "handled by the node, never sent to the forward driver"
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -7,6 +7,7 @@
 
 mod caller;
 mod operator;
+mod rollouts;
 
 pub(crate) use self::{
     caller::router as caller_router, operator::router as operator_router,
--- a/src/http/operator.rs
+++ b/src/http/operator.rs
@@ -20,7 +20,7 @@
     },
 };
 
-use super::{json, text};
+use super::{json, rollouts, text};
 use crate::{
     api::{
         ChangeRequest, ChangeResponse, ErrorResponse, Outcome, ReplicaAction,
@@ -84,6 +84,7 @@
         }
     };
     Router::new()
+        .merge(rollouts::router(handle))
         .route("/v1/status", get(status))
         .route("/v1/configuration", get(configuration))
         .route("/v1/changes", post(change))
@@ -133,12 +134,18 @@
     }
 }
 
-fn error(status: StatusCode, reason: &str, message: String) -> Response {
+pub(super) fn error(
+    status: StatusCode,
+    reason: &str,
+    message: String,
+) -> Response {
     json(status, &ErrorResponse { reason: reason.into(), message })
 }
 
 /// Reads a JSON body; fails with the response to send.
-async fn read_json<T: DeserializeOwned>(req: Request) -> Result<T, Response> {
+pub(super) async fn read_json<T: DeserializeOwned>(
+    req: Request,
+) -> Result<T, Response> {
     let body = Limited::new(req.into_body(), MAX_BODY_BYTES).collect().await;
     let bad = |message| error(StatusCode::BAD_REQUEST, "bad_request", message);
     let body = body.map_err(|e| bad(e.to_string()))?.to_bytes();
@@ -197,6 +204,9 @@
             problems.iter().map(ToString::to_string).collect();
         return Err(lines.join("\n"));
     }
+    // The control group keeps the roll-outs; a document that was read from an
+    // instance may still hold former ones.
+    configuration.rollouts.clear();
     configuration.sort();
     rmp_serde::to_vec_named(&configuration)
         .map(Bytes::from)
@@ -233,6 +243,7 @@
         | ControlReply::Claim(_)
         | ControlReply::Version(_)
         | ControlReply::ZoneOrders(_)
+        | ControlReply::Rollout(_)
         | ControlReply::Done => change_response(
             Outcome::Unknown,
             None,
--- a/src/settings/instance.rs
+++ b/src/settings/instance.rs
@@ -166,6 +166,16 @@
     /// Longest time by which the platform's list may lag behind the actual
     /// state, in milliseconds.
     pub list_lag_ms: u64,
+    /// Whether the versions of targets decide which requests they get, and
+    /// operators may order roll-outs.
+    pub rollouts: bool,
+    /// Largest fraction of a service's requests that a bad version may get
+    /// during a roll-out.
+    #[schemars(range(min = 0.0, max = 1.0))]
+    pub rollout_share: f64,
+    /// Requests that a bad version may get in addition.
+    #[schemars(range(min = 0.0))]
+    pub rollout_slack: f64,
 }
 
 impl Default for ForwardingSettings {
@@ -175,6 +185,9 @@
             extra_slack: 10.0,
             extra_window_ms: 10_000,
             list_lag_ms: 1_000,
+            rollouts: false,
+            rollout_share: 0.1,
+            rollout_slack: 50.0,
         }
     }
 }
