--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -409,6 +409,34 @@
     insta::assert_snapshot!(without_folder(&error.to_string()));
 }
 
+// Guards against bounds of roll-outs that allow everything or nothing.
+#[test]
+fn bounds_of_rollouts_are_checked() {
+    for (setting, valid) in [
+        ("\"rollout_share\": 0.25, \"rollout_slack\": 0", true),
+        ("\"rollout_share\": 1.5", false),
+        ("\"rollout_share\": -0.1", false),
+        ("\"rollout_slack\": -1", false),
+        ("\"rollouts\": \"yes\"", false),
+    ] {
+        let folder = TempDir::new().unwrap();
+        let text = format!(
+            r#"{{ "name": "entry-1", "availability_zone": "zone-a",
+                 "roles": ["entry"],
+                 "listen": {{ "caller": "127.0.0.1:7400",
+                              "operator": "127.0.0.1:7401",
+                              "peer": "127.0.0.1:7402" }},
+                 "forwarding": {{ {setting} }} }}"#
+        );
+        let path = write(&folder, "instance.jsonc", &text);
+        let result = load_instance(&path);
+        assert_eq!(result.is_ok(), valid, "{setting}: {result:?}");
+        if let Err(e) = result {
+            assert!(e.to_string().contains("forwarding"), "{e}");
+        }
+    }
+}
+
 // Guards against a forwarding table that passes the check although instances
 // would not put it into force.
 #[test]
