--- a/crates/core/src/event/forward.rs
+++ b/crates/core/src/event/forward.rs
@@ -20,6 +20,8 @@
     TABLE_REJECTED = (731, Error, "A forwarding table is invalid and was not installed.");
     KEYS_CONFIRMED = (733, Warn, "Requests with a key are refused because no control quorum confirms that the keys are still in use, or this has ended.");
     KEYS_WITHDRAWN = (734, Info, "A forwarding table withdrew the keys of requests in flight. Their shards that were not sent are given up.");
+    ROLLOUT_BRAKE = (735, Warn, "A new version failed at this instance, which sends it nothing for some time. The control leader decides on the roll-out.");
+    ROLLOUT_STAGE = (736, Info, "A stage of a roll-out came into force at this instance.");
     ZONES_OUT_CHANGED = (732, Info, "The availability zones that this instance sends nothing to have changed.");
     GRANTOR_CHANGED = (740, Info, "This instance began or stopped granting tokens of the limits that all instances share.");
     GRANTOR_SILENT = (741, Info, "A grantor of shared limits did not answer in time. Another one is asked.");
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod node;
 pub mod placement;
 pub mod query;
+pub mod rollout;
 pub mod shares;
 pub mod snapshot;
 pub mod target;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -89,6 +89,7 @@
             PeerMessage::Control(message) => match message {
                 control::Message::Request { .. } => "request",
                 control::Message::Reply { .. } => "reply",
+                control::Message::Report(_) => "report",
             },
             PeerMessage::Consensus(_)
             | PeerMessage::Query(_)
--- a/crates/core/src/node/forwarding.rs
+++ b/crates/core/src/node/forwarding.rs
@@ -77,6 +77,9 @@
                         out.extend([Effect::SendContent { address, effect }]);
                     }
                 }
+                ForwardEffect::Report(report) => {
+                    self.send_report(now, &report, out);
+                }
                 ForwardEffect::Log(event) => out.extend([Effect::Log(event)]),
                 ForwardEffect::TakeShare { token, limit, until } => {
                     let event = ShareEvent::Take(token, limit, until);
@@ -246,6 +249,8 @@
             self.share_limits_changed();
         }
         let table = Arc::clone(&self.forward_fleet.table);
+        let rollouts = configuration.rollouts.clone();
+        self.push(Internal::Forward(ForwardEvent::Rollouts(rollouts)));
         self.push(Internal::Forward(ForwardEvent::Configure {
             version,
             table,
--- a/crates/core/tests/node.rs
+++ b/crates/core/tests/node.rs
@@ -100,6 +100,7 @@
         slots: 2,
         leaving: false,
         cold_ms: 0,
+        version: String::new(),
     };
     Directory { targets: vec![target] }
 }
--- a/src/daemon/forward_metrics.rs
+++ b/src/daemon/forward_metrics.rs
@@ -38,6 +38,8 @@
     share_asked: Counter<u64>,
     grantor: Gauge<u64>,
     key_refusals: Counter<u64>,
+    rollout_attempts: Gauge<u64>,
+    rollout_stage: Gauge<u64>,
 }
 
 impl ForwardMetrics {
@@ -118,6 +120,16 @@
                 "primrosemast_forward_key_refusals",
                 "Requests refused on arrival because of their key, by reason",
             ),
+            rollout_attempts: gauge(
+                "primrosemast_rollout_attempts",
+                "Requests to targets of a service since the order of its \
+                 running roll-out, by version",
+            ),
+            rollout_stage: gauge(
+                "primrosemast_rollout_stage",
+                "Stage of the last roll-out: 1 canary, 2 trial, 3 full, 4 \
+                 completed, 5 rolled back",
+            ),
         }
     }
 
@@ -184,6 +196,21 @@
         if let Some(age) = forwarder.directory_age(now) {
             self.list_age.record(age.as_secs_f64(), &[]);
         }
+        for (service, stage) in forwarder.rollout_stages() {
+            let service = KeyValue::new("service", service.to_owned());
+            self.rollout_stage.record(stage as u64 + 1, &[service]);
+        }
+        for (service, attempts, exposed) in forwarder.rollout_exposure() {
+            let record = |version, count| {
+                let labels = [
+                    KeyValue::new("service", service.to_owned()),
+                    KeyValue::new("version", version),
+                ];
+                self.rollout_attempts.record(count, &labels);
+            };
+            record("new", exposed);
+            record("old", attempts.saturating_sub(exposed));
+        }
     }
 
     /// Records what the counts of the shared limits have grown by. There is no
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -13,6 +13,7 @@
 mod metrics;
 mod options;
 mod platform;
+mod rollouts;
 mod views;
 
 use std::{
@@ -42,12 +43,15 @@
 
 pub(crate) use self::clock::Clock;
 pub(crate) use self::forward_metrics::ForwardMetrics;
-pub use self::handle::{Decision, Handle};
 pub(crate) use self::handle::{Input, ViewReply, ViewRequest};
 use self::{
     handle::PublishedState, metrics::Metrics, options::options,
     views::LocalNames,
 };
+pub use self::{
+    handle::{Decision, Handle},
+    rollouts::RolloutDecision,
+};
 pub use crate::held::ReadError;
 use crate::{
     forward::{self, ForwardDriver, Native, Protocol},
--- a/src/daemon/options.rs
+++ b/src/daemon/options.rs
@@ -12,6 +12,7 @@
     membership::MembershipOptions,
     node::NodeOptions,
     query::{DispatchMode, QueryOptions},
+    rollout::Bounds,
     shares::ShareOptions,
     target::TargetOptions,
 };
@@ -116,6 +117,10 @@
         keys: KeyOptions {
             withdrawal_bound: forwarding.key_withdrawal_ms.map(ms),
         },
+        rollouts: forwarding.rollouts.then_some(Bounds {
+            share: forwarding.rollout_share,
+            slack: forwarding.rollout_slack,
+        }),
         ..ForwardOptions::default()
     }
 }
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -260,6 +260,7 @@
             | ForwardEffect::SendDirectory(..)
             | ForwardEffect::TakeShare { .. }
             | ForwardEffect::DropShare(_)
+            | ForwardEffect::Report(_)
             | ForwardEffect::Log(_) => {
                 unreachable!(
                     "handled by the node, never sent to the forward driver"
--- a/src/settings/instance.rs
+++ b/src/settings/instance.rs
@@ -194,6 +194,16 @@
     /// milliseconds. If it is not set, an instance that the table has not
     /// reached may use the key for as long as it holds its lease.
     pub key_withdrawal_ms: Option<u64>,
+    /// Whether the versions of targets decide which requests they get, and
+    /// operators may order roll-outs.
+    pub rollouts: bool,
+    /// Largest fraction of a service's requests that a bad version may get
+    /// during a roll-out.
+    #[schemars(range(min = 0.0, max = 1.0))]
+    pub rollout_share: f64,
+    /// Requests that a bad version may get in addition.
+    #[schemars(range(min = 0.0))]
+    pub rollout_slack: f64,
 }
 
 impl Default for ForwardingSettings {
@@ -208,6 +218,9 @@
             team_overage: 0.1,
             team_slack: 20.0,
             key_withdrawal_ms: None,
+            rollouts: false,
+            rollout_share: 0.1,
+            rollout_slack: 50.0,
         }
     }
 }
