Discard the rest of a body that is refused

What is left of a refused body is now read and dropped, up to 4 MiB and for half a second, without holding it. query_path 7 and crowds of the product 6 pass.

--- a/src/held.rs
+++ b/src/held.rs
@@ -43,6 +43,12 @@
 /// Largest body of one answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
+/// Longest time for which the rest of a refused body is discarded.
+const DISCARD_TIME: Duration = Duration::from_millis(500);
+
+/// Largest part of a refused body that is discarded, in bytes.
+const MAX_DISCARDED_BYTES: u64 = 4 << 20;
+
 /// Time after which the senders of refused requests may try again. Longer
 /// than a body needs to stall.
 pub(crate) const ROOM_RETRY: Duration = Duration::from_secs(1);
@@ -222,7 +228,9 @@
         Bytes::from_owner(Owned { bytes, _held })
     }
 
-    /// Reads the complete body of a request.
+    /// Reads the complete body of a request. What is left of one that is
+    /// refused is discarded for a while, because a connection that is closed
+    /// with unread bytes is reset and its client may not see the response.
     ///
     /// # Errors
     ///
@@ -234,6 +242,25 @@
         body: B,
         limit: usize,
     ) -> Result<Bytes, ReadError>
+    where
+        B: Body<Data = Bytes>,
+        B::Error: fmt::Display,
+    {
+        let mut body = pin!(body);
+        let read = self.read_counted(holder, body.as_mut(), limit).await;
+        if matches!(read, Err(ReadError::TooLong(_) | ReadError::NoRoom)) {
+            // The refusal is the same if the time passes first.
+            let _ = timeout(DISCARD_TIME, discard(body)).await;
+        }
+        read
+    }
+
+    async fn read_counted<B>(
+        &self,
+        holder: Holder,
+        mut body: Pin<&mut B>,
+        limit: usize,
+    ) -> Result<Bytes, ReadError>
     where
         B: Body<Data = Bytes>,
         B::Error: fmt::Display,
@@ -248,7 +275,6 @@
         }
         let expected =
             declared.and_then(|n| usize::try_from(n).ok()).unwrap_or(limit);
-        let mut body = pin!(body);
         let Some(data) = next_data(body.as_mut()).await? else {
             return Ok(Bytes::new());
         };
@@ -407,6 +433,21 @@
     }
 }
 
+/// Discards the rest of a body that is not too long for that.
+async fn discard<B: Body<Data = Bytes>>(mut body: Pin<&mut B>) {
+    let mut left = MAX_DISCARDED_BYTES;
+    if body.size_hint().lower() > left {
+        return;
+    }
+    while let Some(Ok(frame)) = body.frame().await {
+        let len = frame.data_ref().map_or(0, Bytes::len) as u64;
+        left = left.saturating_sub(len);
+        if left == 0 {
+            return;
+        }
+    }
+}
+
 /// Waits for the first bytes of a body; `None` if it has none.
 async fn next_data<B>(
     mut body: Pin<&mut B>,
