Log and measure what a control leader waits for

In the users' record a leader commits nothing for a minute, and no log line or metric tells why: not the log of a follower, nor what the account of uncommitted bytes consists of, nor a write that waits, nor the size of the data folder.

PM0435 names the waiting proposals, the largest one, and the progress of each member, after 1 s and then at doubling intervals up to 30 s; PM0436 tells that commits go on; PM0437 tells of a write that waits for the disk, with the bytes of the folder and whether it is full; PM0438 of messages for another replica. No decision depends on them.

--- a/crates/core/src/consensus/election.rs
+++ b/crates/core/src/consensus/election.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Consensus, Leader, Message, Payload, Peer, ProposeError, State,
-    replication::Progress,
+    replication::Progress, watch::CommitWatch,
 };
 use crate::{
     consensus::{ConsensusEffect, Entry},
@@ -239,6 +239,7 @@
             last_round_at: now,
             proposals: VecDeque::new(),
             uncommitted_bytes: 0,
+            watch: CommitWatch::new(self.commit, now),
         });
         self.log_event(
             &kinds::LEADER_ELECTED,
--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -16,6 +16,7 @@
 mod replication;
 mod transfer;
 mod types;
+mod watch;
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -24,12 +25,14 @@
 use rand_pcg::Pcg32;
 
 pub use types::*;
+pub use watch::ReplicaFigures;
 
 use self::{
     log::Log,
     outbox::{Peer, PendingMessage},
     replication::Progress,
     transfer::IncomingSnapshot,
+    watch::CommitWatch,
 };
 use crate::{
     event::{EventKind, LogEvent, control as kinds},
@@ -132,6 +135,7 @@
     proposals: VecDeque<Proposal>,
     /// Total size of the commands in `proposals`.
     uncommitted_bytes: u64,
+    watch: CommitWatch,
 }
 
 /// The consensus state machine of one control replica.
--- a/crates/core/src/consensus/replication.rs
+++ b/crates/core/src/consensus/replication.rs
@@ -109,6 +109,8 @@
             self.step_down(now, "no majority answers");
             return;
         }
+        self.watch_commits(now);
+        let State::Leader(leader) = &mut self.state else { return };
         leader.round += 1;
         leader.last_round_at = now;
         leader.next_heartbeat = now + self.options.heartbeat_interval;
--- a/crates/core/src/consensus/transfer.rs
+++ b/crates/core/src/consensus/transfer.rs
@@ -1,6 +1,8 @@
 //! Snapshots: when they are taken, and their transfer to replicas that are
 //! far behind.
 
+use std::fmt;
+
 use bytes::{Bytes, BytesMut};
 
 use super::{
@@ -19,6 +21,13 @@
     pub(super) awaiting_reply: bool,
 }
 
+impl fmt::Display for SnapshotTransfer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let SnapshotTransfer { snapshot, offset, .. } = self;
+        write!(f, "{}:{offset}/{}", snapshot.index, snapshot.data.len())
+    }
+}
+
 impl SnapshotTransfer {
     pub(super) fn index(&self) -> u64 {
         self.snapshot.index
--- a/crates/core/src/event/control.rs
+++ b/crates/core/src/event/control.rs
@@ -34,5 +34,9 @@
     ROLLOUT_MOVED = (432, Info, "A roll-out was ordered, or its stage changed. The reason has the figures that decided it.");
     ROLLOUT_UNCHANGED = (433, Info, "An order for a roll-out or a change of its stage had no effect, because it was repeated, came too late, or another roll-out of the service is running.");
     ROLLOUT_DECIDED = (434, Info, "The control leader proposes another stage of a roll-out. The reason has the figures that decided it.");
+    COMMITS_STALLED = (435, Warn, "The control leader has entries that wait to be committed, and has committed none for a second or more. The reason has what waits, and the log of each member as the leader knows it.");
+    COMMITS_RESUMED = (436, Info, "The control leader commits entries again.");
+    WRITE_WAITS = (437, Warn, "A write of the control replica has waited for its disk for a second or more. Nothing that it holds is acknowledged meanwhile.");
+    STRAY_MESSAGE = (438, Warn, "A consensus message for another replica was dropped, such as one to a former replica of this instance whose disk was lost. Logged once for each sender.");
     COMMAND_MALFORMED = (428, Error, "A committed command cannot be decoded and has no effect. The replicas run different releases; update the older ones.");
 }
--- a/crates/core/src/node/replica.rs
+++ b/crates/core/src/node/replica.rs
@@ -18,6 +18,7 @@
         },
         service::{Origin, Service, ServiceEffect, ServiceEvent},
     },
+    event::{LogEvent, control as kinds},
     id::{ConfigVersion, InstanceId, ReplicaId, Token},
     membership::{Member, MembershipEvent},
     message::PeerMessage,
@@ -59,6 +60,9 @@
     /// votes, the number of voters, the logged version and the log index of
     /// the member list.
     pub(super) last_notified: Option<(bool, u32, ConfigVersion, u64)>,
+    /// Sender and receiver of the last message for another replica, so that
+    /// repeated ones are not logged again.
+    pub(super) last_stray: Option<(ReplicaId, ReplicaId)>,
 }
 
 impl ControlReplica {
@@ -104,6 +108,7 @@
             join_at: now + JOIN_INTERVAL,
             leaderless_since: None,
             last_notified: None,
+            last_stray: None,
         });
         let mut effects = Vec::new();
         if let Some(replica) = &mut self.replica {
@@ -175,6 +180,17 @@
         // instance whose disk was lost.
         if for_this_replica {
             self.step_consensus(now, ConsensusEvent::Message(envelope), out);
+            return;
+        }
+        let Some(replica) = &mut self.replica else { return };
+        let stray = (envelope.from, envelope.to);
+        if replica.last_stray.replace(stray) != Some(stray) {
+            let detail = format!(
+                "from={} to={} own={}",
+                envelope.from, envelope.to, replica.id
+            );
+            let event = LogEvent::new(&kinds::STRAY_MESSAGE, detail);
+            out.extend([Effect::Log(event)]);
         }
     }
 
--- a/crates/core/src/node/view.rs
+++ b/crates/core/src/node/view.rs
@@ -5,6 +5,7 @@
 use super::Node;
 use crate::{
     config::Configuration,
+    consensus::ReplicaFigures,
     forward::Forwarder,
     id::{ConfigVersion, TargetId},
     membership::Member,
@@ -36,6 +37,11 @@
         self.sync.current().map_or(0, |record| record.hash)
     }
 
+    /// Returns the figures of the control replica, if there is one.
+    pub fn replica_figures(&self, now: Time) -> Option<ReplicaFigures> {
+        self.replica.as_ref().map(|r| r.consensus.figures(now))
+    }
+
     /// Returns the age of the last confirmation by a control quorum.
     pub fn confirmation_age(&self, now: Time) -> Option<Duration> {
         self.sync.confirmation_age(now)
--- a/crates/core/tests/cluster/mod.rs
+++ b/crates/core/tests/cluster/mod.rs
@@ -493,6 +493,11 @@
     }
 
     /// Returns the leader of the newest term.
+    pub fn figures(&self, i: usize) -> ReplicaFigures {
+        let consensus = self.nodes[i].consensus.as_ref().expect("it runs");
+        consensus.figures(self.now)
+    }
+
     pub fn leader(&self) -> Option<usize> {
         (0..self.nodes.len())
             .filter(|&i| {
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -8,6 +8,7 @@
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use primrosemast_core::{
+    consensus::ReplicaFigures,
     event::LogEvent,
     held::{Gauges, Holder, Listener},
     message::PeerMessage,
@@ -15,7 +16,10 @@
 };
 use prometheus::{Encoder, Registry, TextEncoder};
 
-use super::forward_metrics::ForwardMetrics;
+use super::{
+    forward_metrics::ForwardMetrics, replica_metrics::ReplicaMetrics,
+};
+use crate::storage::StorageState;
 
 /// The instruments of a daemon.
 #[derive(Clone, Debug)]
@@ -42,6 +46,7 @@
     refused_bodies: Counter<u64>,
     closed_connections: Counter<u64>,
     forward: ForwardMetrics,
+    replica: ReplicaMetrics,
 }
 
 impl Metrics {
@@ -147,6 +152,7 @@
                 "Connections closed for lack of room, by listener",
             ),
             forward: ForwardMetrics::new(&meter),
+            replica: ReplicaMetrics::new(&meter),
             registry,
             _provider: provider,
         })
@@ -157,6 +163,15 @@
         &self.forward
     }
 
+    /// Records the state of the control replica and of its data folder.
+    pub(crate) fn record_replica(
+        &self,
+        figures: &ReplicaFigures,
+        state: &StorageState,
+    ) {
+        self.replica.record(figures, state);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub(crate) fn render(&self) -> String {
         let mut buf = Vec::new();
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -13,6 +13,7 @@
 mod metrics;
 mod options;
 mod platform;
+mod replica_metrics;
 mod rollouts;
 mod views;
 
@@ -61,7 +62,7 @@
     log_output::EVENT_TARGET,
     peer::{self, Peers, Received},
     settings::{InstanceSettings, Role},
-    storage::{Storage, StorageErrorKind, StorageThread},
+    storage::{Storage, StorageErrorKind, StorageState, StorageThread},
     target_client::{self, Connections},
 };
 
@@ -73,6 +74,12 @@
 /// its gauges are updated.
 const CLOSE_IDLE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time for which a write has waited when it is logged first.
+const WRITE_LOG_AFTER: Duration = Duration::from_secs(1);
+
+/// Longest interval at which it is logged again.
+const MAX_WRITE_LOG_INTERVAL: Duration = Duration::from_secs(30);
+
 /// Time for the HTTP servers to close their connections after the last
 /// response.
 const SERVER_SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(5);
@@ -265,6 +272,7 @@
     /// What was held for others when it was last recorded.
     held: Gauges,
     storage: Option<StorageThread>,
+    write_watch: WriteWatch,
     /// Sorted by token, because tokens only grow.
     callers: Vec<Pending<CallerResponse>>,
     operators: Vec<Pending<OperatorReply>>,
@@ -325,6 +333,7 @@
             share_counts: ShareCounts::default(),
             held: Gauges::default(),
             storage,
+            write_watch: WriteWatch::default(),
             callers: Vec::new(),
             operators: Vec::new(),
             drained: false,
@@ -486,6 +495,31 @@
         Ok(())
     }
 
+    /// Records the state of the control replica and of its data folder.
+    fn record_replica(&mut self) {
+        let Some(figures) = self.node.replica_figures(self.now()) else {
+            return;
+        };
+        let Some(storage) = &self.storage else { return };
+        let state = storage.state();
+        self.metrics.record_replica(&figures, &state);
+        if let Some(waited) = self.write_watch.check(&state) {
+            let event = LogEvent::new(
+                &primrosemast_core::event::control::WRITE_WAITS,
+                format!(
+                    "waited_ms={} full={} folder_bytes={} last={} synced={}",
+                    waited.as_millis(),
+                    state.full,
+                    state.folder_bytes,
+                    figures.last_index,
+                    figures.synced_index
+                ),
+            );
+            self.metrics.record_log_event(&event);
+            log_event(&event);
+        }
+    }
+
     /// Publishes the state for the HTTP handlers and in the metrics.
     fn publish_state(&mut self, queued_inputs: usize) {
         self.handle.set_ready(self.node.ready());
@@ -532,6 +566,7 @@
                 shares.grants(self.now()),
             );
             self.share_counts = counts;
+            self.record_replica();
         }
         // Closes the connections to members that were replaced. An instance
         // that knows no member yet needs those at which it seeks the fleet.
@@ -547,6 +582,33 @@
     }
 }
 
+/// The watch over the write in progress.
+#[derive(Default)]
+struct WriteWatch {
+    /// When the write began that was logged, and the time for which it had
+    /// waited then.
+    logged: Option<(Instant, Duration)>,
+}
+
+impl WriteWatch {
+    /// Returns for how long the write has waited, if that is to be logged.
+    /// The interval doubles while the same write waits.
+    fn check(&mut self, state: &StorageState) -> Option<Duration> {
+        let since = state.writing_since?;
+        let waited = since.elapsed();
+        let logged = self.logged.filter(|(at, _)| *at == since);
+        let due = match logged {
+            Some((_, before)) => before + before.min(MAX_WRITE_LOG_INTERVAL),
+            None => WRITE_LOG_AFTER,
+        };
+        if waited < due {
+            return None;
+        }
+        self.logged = Some((since, waited));
+        Some(waited)
+    }
+}
+
 type Recovered = (
     primrosemast_core::id::ReplicaId,
     primrosemast_core::consensus::Recovered,
--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -29,7 +29,7 @@
 pub use self::{
     disk::{Disk, OsDisk},
     error::{StorageError, StorageErrorKind},
-    thread::StorageThread,
+    thread::{StorageState, StorageThread},
 };
 use self::{record::encode, segment::Segment};
 
@@ -45,6 +45,8 @@
     /// The lock on the folder, held while the file is open.
     _lock: File,
     segment: Segment,
+    /// Bytes of the segments before `segment`.
+    older_bytes: u64,
     /// The last hard state. It is repeated at the start of each segment,
     /// because older segments are removed.
     hard_state: Option<Write>,
@@ -108,8 +110,12 @@
         let mut recovered = Recovered::default();
         let mut hard_state = None;
         let last = numbers.last().copied();
+        let mut older_bytes = 0;
         for &number in &numbers {
             let is_last = Some(number) == last;
+            if !is_last {
+                older_bytes += segment::size(folder, number)?;
+            }
             for write in segment::read(&disk, folder, number, is_last)? {
                 if matches!(write, Write::HardState { .. }) {
                     hard_state = Some(write.clone());
@@ -161,12 +167,18 @@
             folder: folder.to_owned(),
             _lock: lock,
             segment,
+            older_bytes,
             hard_state,
             progress: Progress::Complete,
         };
         Ok((storage, replica, recovered))
     }
 
+    /// Returns the size of the log in the folder, in bytes.
+    pub fn folder_bytes(&self) -> u64 {
+        self.older_bytes + self.segment.len()
+    }
+
     /// Appends a batch as one record and syncs it. If the disk was full, the
     /// call has to be repeated with the same batch, and continues the write.
     ///
@@ -231,10 +243,10 @@
             });
             if let Some(snapshot) = snapshot {
                 let head = self.compacted(snapshot)?;
-                self.segment = self.next_segment(&head)?;
+                self.start_segment(&head)?;
                 *stage = Stage::Remove;
             } else if self.segment.len() > SEGMENT_BYTES {
-                self.segment = self.next_segment(&[])?;
+                self.start_segment(&[])?;
             }
         } else {
             // The last removal may not be synced.
@@ -246,6 +258,7 @@
                     segment::remove(&self.disk, &self.folder, number)?;
                 }
             }
+            self.older_bytes = 0;
         }
         Ok(())
     }
@@ -280,6 +293,13 @@
         Ok(head)
     }
 
+    fn start_segment(&mut self, head: &[Write]) -> Result<(), StorageError> {
+        let next = self.next_segment(head)?;
+        self.older_bytes += self.segment.len();
+        self.segment = next;
+        Ok(())
+    }
+
     /// Creates the next segment, which starts with the hard state and `head`.
     fn next_segment(&self, head: &[Write]) -> Result<Segment, StorageError> {
         let mut buf = Vec::new();
--- a/src/storage/segment.rs
+++ b/src/storage/segment.rs
@@ -149,6 +149,14 @@
     Ok(numbers)
 }
 
+/// Returns the size of a segment in bytes.
+pub(super) fn size(folder: &Path, number: u64) -> Result<u64, StorageError> {
+    let path = path(folder, number);
+    let metadata = fs::metadata(&path)
+        .map_err(|e| StorageError::io("inspect", &path, e))?;
+    Ok(metadata.len())
+}
+
 /// Reads the records of a segment. A torn record at the end of the last
 /// segment is truncated, because it was never reported as written.
 pub(super) fn read(
--- a/tests/full_disk.rs
+++ b/tests/full_disk.rs
@@ -363,8 +363,13 @@
         thread.write(ticket, snapshot(ticket));
         let first = rx.recv_timeout(limit).expect("a report");
         assert_eq!(first, Err(StorageErrorKind::Full), "{refuses:?}");
+        let state = thread.state();
+        assert!(state.full && state.writing_since.is_some(), "{state:?}");
         disk.free();
         let second = rx.recv_timeout(limit).expect("a report");
         assert_eq!(second, Ok(ticket), "{refuses:?}");
+        let state = thread.state();
+        assert!(!state.full && state.writing_since.is_none(), "{state:?}");
+        assert!(state.folder_bytes > 0, "{state:?}");
     }
 }
