--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -12,6 +12,7 @@
 mod log;
 mod members;
 mod outbox;
+mod proposals;
 mod receive;
 mod replication;
 mod transfer;
@@ -30,13 +31,14 @@
 use self::{
     log::Log,
     outbox::{Peer, PendingMessage},
+    proposals::Proposal,
     replication::Progress,
     transfer::IncomingSnapshot,
     watch::CommitWatch,
 };
 use crate::{
     event::{EventKind, LogEvent, control as kinds},
-    id::{ReplicaId, Token},
+    id::ReplicaId,
     time::Time,
 };
 
@@ -93,13 +95,6 @@
     }
 }
 
-/// A proposal whose entry has not committed yet.
-struct Proposal {
-    token: Token,
-    index: u64,
-    bytes: u64,
-}
-
 /// The role of a replica, with the state specific to it.
 enum State {
     /// A follower, a learner, or a replica that is in no group.
--- a/crates/core/src/consensus/replication.rs
+++ b/crates/core/src/consensus/replication.rs
@@ -2,18 +2,11 @@
 
 use std::collections::VecDeque;
 
-use bytes::Bytes;
-
 use super::{
-    Consensus, Entry, Leader, Message, Payload, Peer, Proposal, ProposeError,
-    Replica, State, transfer::SnapshotTransfer,
-};
-use crate::{
-    consensus::ConsensusEffect,
-    event::control as kinds,
-    id::{ReplicaId, Token},
-    time::Time,
+    Consensus, Entry, Leader, Message, Payload, Peer, Replica, State,
+    transfer::SnapshotTransfer,
 };
+use crate::{event::control as kinds, id::ReplicaId, time::Time};
 
 /// Number of heartbeat intervals without progress after which an append or
 /// snapshot chunk is sent again.
@@ -210,28 +203,6 @@
         }
     }
 
-    pub(super) fn propose(&mut self, now: Time, token: Token, command: Bytes) {
-        let State::Leader(leader) = &mut self.state else {
-            let error = ProposeError::NotLeader(self.leader);
-            self.effects.push(ConsensusEffect::Outcome(token, Err(error)));
-            return;
-        };
-        if leader.uncommitted_bytes > self.options.max_uncommitted_bytes {
-            let text = format!(
-                "{} bytes wait to be committed, the limit is {}",
-                leader.uncommitted_bytes, self.options.max_uncommitted_bytes
-            );
-            let error = ProposeError::Rejected(text);
-            self.effects.push(ConsensusEffect::Outcome(token, Err(error)));
-            return;
-        }
-        let index = self.log.last_index() + 1;
-        let bytes = command.len() as u64;
-        leader.uncommitted_bytes += bytes;
-        leader.proposals.push_back(Proposal { token, index, bytes });
-        self.append_local(now, Payload::Command(command));
-    }
-
     /// Appends an entry to the leader's log. Entries that arrive while a
     /// write is in progress are written together after it.
     pub(super) fn append_local(&mut self, now: Time, payload: Payload) {
