Answer reads of the control leader without the log

Callers saw every read of the configuration, and every first step of an order for a zone, refused for over a minute with "bytes wait to be committed", while one leader led all the time.

Cause: a read was a proposal, admitted and committed like a change. It was refused once 16 MiB waited, and otherwise waited behind them.

A read is now answered by a leader that has applied what was committed when the read arrived, once a majority of the voters has answered a heartbeat round that began after it. Reads that wait share a round, and rounds are at least 5 ms apart. Nothing changes on the wire: the request and the round in the reply exist already.

Pending reads have a limit of their own, so proposals without an outcome cannot take their room, and a client that gives up on a read no longer says that its outcome is unknown: it has none.

--- a/crates/core/src/consensus/election.rs
+++ b/crates/core/src/consensus/election.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Consensus, Leader, Message, Payload, Peer, ProposeError, State,
-    replication::Progress, watch::CommitWatch,
+    reads::Reads, replication::Progress, watch::CommitWatch,
 };
 use crate::{
     consensus::{ConsensusEffect, Entry},
@@ -239,6 +239,7 @@
             last_round_at: now,
             proposals: VecDeque::new(),
             uncommitted_bytes: 0,
+            reads: Reads::default(),
             watch: CommitWatch::new(self.commit, now),
         });
         self.log_event(
@@ -282,6 +283,7 @@
                     self.id, self.term
                 ),
             );
+            self.fail_reads(&leader);
             for p in leader.proposals {
                 self.effects.push(ConsensusEffect::Outcome(
                     p.token,
--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -13,6 +13,7 @@
 mod members;
 mod outbox;
 mod proposals;
+mod reads;
 mod receive;
 mod replication;
 mod transfer;
@@ -32,6 +33,7 @@
     log::Log,
     outbox::{Peer, PendingMessage},
     proposals::Proposal,
+    reads::Reads,
     replication::Progress,
     transfer::IncomingSnapshot,
     watch::CommitWatch,
@@ -130,6 +132,7 @@
     proposals: VecDeque<Proposal>,
     /// Total size of the commands in `proposals`.
     uncommitted_bytes: u64,
+    reads: Reads,
     watch: CommitWatch,
 }
 
@@ -261,6 +264,7 @@
             ConsensusEvent::Propose(token, command) => {
                 self.propose(now, token, command);
             }
+            ConsensusEvent::Read(token) => self.read(now, token),
             ConsensusEvent::ChangeMembers(token, change) => {
                 self.change_members(now, token, change);
             }
@@ -270,6 +274,7 @@
             ConsensusEvent::Tick => {}
         }
         self.apply_committed();
+        self.answer_reads(now);
         self.leave_if_removed(now);
         self.flush_effects(out);
     }
--- a/crates/core/src/consensus/receive.rs
+++ b/crates/core/src/consensus/receive.rs
@@ -109,7 +109,8 @@
                 let previous = (previous_index, previous_term);
                 self.handle_append(peer, previous, entries, commit, round);
             }
-            Message::AppendReply { term, success, index, .. } => {
+            Message::AppendReply { term, success, index, round } => {
+                self.note_round(from, term, round);
                 self.handle_append_reply(now, from, term, success, index);
             }
             Message::Snapshot {
--- a/crates/core/src/consensus/types.rs
+++ b/crates/core/src/consensus/types.rs
@@ -180,6 +180,10 @@
     Persisted(u64),
     /// Proposes a command; answered with `Outcome`.
     Propose(Token, Bytes),
+    /// Reads the state machine; answered with `Outcome` once this replica is
+    /// confirmed as the leader and has applied everything that was committed
+    /// when the read arrived.
+    Read(Token),
     /// Changes the members, one change at a time; answered with `Outcome`.
     ChangeMembers(Token, MemberChange),
     /// The snapshot of the state machine that `TakeSnapshot` requested.
@@ -240,7 +244,8 @@
     },
     /// Takes a snapshot of the state machine; answered with `Snapshot`.
     TakeSnapshot,
-    /// A proposal has ended. The index is applied before this effect.
+    /// A proposal or a read has ended. The index is applied before this
+    /// effect.
     Outcome(Token, Result<u64, ProposeError>),
     /// The role, term, leader or members have changed.
     Status(Status),
@@ -346,6 +351,9 @@
     /// The proposal is not allowed at present, for the given reason. Nothing
     /// was appended.
     Rejected(String),
+    /// The replica cannot take the proposal or read at the moment, for the
+    /// given reason. Nothing was appended; it may be sent again.
+    Busy(String),
 }
 
 /// Role of a replica.
--- a/crates/core/src/control/client.rs
+++ b/crates/core/src/control/client.rs
@@ -362,6 +362,8 @@
         out.extend([ClientEffect::Log(event)]);
         let reply = match &p.request {
             ControlRequest::Claim(_) => CLAIM_UNAVAILABLE,
+            // A read proposes nothing.
+            ControlRequest::Barrier | ControlRequest::ReadZone(_) => refused,
             _ if proposed => ControlReply::Unknown,
             _ => refused,
         };
--- a/crates/core/src/control/service.rs
+++ b/crates/core/src/control/service.rs
@@ -3,8 +3,8 @@
 use bytes::Bytes;
 
 use super::{
-    Applied, Command, ControlReply, ControlRequest, Message, RolloutReply,
-    ZoneStateChange,
+    Applied, Command, ControlReply, ControlRequest, Message, Read,
+    RolloutReply, ZoneStateChange,
 };
 use crate::{
     consensus::{MemberChange, ProposeError, Status},
@@ -22,7 +22,8 @@
 const OUTDATED_ORDER: &str =
     "another order for this zone came first; nothing was changed";
 
-/// Largest number of requests without an outcome at one replica.
+/// Largest number of proposals without an outcome at one replica, and of
+/// reads.
 const MAX_PENDING_REQUESTS: usize = 10_000;
 
 /// Sender of a request.
@@ -66,6 +67,10 @@
 pub enum ServiceEffect {
     /// Proposes a command.
     Propose(Token, Bytes),
+    /// Asks the replica to confirm that it leads; answered with `Outcome`.
+    Read(Token),
+    /// Reads the state machine now and sends the result to the origin.
+    Answer(Origin, Read),
     /// Proposes a membership change.
     ChangeMembers(Token, MemberChange),
     /// Sends a reply to another instance.
@@ -77,12 +82,13 @@
 }
 
 /// The reply that a successful proposal gets.
-#[derive(Clone, Copy)]
+#[derive(Clone, Debug)]
 enum ReplyKind {
     Change,
     Claim,
     Version,
     Done,
+    Read(Read),
 }
 
 struct PendingRequest {
@@ -97,6 +103,8 @@
     status: Status,
     /// Sorted by token.
     pending: Vec<PendingRequest>,
+    /// How many of these are reads.
+    pending_reads: usize,
     next_token: u64,
     /// Index and result of the last applied command. The outcome of its
     /// proposal follows before the next command is applied.
@@ -144,7 +152,7 @@
         out: &mut impl Extend<ServiceEffect>,
     ) {
         let refusal = match &request {
-            _ if self.pending.len() >= MAX_PENDING_REQUESTS => {
+            request if self.is_full(request) => {
                 Some("too many requests wait for an outcome")
             }
             ControlRequest::Change(c) if c.change_id.is_empty() => {
@@ -193,10 +201,11 @@
                 (ReplyKind::Version, propose(token, &Command::SetZone(change)))
             }
             ControlRequest::Barrier => {
-                (ReplyKind::Version, propose(token, &Command::Barrier))
+                (ReplyKind::Read(Read::Version), ServiceEffect::Read(token))
             }
             ControlRequest::ReadZone(zone) => {
-                (ReplyKind::Version, propose(token, &Command::ReadZone(zone)))
+                let read = Read::ZoneOrders(zone);
+                (ReplyKind::Read(read), ServiceEffect::Read(token))
             }
             ControlRequest::StartRollout(order) => {
                 let command = Command::StartRollout(order);
@@ -219,6 +228,9 @@
                 (ReplyKind::Done, ServiceEffect::ChangeMembers(token, change))
             }
         };
+        if let ReplyKind::Read(_) = kind {
+            self.pending_reads += 1;
+        }
         self.pending.push(PendingRequest { token, origin, kind });
         out.extend([effect]);
     }
@@ -278,7 +290,14 @@
         let found = self.pending.binary_search_by_key(&token, |p| p.token);
         let Ok(at) = found else { return };
         let PendingRequest { origin, kind, .. } = self.pending.remove(at);
+        if let ReplyKind::Read(_) = kind {
+            self.pending_reads -= 1;
+        }
         let answer = match (result, kind) {
+            (Ok(_), ReplyKind::Read(read)) => {
+                out.extend([ServiceEffect::Answer(origin, read)]);
+                return;
+            }
             (Ok(_), ReplyKind::Done) => ControlReply::Done,
             (
                 Ok(index),
@@ -324,10 +343,27 @@
                 log_refusal(&text, out);
                 ControlReply::Refused(text)
             }
+            (Err(ProposeError::Busy(text)), _) => {
+                log_refusal(&text, out);
+                ControlReply::NotReady(text)
+            }
         };
         send_reply(origin, answer, out);
     }
 
+    /// Whether too many requests of the same kind wait. Reads end within
+    /// seconds, and proposals perhaps only with the leadership, so neither may
+    /// take the room of the other.
+    fn is_full(&self, request: &ControlRequest) -> bool {
+        let waiting = match request {
+            ControlRequest::Barrier | ControlRequest::ReadZone(_) => {
+                self.pending_reads
+            }
+            _ => self.pending.len() - self.pending_reads,
+        };
+        waiting >= MAX_PENDING_REQUESTS
+    }
+
     fn is_member(&self, id: ReplicaId) -> bool {
         self.status.members.iter().any(|m| m.id == id)
     }
--- a/crates/core/src/control/state.rs
+++ b/crates/core/src/control/state.rs
@@ -7,8 +7,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
-    Change, ChangeOutcome, Claim, Command, RolloutReply, Settle,
-    TableRevision, ZoneStateChange,
+    Change, ChangeOutcome, Claim, Command, ControlReply, Read, RolloutReply,
+    Settle, TableRevision, ZoneStateChange,
 };
 use crate::{
     config::{AvailabilityZone, Configuration, ZoneState},
@@ -179,6 +179,16 @@
         }
     }
 
+    /// Answers a read.
+    pub fn read(&self, read: &Read) -> ControlReply {
+        match read {
+            Read::Version => ControlReply::Version(self.version()),
+            Read::ZoneOrders(zone) => {
+                ControlReply::ZoneOrders(self.zone_order_count(zone))
+            }
+        }
+    }
+
     /// Encodes the state for a snapshot.
     pub fn snapshot(&self) -> Bytes {
         rmp_serde::to_vec(self).unwrap_or_default().into()
--- a/crates/core/src/control/types.rs
+++ b/crates/core/src/control/types.rs
@@ -30,10 +30,11 @@
     /// Takes an availability zone out of service or returns it to service.
     SetZone(ZoneStateChange),
     /// Changes nothing; its reply holds the version in force at its position
-    /// in the log.
+    /// in the log. Proposed by older releases.
     Barrier,
     /// Changes nothing; its reply holds the number of orders for this
-    /// availability zone before its position in the log.
+    /// availability zone before its position in the log. Proposed by older
+    /// releases.
     ReadZone(String),
     /// Starts a roll-out.
     StartRollout(RolloutOrder),
@@ -100,6 +101,15 @@
     pub verdict: Verdict,
 }
 
+/// A read of the state at the leader, which proposes nothing.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Read {
+    /// The version in force.
+    Version,
+    /// The number of orders for an availability zone.
+    ZoneOrders(String),
+}
+
 /// Outcome of a change. Each resend of a change gets the same one.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/core/src/node/replica.rs
+++ b/crates/core/src/node/replica.rs
@@ -11,7 +11,7 @@
     },
     control::{
         Applied, ChangeOutcome, ControlReply, ControlRequest, ControlState,
-        Message,
+        Message, Read,
         client::ClientEvent,
         repair::{
             Repair, RepairEffect, RepairEvent, RepairOptions, tolerates_losses,
@@ -331,6 +331,12 @@
                     let event = ConsensusEvent::Propose(token, command);
                     self.step_consensus(now, event, out);
                 }
+                ServiceEffect::Read(token) => {
+                    self.step_consensus(now, ConsensusEvent::Read(token), out);
+                }
+                ServiceEffect::Answer(origin, read) => {
+                    self.answer_read(now, origin, &read, out);
+                }
                 ServiceEffect::ChangeMembers(token, change) => {
                     let event = ConsensusEvent::ChangeMembers(token, change);
                     self.step_consensus(now, event, out);
@@ -349,6 +355,27 @@
         }
     }
 
+    fn answer_read(
+        &mut self,
+        now: Time,
+        origin: Origin,
+        read: &Read,
+        out: &mut impl Extend<Effect>,
+    ) {
+        let Some(replica) = &self.replica else { return };
+        let reply = replica.state.read(read);
+        match origin {
+            Origin::Peer(instance, sequence) => {
+                let message = Message::Reply { sequence, reply };
+                self.send_control(now, instance, message, out);
+            }
+            Origin::Local(token) => {
+                let reply = OperatorReply::Control(reply);
+                out.extend([Effect::Reply(token, reply)]);
+            }
+        }
+    }
+
     fn apply_repair_effects(
         &mut self,
         now: Time,
--- a/crates/core/tests/cluster/mod.rs
+++ b/crates/core/tests/cluster/mod.rs
@@ -82,6 +82,11 @@
     /// The committed commands with the hash of the state after each; 0 if the
     /// hash was not taken.
     pub committed: BTreeMap<u64, (Bytes, u64)>,
+    /// The newest index whose effect a caller has seen when each read was
+    /// issued.
+    pub reads: BTreeMap<Token, u64>,
+    /// The newest index whose effect a caller has seen.
+    pub seen: u64,
     leaders: BTreeMap<u64, ReplicaId>,
     pub messages: u64,
     pub logs: Vec<String>,
@@ -123,6 +128,8 @@
             first_outcomes: BTreeMap::new(),
             versions: BTreeMap::new(),
             committed: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            seen: 0,
             leaders: BTreeMap::new(),
             messages: 0,
             logs: Vec::new(),
@@ -260,6 +267,9 @@
                     self.step(i, event);
                 }
                 ConsensusEffect::Outcome(token, result) => {
+                    if result.is_ok() {
+                        self.check_read(i, token);
+                    }
                     self.outcomes.insert(token, result);
                 }
                 ConsensusEffect::Status(status) => {
@@ -282,6 +292,19 @@
         }
     }
 
+    /// Checks that a read shows at least what callers had seen before it.
+    fn check_read(&mut self, i: usize, token: Token) {
+        let shown = self.nodes[i].state.index();
+        if let Some(&seen) = self.reads.get(&token) {
+            assert!(
+                shown >= seen,
+                "seed {}: a read shows index {shown} after {seen}",
+                self.seed
+            );
+        }
+        self.seen = self.seen.max(shown);
+    }
+
     fn apply(&mut self, i: usize, index: u64, command: Bytes) {
         let seed = self.seed;
         let node = &mut self.nodes[i];
@@ -523,6 +546,14 @@
         token
     }
 
+    /// Reads at one replica.
+    pub fn read(&mut self, i: usize) -> Token {
+        let token = self.token();
+        self.reads.insert(token, self.seen);
+        self.step(i, ConsensusEvent::Read(token));
+        token
+    }
+
     /// Proposes a command at the leader until it is committed.
     pub fn commit(&mut self, command: &Command) -> u64 {
         for _ in 0..100 {
