Keep room for small commands while large ones wait

Callers saw orders for zones and claims refused with "bytes wait to be committed" as long as configurations waited, and up to 16 MiB stood in front of each that was taken.

Cause: one account for all commands, compared with its limit before the command was added, so a command of 17 MB was taken beside others.

Large ones may hold 4 MiB (was 16) together; one that is larger is taken if no other large one waits.

--- a/crates/core/src/consensus/election.rs
+++ b/crates/core/src/consensus/election.rs
@@ -4,7 +4,8 @@
 
 use super::{
     Consensus, Leader, Message, Payload, Peer, ProposeError, State,
-    reads::Reads, replication::Progress, watch::CommitWatch,
+    proposals::Account, reads::Reads, replication::Progress,
+    watch::CommitWatch,
 };
 use crate::{
     consensus::{ConsensusEffect, Entry},
@@ -238,7 +239,7 @@
             round: 0,
             last_round_at: now,
             proposals: VecDeque::new(),
-            uncommitted_bytes: 0,
+            account: Account::default(),
             reads: Reads::default(),
             watch: CommitWatch::new(self.commit, now),
         });
--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -32,7 +32,7 @@
 use self::{
     log::Log,
     outbox::{Peer, PendingMessage},
-    proposals::Proposal,
+    proposals::{Account, Proposal},
     reads::Reads,
     replication::Progress,
     transfer::IncomingSnapshot,
@@ -72,8 +72,9 @@
     pub snapshot_chunk_bytes: usize,
     /// Largest number of unanswered append messages per follower.
     pub max_in_flight_appends: usize,
-    /// Size of the uncommitted proposals, in bytes, above which a leader
-    /// refuses new ones.
+    /// Largest size of the large commands that wait to be committed, in bytes;
+    /// a single one may be larger. 16 append messages of the largest size, as
+    /// small commands commit after them.
     pub max_uncommitted_bytes: u64,
     /// Largest number of entries by which a learner may be behind the leader
     /// and still be promoted.
@@ -91,7 +92,7 @@
             max_append_bytes: 256 * 1024,
             snapshot_chunk_bytes: 64 * 1024,
             max_in_flight_appends: 4,
-            max_uncommitted_bytes: 16 * 1024 * 1024,
+            max_uncommitted_bytes: 4 * 1024 * 1024,
             max_learner_lag: 100,
         }
     }
@@ -130,8 +131,8 @@
     last_round_at: Time,
     /// Uncommitted proposals, sorted by index.
     proposals: VecDeque<Proposal>,
-    /// Total size of the commands in `proposals`.
-    uncommitted_bytes: u64,
+    /// The bytes of `proposals`.
+    account: Account,
     reads: Reads,
     watch: CommitWatch,
 }
@@ -377,7 +378,7 @@
                     if p.index > index {
                         break;
                     }
-                    leader.uncommitted_bytes -= p.bytes;
+                    leader.account.release(p.bytes);
                     self.effects
                         .push(ConsensusEffect::Outcome(p.token, Ok(index)));
                     leader.proposals.pop_front();
--- a/crates/core/src/consensus/watch.rs
+++ b/crates/core/src/consensus/watch.rs
@@ -71,7 +71,7 @@
         });
         ReplicaFigures {
             uncommitted_proposals: leader.proposals.len() as u64,
-            uncommitted_bytes: leader.uncommitted_bytes,
+            uncommitted_bytes: leader.account.total(),
             stalled: if waits {
                 now.since(leader.watch.since)
             } else {
@@ -124,7 +124,7 @@
             self.log.last_index(),
             self.log.synced_index(),
             leader.proposals.len(),
-            leader.uncommitted_bytes,
+            leader.account.total(),
             largest.unwrap_or(0)
         );
         for member in self.log.members() {
