Let a change that is sent again join the one that waits

Callers saw the account of the leader fill up with few changes: a client sends a change that is not answered up to three times a request, and its operator sends it again, to any instance.

Cause: each of them was proposed and logged in full.

A change or a forwarding table whose command is byte for byte that of a pending proposal now joins it, and every sender gets the reply to it. Another content under the same id or revision is another proposal, as before.

Before, a_change_that_is_sent_again_is_one_proposal failed with "left: 4 right: 1" proposals.

--- a/crates/core/src/control/service.rs
+++ b/crates/core/src/control/service.rs
@@ -22,8 +22,8 @@
 const OUTDATED_ORDER: &str =
     "another order for this zone came first; nothing was changed";
 
-/// Largest number of proposals without an outcome at one replica, and of
-/// reads.
+/// Largest number of senders that wait for proposals at one replica, and
+/// for reads.
 const MAX_PENDING_REQUESTS: usize = 10_000;
 
 /// Sender of a request.
@@ -93,8 +93,11 @@
 
 struct PendingRequest {
     token: Token,
-    origin: Origin,
+    /// The senders, each of which gets the reply.
+    origins: Vec<Origin>,
     kind: ReplyKind,
+    /// The command, if the same one may join this request.
+    command: Option<Bytes>,
 }
 
 /// Turns requests into proposals, and outcomes into replies.
@@ -103,8 +106,10 @@
     status: Status,
     /// Sorted by token.
     pending: Vec<PendingRequest>,
-    /// How many of these are reads.
-    pending_reads: usize,
+    /// Number of senders that wait for a read.
+    waiting_reads: usize,
+    /// Number of senders that wait for any other request.
+    waiting_proposals: usize,
     next_token: u64,
     /// Index and result of the last applied command. The outcome of its
     /// proposal follows before the next command is applied.
@@ -181,6 +186,10 @@
             send_reply(origin, ControlReply::Done, out);
             return;
         }
+        let joinable = matches!(
+            request,
+            ControlRequest::Change(_) | ControlRequest::Revise(_)
+        );
         self.next_token += 1;
         let token = Token(self.next_token);
         let (kind, effect) = match request {
@@ -228,13 +237,43 @@
                 (ReplyKind::Done, ServiceEffect::ChangeMembers(token, change))
             }
         };
-        if let ReplyKind::Read(_) = kind {
-            self.pending_reads += 1;
-        }
-        self.pending.push(PendingRequest { token, origin, kind });
+        *self.waiting(&kind) += 1;
+        let command = match &effect {
+            ServiceEffect::Propose(_, command) if joinable => {
+                if self.join(origin, command) {
+                    return;
+                }
+                Some(command.clone())
+            }
+            _ => None,
+        };
+        let origins = vec![origin];
+        let request = PendingRequest { token, origins, kind, command };
+        self.pending.push(request);
         out.extend([effect]);
     }
 
+    /// Adds a sender to the pending request with the same command, if there
+    /// is one. Sent again while it waits, a large change would otherwise be
+    /// proposed again in its full size.
+    fn join(&mut self, origin: Origin, command: &Bytes) -> bool {
+        let same =
+            |p: &&mut PendingRequest| p.command.as_ref() == Some(command);
+        let Some(pending) = self.pending.iter_mut().find(same) else {
+            return false;
+        };
+        pending.origins.push(origin);
+        true
+    }
+
+    /// Returns the number of senders that wait for this kind of request.
+    fn waiting(&mut self, kind: &ReplyKind) -> &mut usize {
+        match kind {
+            ReplyKind::Read(_) => &mut self.waiting_reads,
+            _ => &mut self.waiting_proposals,
+        }
+    }
+
     fn handle_applied(
         &self,
         applied: &Applied,
@@ -289,13 +328,12 @@
     ) {
         let found = self.pending.binary_search_by_key(&token, |p| p.token);
         let Ok(at) = found else { return };
-        let PendingRequest { origin, kind, .. } = self.pending.remove(at);
-        if let ReplyKind::Read(_) = kind {
-            self.pending_reads -= 1;
-        }
+        let PendingRequest { origins, kind, .. } = self.pending.remove(at);
+        *self.waiting(&kind) -= origins.len();
         let answer = match (result, kind) {
             (Ok(_), ReplyKind::Read(read)) => {
-                out.extend([ServiceEffect::Answer(origin, read)]);
+                let answer = |o| ServiceEffect::Answer(o, read.clone());
+                out.extend(origins.into_iter().map(answer));
                 return;
             }
             (Ok(_), ReplyKind::Done) => ControlReply::Done,
@@ -348,7 +386,9 @@
                 ControlReply::NotReady(text)
             }
         };
-        send_reply(origin, answer, out);
+        for origin in origins {
+            send_reply(origin, answer.clone(), out);
+        }
     }
 
     /// Whether too many requests of the same kind wait. Reads end within
@@ -357,9 +397,9 @@
     fn is_full(&self, request: &ControlRequest) -> bool {
         let waiting = match request {
             ControlRequest::Barrier | ControlRequest::ReadZone(_) => {
-                self.pending_reads
+                self.waiting_reads
             }
-            _ => self.pending.len() - self.pending_reads,
+            _ => self.waiting_proposals,
         };
         waiting >= MAX_PENDING_REQUESTS
     }
--- /dev/null
+++ b/crates/core/tests/control_requests.rs
@@ -0,0 +1,133 @@
+//! Tests of requests that are sent again, or that wait for a leader which has
+//! no room for them.
+
+use bytes::Bytes;
+use primrosemast_core::{
+    consensus::ProposeError,
+    control::{service::*, *},
+    id::*,
+};
+
+fn change(id: &str, content: u8) -> ControlRequest {
+    ControlRequest::Change(Change {
+        change_id: id.into(),
+        expected_version: ConfigVersion(0),
+        document: Bytes::from(vec![content; 100_000]),
+    })
+}
+
+fn revise(revision: u64, content: u8) -> ControlRequest {
+    let table = Bytes::from(vec![content; 100_000]);
+    ControlRequest::Revise(TableRevision { revision, table })
+}
+
+/// A service and what it has proposed and replied.
+#[derive(Default)]
+struct Harness {
+    service: Service,
+    proposed: Vec<Token>,
+    replies: Vec<(InstanceId, u64, ControlReply)>,
+}
+
+impl Harness {
+    fn step(&mut self, event: ServiceEvent) {
+        let mut effects = Vec::new();
+        self.service.step(event, &mut effects);
+        for effect in effects {
+            match effect {
+                ServiceEffect::Propose(token, _) => self.proposed.push(token),
+                ServiceEffect::Send(
+                    to,
+                    Message::Reply { sequence, reply },
+                ) => self.replies.push((to, sequence, reply)),
+                _ => {}
+            }
+        }
+    }
+
+    fn request(&mut self, from: u64, sequence: u64, request: ControlRequest) {
+        let origin = Origin::Peer(InstanceId(from), sequence);
+        self.step(ServiceEvent::Request { origin, request, wall_ms: 0 });
+    }
+
+    /// Ends a proposal and returns the replies, sorted.
+    fn end(
+        &mut self,
+        at: usize,
+        result: Result<u64, ProposeError>,
+    ) -> Vec<(u64, u64, ControlReply)> {
+        self.step(ServiceEvent::Outcome(self.proposed[at], result));
+        let replies = std::mem::take(&mut self.replies).into_iter();
+        let mut replies: Vec<_> =
+            replies.map(|(to, seq, reply)| (to.0, seq, reply)).collect();
+        replies.sort_by_key(|r| (r.0, r.1));
+        replies
+    }
+}
+
+// Guards against a change that is proposed again in full size each time that
+// it is sent while it waits, and against a sender without a reply.
+#[test]
+fn a_change_that_is_sent_again_is_one_proposal() {
+    for request in [change("a", 1), revise(7, 1)] {
+        let mut harness = Harness::default();
+        for (from, sequence) in [(1, 10), (1, 11), (2, 5), (3, 10)] {
+            harness.request(from, sequence, request.clone());
+        }
+        assert_eq!(harness.proposed.len(), 1);
+        let version = ConfigVersion(4);
+        let applied = match request {
+            ControlRequest::Change(_) => Applied::Change {
+                change_id: "a".into(),
+                outcome: ChangeOutcome::Accepted(version),
+                repeated: false,
+            },
+            _ => Applied::Version { version, changed: true },
+        };
+        let reply = match request {
+            ControlRequest::Change(_) => {
+                ControlReply::Change(ChangeOutcome::Accepted(version))
+            }
+            _ => ControlReply::Version(version),
+        };
+        harness.step(ServiceEvent::Applied { index: 9, applied });
+        let replies = harness.end(0, Ok(9));
+        let expected: Vec<_> = [(1, 10), (1, 11), (2, 5), (3, 10)]
+            .map(|(to, sequence)| (to, sequence, reply.clone()))
+            .into();
+        assert_eq!(replies, expected);
+        assert!(!harness.service.owns(harness.proposed[0]));
+
+        // It has ended, so it is proposed once more.
+        harness.request(1, 12, request.clone());
+        assert_eq!(harness.proposed.len(), 2);
+        harness.request(2, 6, request);
+        let replies = harness.end(1, Err(ProposeError::Unknown));
+        let unknown = ControlReply::Unknown;
+        assert_eq!(
+            replies,
+            [(1, 12, unknown.clone()), (2, 6, unknown)],
+            "every sender learns that the outcome is not known"
+        );
+    }
+}
+
+// Guards against the outcome of one change as the reply to another one.
+#[test]
+fn different_changes_are_different_proposals() {
+    let mut harness = Harness::default();
+    let requests = [
+        change("a", 1),
+        change("a", 2),
+        change("b", 1),
+        revise(1, 1),
+        revise(1, 2),
+        revise(2, 1),
+    ];
+    for (sequence, request) in (0..).zip(requests) {
+        harness.request(1, sequence, request);
+    }
+    assert_eq!(harness.proposed.len(), 6);
+    let replies = harness.end(1, Err(ProposeError::Unknown));
+    assert_eq!(replies, [(1, 1, ControlReply::Unknown)]);
+}
