Forget senders of control requests that no longer wait

While nothing commits, no proposal ends. Each request that was sent, long given up by its sender, stayed among the 10,000 that a leader keeps, until it refused every request with "too many requests wait for an outcome": reads and changes of the members too.

Senders now leave after 30 s, three times the longest default budget. What they proposed stays in the log and may still take effect, so nothing is taken back; an equal change still joins it. Changes of the members do not count, since the log takes one at a time. The refusal is `NotReady`, because it ends by itself and nothing was proposed.

Before, requests_without_a_waiting_sender_take_no_room failed at its first check of a refusal, Refused("too many requests wait for an outcome"), and a_change_stays_one_proposal_after_its_sender_has_given_up with a reply for the sender that had left.

--- a/crates/core/src/control/service.rs
+++ b/crates/core/src/control/service.rs
@@ -26,6 +26,13 @@
 /// for reads.
 const MAX_PENDING_REQUESTS: usize = 10_000;
 
+/// Time after which the sender of a request no longer waits, in milliseconds:
+/// three times the longest default time budget, that of a settlement.
+const MAX_SENDER_WAIT_MS: u64 = 30_000;
+
+/// Interval at which such senders are looked for, in milliseconds.
+const SENDER_CHECK_INTERVAL_MS: u64 = 1_000;
+
 /// Sender of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Origin {
@@ -93,8 +100,9 @@
 
 struct PendingRequest {
     token: Token,
-    /// The senders, each of which gets the reply.
-    origins: Vec<Origin>,
+    /// The senders, each of which gets the reply, and when each request
+    /// arrived, in milliseconds.
+    origins: Vec<(Origin, u64)>,
     kind: ReplyKind,
     /// The command, if the same one may join this request.
     command: Option<Bytes>,
@@ -110,6 +118,8 @@
     waiting_reads: usize,
     /// Number of senders that wait for any other request.
     waiting_proposals: usize,
+    /// When to look for senders that no longer wait, in milliseconds.
+    next_sender_check_ms: u64,
     next_token: u64,
     /// Index and result of the last applied command. The outcome of its
     /// proposal follows before the next command is applied.
@@ -156,10 +166,14 @@
         wall_ms: u64,
         out: &mut impl Extend<ServiceEffect>,
     ) {
+        self.forget_senders(wall_ms);
+        if self.is_full(&request) {
+            let text = "too many requests wait for an outcome";
+            log_refusal(text, out);
+            send_reply(origin, ControlReply::NotReady(text.into()), out);
+            return;
+        }
         let refusal = match &request {
-            request if self.is_full(request) => {
-                Some("too many requests wait for an outcome")
-            }
             ControlRequest::Change(c) if c.change_id.is_empty() => {
                 Some("the change id is empty")
             }
@@ -240,14 +254,14 @@
         *self.waiting(&kind) += 1;
         let command = match &effect {
             ServiceEffect::Propose(_, command) if joinable => {
-                if self.join(origin, command) {
+                if self.join((origin, wall_ms), command) {
                     return;
                 }
                 Some(command.clone())
             }
             _ => None,
         };
-        let origins = vec![origin];
+        let origins = vec![(origin, wall_ms)];
         let request = PendingRequest { token, origins, kind, command };
         self.pending.push(request);
         out.extend([effect]);
@@ -256,7 +270,7 @@
     /// Adds a sender to the pending request with the same command, if there
     /// is one. Sent again while it waits, a large change would otherwise be
     /// proposed again in its full size.
-    fn join(&mut self, origin: Origin, command: &Bytes) -> bool {
+    fn join(&mut self, origin: (Origin, u64), command: &Bytes) -> bool {
         let same =
             |p: &&mut PendingRequest| p.command.as_ref() == Some(command);
         let Some(pending) = self.pending.iter_mut().find(same) else {
@@ -332,7 +346,7 @@
         *self.waiting(&kind) -= origins.len();
         let answer = match (result, kind) {
             (Ok(_), ReplyKind::Read(read)) => {
-                let answer = |o| ServiceEffect::Answer(o, read.clone());
+                let answer = |(o, _)| ServiceEffect::Answer(o, read.clone());
                 out.extend(origins.into_iter().map(answer));
                 return;
             }
@@ -386,19 +400,43 @@
                 ControlReply::NotReady(text)
             }
         };
-        for origin in origins {
+        for (origin, _) in origins {
             send_reply(origin, answer.clone(), out);
         }
     }
 
+    /// Forgets the senders that no longer wait, so that what they proposed
+    /// takes no room while nothing commits. What was proposed stays in the log
+    /// and may still take effect, and an equal change may still join it.
+    fn forget_senders(&mut self, wall_ms: u64) {
+        if wall_ms < self.next_sender_check_ms {
+            return;
+        }
+        self.next_sender_check_ms = wall_ms + SENDER_CHECK_INTERVAL_MS;
+        let oldest = wall_ms.saturating_sub(MAX_SENDER_WAIT_MS);
+        let (mut reads, mut proposals) = (0, 0);
+        self.pending.retain_mut(|p| {
+            p.origins.retain(|(_, arrived)| *arrived >= oldest);
+            match p.kind {
+                ReplyKind::Read(_) => reads += p.origins.len(),
+                _ => proposals += p.origins.len(),
+            }
+            !p.origins.is_empty() || p.command.is_some()
+        });
+        self.waiting_reads = reads;
+        self.waiting_proposals = proposals;
+    }
+
     /// Whether too many requests of the same kind wait. Reads end within
     /// seconds, and proposals perhaps only with the leadership, so neither may
-    /// take the room of the other.
+    /// take the room of the other. The log takes one change of the members at
+    /// a time.
     fn is_full(&self, request: &ControlRequest) -> bool {
         let waiting = match request {
             ControlRequest::Barrier | ControlRequest::ReadZone(_) => {
                 self.waiting_reads
             }
+            ControlRequest::Join(_) | ControlRequest::Remove(_) => 0,
             _ => self.waiting_proposals,
         };
         waiting >= MAX_PENDING_REQUESTS
--- a/crates/core/tests/control_requests.rs
+++ b/crates/core/tests/control_requests.rs
@@ -25,6 +25,8 @@
 #[derive(Default)]
 struct Harness {
     service: Service,
+    /// Wall-clock time of the requests, in milliseconds.
+    wall_ms: u64,
     proposed: Vec<Token>,
     replies: Vec<(InstanceId, u64, ControlReply)>,
 }
@@ -47,7 +49,8 @@
 
     fn request(&mut self, from: u64, sequence: u64, request: ControlRequest) {
         let origin = Origin::Peer(InstanceId(from), sequence);
-        self.step(ServiceEvent::Request { origin, request, wall_ms: 0 });
+        let wall_ms = self.wall_ms;
+        self.step(ServiceEvent::Request { origin, request, wall_ms });
     }
 
     /// Ends a proposal and returns the replies, sorted.
@@ -131,3 +134,62 @@
     let replies = harness.end(1, Err(ProposeError::Unknown));
     assert_eq!(replies, [(1, 1, ControlReply::Unknown)]);
 }
+
+fn claim(number: u64) -> ControlRequest {
+    ControlRequest::Claim(Claim {
+        request_id: format!("request-{number}"),
+        query: QueryId(number),
+        at_ms: 0,
+    })
+}
+
+// Guards against a leader that refuses everything for ever, because requests
+// whose senders have given up long ago still count while nothing commits; and
+// against reads and changes of the members that are refused because of them.
+#[test]
+fn requests_without_a_waiting_sender_take_no_room() {
+    let mut harness = Harness::default();
+    let mut taken = 0;
+    for number in 0..20_000 {
+        harness.request(1, number, claim(number));
+        taken += usize::from(harness.replies.is_empty());
+        for (_, _, reply) in harness.replies.drain(..) {
+            assert!(matches!(reply, ControlReply::NotReady(_)), "{reply:?}");
+        }
+    }
+    assert_eq!(taken, 10_000);
+    harness.request(1, 30_000, ControlRequest::Barrier);
+    harness.request(1, 30_001, ControlRequest::ReadZone("b".into()));
+    harness.request(1, 30_002, ControlRequest::Remove(ReplicaId(3)));
+    assert_eq!(harness.replies, []);
+
+    // No sender waits for a minute.
+    harness.wall_ms = 60_000;
+    harness.request(2, 1, claim(50_000));
+    assert_eq!(harness.replies, []);
+    assert_eq!(harness.proposed.len(), 10_001);
+    // What was proposed may still end. Nobody waits for it.
+    let replies = harness.end(5, Ok(6));
+    assert_eq!(replies, []);
+    let replies = harness.end(10_000, Err(ProposeError::Unknown));
+    assert_eq!(replies, [(2, 1, ControlReply::Unknown)]);
+}
+
+// Guards against a change that is proposed again, because its first sender has
+// given up while it waits.
+#[test]
+fn a_change_stays_one_proposal_after_its_sender_has_given_up() {
+    let mut harness = Harness::default();
+    harness.request(1, 1, revise(7, 1));
+    harness.wall_ms = 60_000;
+    harness.request(2, 1, revise(7, 1));
+    harness.wall_ms = 70_000;
+    harness.request(2, 2, revise(7, 1));
+    assert_eq!(harness.proposed.len(), 1);
+    let version = ConfigVersion(4);
+    let applied = Applied::Version { version, changed: true };
+    harness.step(ServiceEvent::Applied { index: 9, applied });
+    let reply = ControlReply::Version(version);
+    let replies = harness.end(0, Ok(9));
+    assert_eq!(replies, [(2, 1, reply.clone()), (2, 2, reply)]);
+}
