Space out the attempts of a control client

Callers saw a change end at once with the refusal of a leader that had no room, although its budget had seconds left; and a large one was sent up to six times within a request of 3 s, over the links that it needed.

Cause: a refusal for lack of room ended the request, other refusals that pass were repeated every 50 ms whatever the size, and an attempt without a reply was sent again after 500 ms.

A request whose next attempt could not be answered in its budget ends at once, if no earlier attempt is open.

Before, the new tests failed with "60 attempts" within 3 s, and with left: (6, Unknown, 3000), right: (1, Unknown, 3000) for 17 MB.

--- a/crates/core/src/control/client.rs
+++ b/crates/core/src/control/client.rs
@@ -27,6 +27,14 @@
 /// Delay before the next attempt when no leader is known or ready.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Longest delay while the leader is not ready. The delay doubles.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(200);
+
+/// Bytes that a busy link between two instances is assumed to carry within a
+/// second: 32 Mbit/s. A large change is not sent again before it may have
+/// arrived.
+const LINK_BYTES_PER_S: u64 = 4_000_000;
+
 /// The attempt after every so many redirects is delayed. During an election
 /// two replicas may redirect to each other.
 const MAX_REDIRECTS: u32 = 3;
@@ -82,6 +90,8 @@
     request: ControlRequest,
     deadline: Time,
     attempt_timeout: Duration,
+    /// Delay after the next reply that the leader is not ready.
+    retry_delay: Duration,
     /// The replica and sequence number of the latest attempt; `None` while
     /// the next attempt is delayed.
     current_attempt: Option<(InstanceId, u64)>,
@@ -180,6 +190,7 @@
         budget: Duration,
         out: &mut impl Extend<ClientEffect>,
     ) {
+        let transfer_time = transfer_time(&request);
         self.next_number += 1;
         self.pending.push(PendingRequest {
             number: self.next_number,
@@ -187,7 +198,9 @@
             request,
             deadline: now + budget,
             attempt_timeout: (budget / 3)
-                .clamp(ATTEMPT_TIMEOUT_MIN, ATTEMPT_TIMEOUT_MAX),
+                .clamp(ATTEMPT_TIMEOUT_MIN, ATTEMPT_TIMEOUT_MAX)
+                + transfer_time,
+            retry_delay: RETRY_DELAY,
             current_attempt: None,
             redirects: 0,
             retry_at: now,
@@ -279,9 +292,22 @@
                 self.close_attempt(at, sequence);
                 let p = &mut self.pending[at];
                 p.not_ready = Some(text);
-                if is_current {
-                    p.current_attempt = None;
-                    p.retry_at = now + RETRY_DELAY;
+                if !is_current {
+                    return;
+                }
+                p.current_attempt = None;
+                // The last attempts come closer, so that the budget is used.
+                let left = p.deadline.since(now);
+                let delay = p.retry_delay.min(left / 2).max(RETRY_DELAY);
+                p.retry_delay = (p.retry_delay * 2).min(MAX_RETRY_DELAY);
+                p.retry_at = now + delay + transfer_time(&p.request);
+                // Another attempt could not be answered in time, and no
+                // earlier one may still be.
+                if p.retry_at >= p.deadline && p.open_attempts.is_empty() {
+                    let mut p = self.remove(at);
+                    let text = p.not_ready.take().unwrap_or_default();
+                    let reply = ControlReply::Refused(text);
+                    self.give_up(now, p, reply, out);
                 }
             }
             ControlReply::Refused(text) => {
@@ -395,6 +421,16 @@
     }
 }
 
+/// Returns how long the content of a request takes over a busy link.
+fn transfer_time(request: &ControlRequest) -> Duration {
+    let bytes = match request {
+        ControlRequest::Change(change) => change.document.len(),
+        ControlRequest::Revise(revision) => revision.table.len(),
+        _ => 0,
+    };
+    Duration::from_micros(bytes as u64 * 1_000_000 / LINK_BYTES_PER_S)
+}
+
 /// Returns the reply to a request that was not sent at all.
 fn not_proposed(request: &ControlRequest) -> ControlReply {
     match request {
--- a/crates/core/tests/control_requests.rs
+++ b/crates/core/tests/control_requests.rs
@@ -4,8 +4,9 @@
 use bytes::Bytes;
 use primrosemast_core::{
     consensus::ProposeError,
-    control::{service::*, *},
+    control::{client::*, service::*, *},
     id::*,
+    time::Time,
 };
 
 fn change(id: &str, content: u8) -> ControlRequest {
@@ -193,3 +194,84 @@
     let replies = harness.end(0, Ok(9));
     assert_eq!(replies, [(2, 1, reply.clone()), (2, 2, reply)]);
 }
+
+/// Submits a request with a budget of three seconds. The leader gives each
+/// attempt the reply for its time. Returns the number of attempts, the final
+/// reply and its time in milliseconds.
+fn submit(
+    request: ControlRequest,
+    answer: impl Fn(u64) -> Option<ControlReply>,
+) -> (usize, ControlReply, u64) {
+    let leader = InstanceId(1);
+    let mut client = Client::new(3);
+    let mut out = Vec::new();
+    let event = ClientEvent::Replicas(vec![leader]);
+    client.step(Time::ZERO, event, &mut out);
+    let (token, budget_us) = (Token(9), 3_000_000);
+    let event = ClientEvent::Submit { token, request, budget_us };
+    client.step(Time::ZERO, event, &mut out);
+    let (mut now, mut attempts) = (Time::ZERO, 0);
+    loop {
+        for effect in std::mem::take(&mut out) {
+            let ms = now.as_micros() / 1_000;
+            match effect {
+                ClientEffect::Send(
+                    from,
+                    Message::Request { sequence, .. },
+                ) => {
+                    attempts += 1;
+                    if let Some(reply) = answer(ms) {
+                        let event =
+                            ClientEvent::Reply { from, sequence, reply };
+                        client.step(now, event, &mut out);
+                    }
+                }
+                ClientEffect::Done(_, reply) => return (attempts, reply, ms),
+                _ => {}
+            }
+        }
+        if out.is_empty() {
+            now = client.next_deadline().expect("a deadline");
+            client.step(now, ClientEvent::Tick, &mut out);
+        }
+    }
+}
+
+// Guards against a client that floods a leader which has no room, or gives up
+// although the leader has room again within the budget.
+#[test]
+fn a_client_waits_longer_each_time_that_the_leader_is_not_ready() {
+    let not_ready = || ControlReply::NotReady("no room".into());
+    let refused = ControlReply::Refused("no room".into());
+    let (attempts, reply, _) = submit(claim(1), |_| Some(not_ready()));
+    assert!((10..=20).contains(&attempts), "{attempts} attempts");
+    assert!(matches!(reply, ControlReply::Claim(_)), "{reply:?}");
+    let (attempts, reply, _) = submit(revise(1, 1), |_| Some(not_ready()));
+    assert!((8..=20).contains(&attempts), "{attempts} attempts");
+    assert_eq!(reply, refused);
+    for ready_at in [10, 400, 1_000, 2_500] {
+        let version = ControlReply::Version(ConfigVersion(1));
+        let (_, reply, ms) = submit(revise(1, 1), |ms| {
+            Some(if ms < ready_at { not_ready() } else { version.clone() })
+        });
+        assert_eq!(reply, version, "{ready_at}");
+        assert!(ms <= ready_at + 300, "{ready_at}: {ms}");
+    }
+}
+
+// Guards against a large change that is sent again and again within one
+// request, and so keeps the links busy that it needs itself.
+#[test]
+fn a_large_change_is_sent_again_only_after_it_may_have_arrived() {
+    let table = Bytes::from(vec![1; 17_000_000]);
+    let large = ControlRequest::Revise(TableRevision { revision: 1, table });
+    let (attempts, reply, ms) = submit(large.clone(), |_| None);
+    assert_eq!((attempts, reply, ms), (1, ControlReply::Unknown, 3_000));
+    // The next attempt could not arrive within the budget.
+    let (attempts, reply, ms) =
+        submit(large, |_| Some(ControlReply::NotReady("no room".into())));
+    let refused = ControlReply::Refused("no room".into());
+    assert_eq!((attempts, reply, ms), (1, refused, 0));
+    let (attempts, _, _) = submit(revise(1, 1), |_| None);
+    assert!((4..=6).contains(&attempts), "{attempts} attempts");
+}
