Tell operators when to come back after a refusal

Operators whose request could not be served got a 503 without a hint when another attempt makes sense, on both operators' APIs.

Refusals that end by themselves, and changes without a known outcome, now carry Retry-After: 1, the shortest value, because a lost leader is replaced in 1.5 s. A refused or conflicting change does not.

--- a/src/daemon/handle.rs
+++ b/src/daemon/handle.rs
@@ -77,6 +77,11 @@
     StorageFailed(String),
 }
 
+/// Time after which an operator whose request cannot be served may come back,
+/// in seconds: the shortest that the header holds. The control group replaces
+/// a lost leader in 1.5 s.
+pub const OPERATOR_RETRY_AFTER_S: u16 = 1;
+
 /// An operator's request for a view of the state.
 #[derive(Debug)]
 pub(crate) enum ViewRequest {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -50,7 +50,7 @@
     views::LocalNames,
 };
 pub use self::{
-    handle::{Decision, Handle},
+    handle::{Decision, Handle, OPERATOR_RETRY_AFTER_S},
     rollouts::RolloutDecision,
 };
 pub use crate::held::ReadError;
--- a/src/http/operator.rs
+++ b/src/http/operator.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use futures::{FutureExt, future::BoxFuture};
-use http::StatusCode;
+use http::{HeaderValue, StatusCode, header};
 use primrosemast_core::{
     config::Configuration,
     control::{Change, ChangeOutcome, ControlReply},
@@ -25,7 +25,7 @@
         ChangeRequest, ChangeResponse, ErrorResponse, Outcome, ReplicaAction,
         ReplicaRequest, ReplicaResponse,
     },
-    daemon::{Handle, ViewReply, ViewRequest},
+    daemon::{Handle, OPERATOR_RETRY_AFTER_S, ViewReply, ViewRequest},
     held::ReadError,
     settings::{Problem, check_configuration},
 };
@@ -113,9 +113,7 @@
 async fn configuration(handle: &Handle) -> Response {
     match handle.catch_up().await {
         Ok(()) => view_response(handle.view(ViewRequest::Configuration).await),
-        Err(reason) => {
-            error(StatusCode::SERVICE_UNAVAILABLE, "not_sure", reason)
-        }
+        Err(reason) => unavailable("not_sure", reason),
     }
 }
 
@@ -142,6 +140,19 @@
     json(status, &ErrorResponse { reason: reason.into(), message })
 }
 
+/// Responds that a request cannot be served at present, and when to come back.
+pub(super) fn unavailable(reason: &str, message: String) -> Response {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    ask_back(error(status, reason, message))
+}
+
+/// Adds when to come back to a response.
+fn ask_back(mut response: Response) -> Response {
+    let after = HeaderValue::from(OPERATOR_RETRY_AFTER_S);
+    response.headers_mut().insert(header::RETRY_AFTER, after);
+    response
+}
+
 /// Reads a JSON body; fails with the response to send.
 pub(super) async fn read_json<T: DeserializeOwned>(
     handle: &Handle,
@@ -152,11 +163,7 @@
     let body = match read.await {
         Ok(body) => body,
         Err(e @ ReadError::NoRoom) => {
-            return Err(error(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "no_room",
-                e.to_string(),
-            ));
+            return Err(unavailable("no_room", e.to_string()));
         }
         Err(e) => return Err(bad(e.to_string())),
     };
@@ -276,7 +283,11 @@
         Outcome::Unknown => StatusCode::GATEWAY_TIMEOUT,
         Outcome::Refused => StatusCode::UNPROCESSABLE_ENTITY,
     };
-    json(status, &ChangeResponse { outcome, version, message })
+    let response = json(status, &ChangeResponse { outcome, version, message });
+    match outcome {
+        Outcome::NoQuorum | Outcome::Unknown => ask_back(response),
+        Outcome::Accepted | Outcome::Conflict | Outcome::Refused => response,
+    }
 }
 
 async fn replicas(handle: &Handle, req: Request) -> Response {
--- a/src/http/rollouts.rs
+++ b/src/http/rollouts.rs
@@ -15,7 +15,7 @@
 
 use super::{
     json,
-    operator::{error, read_json},
+    operator::{error, read_json, unavailable},
 };
 use crate::{
     api::{RolloutRequest, RolloutResponse},
@@ -80,9 +80,7 @@
             "not_found",
             format!("no roll-out of {service:?} was ordered"),
         ),
-        Err(reason) => {
-            error(StatusCode::SERVICE_UNAVAILABLE, "not_sure", reason)
-        }
+        Err(reason) => unavailable("not_sure", reason),
     }
 }
 
