--- a/crates/core/tests/consensus_reads.rs
+++ b/crates/core/tests/consensus_reads.rs
@@ -21,11 +21,11 @@
     })
 }
 
-/// Fills the disks of all followers, and proposes large changes until the
-/// leader refuses one.
-fn stall(cluster: &mut Cluster, leader: usize) {
+/// Fills the disks of all followers, or of all replicas, and proposes large
+/// changes until the leader refuses one.
+fn stall(cluster: &mut Cluster, leader: usize, all: bool) {
     let full_until = cluster.now + Duration::from_secs(3_600);
-    for i in (0..cluster.nodes.len()).filter(|&i| i != leader) {
+    for i in (0..cluster.nodes.len()).filter(|&i| all || i != leader) {
         cluster.nodes[i].full_until = full_until;
     }
     for n in 0..200 {
@@ -88,7 +88,7 @@
         let leader = cluster.wait_leader();
         let change = cluster.next_change(leader, "first");
         cluster.commit(&change);
-        stall(&mut cluster, leader);
+        stall(&mut cluster, leader, seed % 2 == 1);
         cluster.run(10_000);
         let reply = ask(&mut cluster, leader, ControlRequest::Barrier);
         let version = ControlReply::Version(ConfigVersion(1));
