Log refusals for lack of room once a second

A leader without room logged a line for each request that it refused, and clients now ask again within their budget. The log of a small disk that is full would fill up with them first.

The first refusal is logged, then one a second with the number of refusals since the last line.

--- a/crates/core/src/control/service.rs
+++ b/crates/core/src/control/service.rs
@@ -33,6 +33,9 @@
 /// Interval at which such senders are looked for, in milliseconds.
 const SENDER_CHECK_INTERVAL_MS: u64 = 1_000;
 
+/// Interval at which refusals for lack of room are logged, in milliseconds.
+const REFUSAL_LOG_INTERVAL_MS: u64 = 1_000;
+
 /// Sender of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Origin {
@@ -120,6 +123,12 @@
     waiting_proposals: usize,
     /// When to look for senders that no longer wait, in milliseconds.
     next_sender_check_ms: u64,
+    /// When the last request arrived, in milliseconds.
+    now_ms: u64,
+    /// When the next refusal for lack of room may be logged, in milliseconds.
+    next_refusal_log_ms: u64,
+    /// Number of these refusals since the last that was logged.
+    unlogged_refusals: u64,
     next_token: u64,
     /// Index and result of the last applied command. The outcome of its
     /// proposal follows before the next command is applied.
@@ -166,10 +175,11 @@
         wall_ms: u64,
         out: &mut impl Extend<ServiceEffect>,
     ) {
+        self.now_ms = wall_ms;
         self.forget_senders(wall_ms);
         if self.is_full(&request) {
             let text = "too many requests wait for an outcome";
-            log_refusal(text, out);
+            self.log_busy(text, out);
             send_reply(origin, ControlReply::NotReady(text.into()), out);
             return;
         }
@@ -396,7 +406,7 @@
                 ControlReply::Refused(text)
             }
             (Err(ProposeError::Busy(text)), _) => {
-                log_refusal(&text, out);
+                self.log_busy(&text, out);
                 ControlReply::NotReady(text)
             }
         };
@@ -442,6 +452,18 @@
         waiting >= MAX_PENDING_REQUESTS
     }
 
+    /// Logs a refusal for lack of room, but not each of them: clients ask again.
+    fn log_busy(&mut self, text: &str, out: &mut impl Extend<ServiceEffect>) {
+        self.unlogged_refusals += 1;
+        if self.now_ms < self.next_refusal_log_ms {
+            return;
+        }
+        self.next_refusal_log_ms = self.now_ms + REFUSAL_LOG_INTERVAL_MS;
+        let refused = std::mem::take(&mut self.unlogged_refusals);
+        let detail = format!("reason={text:?} refused={refused}");
+        log_event(&kinds::CONTROL_REFUSED, detail, out);
+    }
+
     fn is_member(&self, id: ReplicaId) -> bool {
         self.status.members.iter().any(|m| m.id == id)
     }
--- a/crates/core/tests/control_requests.rs
+++ b/crates/core/tests/control_requests.rs
@@ -30,6 +30,7 @@
     wall_ms: u64,
     proposed: Vec<Token>,
     replies: Vec<(InstanceId, u64, ControlReply)>,
+    logs: Vec<String>,
 }
 
 impl Harness {
@@ -43,6 +44,7 @@
                     to,
                     Message::Reply { sequence, reply },
                 ) => self.replies.push((to, sequence, reply)),
+                ServiceEffect::Log(event) => self.logs.push(event.detail),
                 _ => {}
             }
         }
@@ -176,6 +178,24 @@
     assert_eq!(replies, [(2, 1, ControlReply::Unknown)]);
 }
 
+// Guards against a log file that fills with one line for each refused request,
+// while a leader has no room and every client asks again.
+#[test]
+fn refusals_for_lack_of_room_are_logged_once_a_second() {
+    let mut harness = Harness::default();
+    let mut refused = 0;
+    for number in 0..1_000 {
+        harness.wall_ms = number * 10;
+        harness.request(1, number, claim(number));
+        let busy = ProposeError::Busy("no room".into());
+        let last = harness.proposed.len() - 1;
+        refused += harness.end(last, Err(busy)).len();
+    }
+    assert_eq!(refused, 1_000);
+    assert_eq!(harness.logs.len(), 10, "{:?}", harness.logs);
+    assert!(harness.logs[1].contains("refused=100"), "{:?}", harness.logs);
+}
+
 // Guards against a change that is proposed again, because its first sender has
 // given up while it waits.
 #[test]
