--- a/crates/core/src/control/service.rs
+++ b/crates/core/src/control/service.rs
@@ -5,6 +5,7 @@
 use super::{
     Applied, Command, ControlReply, ControlRequest, Message, Read,
     RolloutReply, ZoneStateChange,
+    pending::{Pending, PendingRequest, ReplyKind},
 };
 use crate::{
     consensus::{MemberChange, ProposeError, Status},
@@ -22,17 +23,6 @@
 const OUTDATED_ORDER: &str =
     "another order for this zone came first; nothing was changed";
 
-/// Largest number of senders that wait for proposals at one replica, and
-/// for reads.
-const MAX_PENDING_REQUESTS: usize = 10_000;
-
-/// Time after which the sender of a request no longer waits, in milliseconds:
-/// three times the longest default time budget, that of a settlement.
-const MAX_SENDER_WAIT_MS: u64 = 30_000;
-
-/// Interval at which such senders are looked for, in milliseconds.
-const SENDER_CHECK_INTERVAL_MS: u64 = 1_000;
-
 /// Interval at which refusals for lack of room are logged, in milliseconds.
 const REFUSAL_LOG_INTERVAL_MS: u64 = 1_000;
 
@@ -91,38 +81,11 @@
     Log(LogEvent),
 }
 
-/// The reply that a successful proposal gets.
-#[derive(Clone, Debug)]
-enum ReplyKind {
-    Change,
-    Claim,
-    Version,
-    Done,
-    Read(Read),
-}
-
-struct PendingRequest {
-    token: Token,
-    /// The senders, each of which gets the reply, and when each request
-    /// arrived, in milliseconds.
-    origins: Vec<(Origin, u64)>,
-    kind: ReplyKind,
-    /// The command, if the same one may join this request.
-    command: Option<Bytes>,
-}
-
 /// Turns requests into proposals, and outcomes into replies.
 #[derive(Default)]
 pub struct Service {
     status: Status,
-    /// Sorted by token.
-    pending: Vec<PendingRequest>,
-    /// Number of senders that wait for a read.
-    waiting_reads: usize,
-    /// Number of senders that wait for any other request.
-    waiting_proposals: usize,
-    /// When to look for senders that no longer wait, in milliseconds.
-    next_sender_check_ms: u64,
+    pending: Pending,
     /// When the last request arrived, in milliseconds.
     now_ms: u64,
     /// When the next refusal for lack of room may be logged, in milliseconds.
@@ -138,7 +101,7 @@
 impl Service {
     /// Whether the `Outcome` with this token belongs to this reducer.
     pub fn owns(&self, token: Token) -> bool {
-        self.pending.binary_search_by_key(&token, |p| p.token).is_ok()
+        self.pending.contains(token)
     }
 
     /// Creates the reducer. Its tokens rise from `first_token`, so that they
@@ -176,8 +139,8 @@
         out: &mut impl Extend<ServiceEffect>,
     ) {
         self.now_ms = wall_ms;
-        self.forget_senders(wall_ms);
-        if self.is_full(&request) {
+        self.pending.forget_senders(wall_ms);
+        if self.pending.is_full(&request) {
             let text = "too many requests wait for an outcome";
             self.log_busy(text, out);
             send_reply(origin, ControlReply::NotReady(text.into()), out);
@@ -261,10 +224,9 @@
                 (ReplyKind::Done, ServiceEffect::ChangeMembers(token, change))
             }
         };
-        *self.waiting(&kind) += 1;
         let command = match &effect {
             ServiceEffect::Propose(_, command) if joinable => {
-                if self.join((origin, wall_ms), command) {
+                if self.pending.join((origin, wall_ms), command) {
                     return;
                 }
                 Some(command.clone())
@@ -277,27 +239,6 @@
         out.extend([effect]);
     }
 
-    /// Adds a sender to the pending request with the same command, if there
-    /// is one. Sent again while it waits, a large change would otherwise be
-    /// proposed again in its full size.
-    fn join(&mut self, origin: (Origin, u64), command: &Bytes) -> bool {
-        let same =
-            |p: &&mut PendingRequest| p.command.as_ref() == Some(command);
-        let Some(pending) = self.pending.iter_mut().find(same) else {
-            return false;
-        };
-        pending.origins.push(origin);
-        true
-    }
-
-    /// Returns the number of senders that wait for this kind of request.
-    fn waiting(&mut self, kind: &ReplyKind) -> &mut usize {
-        match kind {
-            ReplyKind::Read(_) => &mut self.waiting_reads,
-            _ => &mut self.waiting_proposals,
-        }
-    }
-
     fn handle_applied(
         &self,
         applied: &Applied,
@@ -350,10 +291,8 @@
         result: Result<u64, ProposeError>,
         out: &mut impl Extend<ServiceEffect>,
     ) {
-        let found = self.pending.binary_search_by_key(&token, |p| p.token);
-        let Ok(at) = found else { return };
-        let PendingRequest { origins, kind, .. } = self.pending.remove(at);
-        *self.waiting(&kind) -= origins.len();
+        let Some(request) = self.pending.take(token) else { return };
+        let PendingRequest { origins, kind, .. } = request;
         let answer = match (result, kind) {
             (Ok(_), ReplyKind::Read(read)) => {
                 let answer = |(o, _)| ServiceEffect::Answer(o, read.clone());
@@ -415,43 +354,6 @@
         }
     }
 
-    /// Forgets the senders that no longer wait, so that what they proposed
-    /// takes no room while nothing commits. What was proposed stays in the log
-    /// and may still take effect, and an equal change may still join it.
-    fn forget_senders(&mut self, wall_ms: u64) {
-        if wall_ms < self.next_sender_check_ms {
-            return;
-        }
-        self.next_sender_check_ms = wall_ms + SENDER_CHECK_INTERVAL_MS;
-        let oldest = wall_ms.saturating_sub(MAX_SENDER_WAIT_MS);
-        let (mut reads, mut proposals) = (0, 0);
-        self.pending.retain_mut(|p| {
-            p.origins.retain(|(_, arrived)| *arrived >= oldest);
-            match p.kind {
-                ReplyKind::Read(_) => reads += p.origins.len(),
-                _ => proposals += p.origins.len(),
-            }
-            !p.origins.is_empty() || p.command.is_some()
-        });
-        self.waiting_reads = reads;
-        self.waiting_proposals = proposals;
-    }
-
-    /// Whether too many requests of the same kind wait. Reads end within
-    /// seconds, and proposals perhaps only with the leadership, so neither may
-    /// take the room of the other. The log takes one change of the members at
-    /// a time.
-    fn is_full(&self, request: &ControlRequest) -> bool {
-        let waiting = match request {
-            ControlRequest::Barrier | ControlRequest::ReadZone(_) => {
-                self.waiting_reads
-            }
-            ControlRequest::Join(_) | ControlRequest::Remove(_) => 0,
-            _ => self.waiting_proposals,
-        };
-        waiting >= MAX_PENDING_REQUESTS
-    }
-
     /// Logs a refusal for lack of room, but not each of them: clients ask again.
     fn log_busy(&mut self, text: &str, out: &mut impl Extend<ServiceEffect>) {
         self.unlogged_refusals += 1;
