--- a/crates/core/tests/node.rs
+++ b/crates/core/tests/node.rs
@@ -6,7 +6,7 @@
     config::{AvailabilityZone, Configuration, ZoneState},
     config_sync::{ConfigRecord, Message},
     consensus::Recovered,
-    control::TableRevision,
+    control::{ControlReply, TableRevision, ZoneStateChange},
     forward::{
         ForwardEffect, ForwardEvent, Reason, Response, Submission,
         directory::{Directory, ListedTarget},
@@ -18,7 +18,7 @@
     id::{ConfigVersion, InstanceId, ReplicaId, TeamId, Token, ZoneId},
     membership::{Member, MemberState},
     message::PeerMessage,
-    node::{Effect, Event, Node, NodeOptions, OperatorRequest},
+    node::{Effect, Event, Node, NodeOptions, OperatorReply, OperatorRequest},
     time::Time,
     verdict::Verdict,
 };
@@ -230,3 +230,46 @@
     // The burst and the tolerated excess: (1 * 5 + 4) * 0.1 + 20.
     assert!((4..=24).contains(&admitted), "{admitted}");
 }
+
+// Guards against a read that waits behind changes which the disk does not
+// take, or whose reply does not hold what was acknowledged.
+#[test]
+fn reads_are_answered_while_a_change_waits_for_the_disk() {
+    let mut node = node();
+    let recovered = Some((ReplicaId(5), Recovered::default()));
+    run_alone(&mut node, 0, Event::Start { recovered });
+    let bootstrap = OperatorRequest::Bootstrap { group: 77 };
+    run_alone(&mut node, 1_000, Event::Operator(Token(1), bootstrap));
+    let revise = |revision| {
+        let table = configuration(revision, "known", ZoneState::In).forwarding;
+        let table = rmp_serde::to_vec_named(&table).expect("encoded").into();
+        OperatorRequest::Revise(TableRevision { revision, table })
+    };
+    run_alone(&mut node, 2_000, Event::Operator(Token(2), revise(1)));
+    let order = ZoneStateChange {
+        zone: "a".into(),
+        state: ZoneState::Out,
+        after: Some(0),
+    };
+    let order = OperatorRequest::SetZone(order);
+    run_alone(&mut node, 3_000, Event::Operator(Token(3), order));
+
+    // The disk completes no write from here on.
+    let mut ask = |ms, token, request| {
+        let mut effects = Vec::new();
+        let event = Event::Operator(Token(token), request);
+        node.step(Time::from_millis(ms), event, &mut effects);
+        effects.into_iter().find_map(|e| match e {
+            Effect::Reply(to, OperatorReply::Control(reply)) => {
+                Some((to, reply))
+            }
+            _ => None,
+        })
+    };
+    assert_eq!(ask(4_000, 4, revise(2)), None);
+    let version = ControlReply::Version(ConfigVersion(2));
+    let reply = ask(4_010, 5, OperatorRequest::Barrier);
+    assert_eq!(reply, Some((Token(5), version)));
+    let reply = ask(4_020, 6, OperatorRequest::ReadZone("a".into()));
+    assert_eq!(reply, Some((Token(6), ControlReply::ZoneOrders(1))));
+}
