--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -12,6 +12,8 @@
 mod log;
 mod members;
 mod outbox;
+mod proposals;
+mod reads;
 mod receive;
 mod replication;
 mod transfer;
@@ -30,13 +32,15 @@
 use self::{
     log::Log,
     outbox::{Peer, PendingMessage},
+    proposals::{Account, Proposal},
+    reads::Reads,
     replication::Progress,
     transfer::IncomingSnapshot,
     watch::CommitWatch,
 };
 use crate::{
     event::{EventKind, LogEvent, control as kinds},
-    id::{ReplicaId, Token},
+    id::ReplicaId,
     time::Time,
 };
 
@@ -68,8 +72,9 @@
     pub snapshot_chunk_bytes: usize,
     /// Largest number of unanswered append messages per follower.
     pub max_in_flight_appends: usize,
-    /// Size of the uncommitted proposals, in bytes, above which a leader
-    /// refuses new ones.
+    /// Largest size of the large commands that wait to be committed, in bytes;
+    /// a single one may be larger. 16 append messages of the largest size, as
+    /// small commands commit after them.
     pub max_uncommitted_bytes: u64,
     /// Largest number of entries by which a learner may be behind the leader
     /// and still be promoted.
@@ -87,19 +92,12 @@
             max_append_bytes: 256 * 1024,
             snapshot_chunk_bytes: 64 * 1024,
             max_in_flight_appends: 4,
-            max_uncommitted_bytes: 16 * 1024 * 1024,
+            max_uncommitted_bytes: 4 * 1024 * 1024,
             max_learner_lag: 100,
         }
     }
 }
 
-/// A proposal whose entry has not committed yet.
-struct Proposal {
-    token: Token,
-    index: u64,
-    bytes: u64,
-}
-
 /// The role of a replica, with the state specific to it.
 enum State {
     /// A follower, a learner, or a replica that is in no group.
@@ -133,8 +131,9 @@
     last_round_at: Time,
     /// Uncommitted proposals, sorted by index.
     proposals: VecDeque<Proposal>,
-    /// Total size of the commands in `proposals`.
-    uncommitted_bytes: u64,
+    /// The bytes of `proposals`.
+    account: Account,
+    reads: Reads,
     watch: CommitWatch,
 }
 
@@ -266,6 +265,7 @@
             ConsensusEvent::Propose(token, command) => {
                 self.propose(now, token, command);
             }
+            ConsensusEvent::Read(token) => self.read(now, token),
             ConsensusEvent::ChangeMembers(token, change) => {
                 self.change_members(now, token, change);
             }
@@ -275,6 +275,7 @@
             ConsensusEvent::Tick => {}
         }
         self.apply_committed();
+        self.answer_reads(now);
         self.leave_if_removed(now);
         self.flush_effects(out);
     }
@@ -377,7 +378,7 @@
                     if p.index > index {
                         break;
                     }
-                    leader.uncommitted_bytes -= p.bytes;
+                    leader.account.release(p.bytes);
                     self.effects
                         .push(ConsensusEffect::Outcome(p.token, Ok(index)));
                     leader.proposals.pop_front();
--- a/crates/core/src/control/service.rs
+++ b/crates/core/src/control/service.rs
@@ -3,8 +3,9 @@
 use bytes::Bytes;
 
 use super::{
-    Applied, Command, ControlReply, ControlRequest, Message, RolloutReply,
-    ZoneStateChange,
+    Applied, Command, ControlReply, ControlRequest, Message, Read,
+    RolloutReply, ZoneStateChange,
+    pending::{Pending, PendingRequest, ReplyKind},
 };
 use crate::{
     consensus::{MemberChange, ProposeError, Status},
@@ -22,8 +23,8 @@
 const OUTDATED_ORDER: &str =
     "another order for this zone came first; nothing was changed";
 
-/// Largest number of requests without an outcome at one replica.
-const MAX_PENDING_REQUESTS: usize = 10_000;
+/// Interval at which refusals for lack of room are logged, in milliseconds.
+const REFUSAL_LOG_INTERVAL_MS: u64 = 1_000;
 
 /// Sender of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -66,6 +67,10 @@
 pub enum ServiceEffect {
     /// Proposes a command.
     Propose(Token, Bytes),
+    /// Asks the replica to confirm that it leads; answered with `Outcome`.
+    Read(Token),
+    /// Reads the state machine now and sends the result to the origin.
+    Answer(Origin, Read),
     /// Proposes a membership change.
     ChangeMembers(Token, MemberChange),
     /// Sends a reply to another instance.
@@ -76,27 +81,17 @@
     Log(LogEvent),
 }
 
-/// The reply that a successful proposal gets.
-#[derive(Clone, Copy)]
-enum ReplyKind {
-    Change,
-    Claim,
-    Version,
-    Done,
-}
-
-struct PendingRequest {
-    token: Token,
-    origin: Origin,
-    kind: ReplyKind,
-}
-
 /// Turns requests into proposals, and outcomes into replies.
 #[derive(Default)]
 pub struct Service {
     status: Status,
-    /// Sorted by token.
-    pending: Vec<PendingRequest>,
+    pending: Pending,
+    /// When the last request arrived, in milliseconds.
+    now_ms: u64,
+    /// When the next refusal for lack of room may be logged, in milliseconds.
+    next_refusal_log_ms: u64,
+    /// Number of these refusals since the last that was logged.
+    unlogged_refusals: u64,
     next_token: u64,
     /// Index and result of the last applied command. The outcome of its
     /// proposal follows before the next command is applied.
@@ -106,7 +101,7 @@
 impl Service {
     /// Whether the `Outcome` with this token belongs to this reducer.
     pub fn owns(&self, token: Token) -> bool {
-        self.pending.binary_search_by_key(&token, |p| p.token).is_ok()
+        self.pending.contains(token)
     }
 
     /// Creates the reducer. Its tokens rise from `first_token`, so that they
@@ -143,10 +138,15 @@
         wall_ms: u64,
         out: &mut impl Extend<ServiceEffect>,
     ) {
+        self.now_ms = wall_ms;
+        self.pending.forget_senders(wall_ms);
+        if self.pending.is_full(&request) {
+            let text = "too many requests wait for an outcome";
+            self.log_busy(text, out);
+            send_reply(origin, ControlReply::NotReady(text.into()), out);
+            return;
+        }
         let refusal = match &request {
-            _ if self.pending.len() >= MAX_PENDING_REQUESTS => {
-                Some("too many requests wait for an outcome")
-            }
             ControlRequest::Change(c) if c.change_id.is_empty() => {
                 Some("the change id is empty")
             }
@@ -173,6 +173,10 @@
             send_reply(origin, ControlReply::Done, out);
             return;
         }
+        let joinable = matches!(
+            request,
+            ControlRequest::Change(_) | ControlRequest::Revise(_)
+        );
         self.next_token += 1;
         let token = Token(self.next_token);
         let (kind, effect) = match request {
@@ -193,10 +197,11 @@
                 (ReplyKind::Version, propose(token, &Command::SetZone(change)))
             }
             ControlRequest::Barrier => {
-                (ReplyKind::Version, propose(token, &Command::Barrier))
+                (ReplyKind::Read(Read::Version), ServiceEffect::Read(token))
             }
             ControlRequest::ReadZone(zone) => {
-                (ReplyKind::Version, propose(token, &Command::ReadZone(zone)))
+                let read = Read::ZoneOrders(zone);
+                (ReplyKind::Read(read), ServiceEffect::Read(token))
             }
             ControlRequest::StartRollout(order) => {
                 let command = Command::StartRollout(order);
@@ -219,7 +224,18 @@
                 (ReplyKind::Done, ServiceEffect::ChangeMembers(token, change))
             }
         };
-        self.pending.push(PendingRequest { token, origin, kind });
+        let command = match &effect {
+            ServiceEffect::Propose(_, command) if joinable => {
+                if self.pending.join((origin, wall_ms), command) {
+                    return;
+                }
+                Some(command.clone())
+            }
+            _ => None,
+        };
+        let origins = vec![(origin, wall_ms)];
+        let request = PendingRequest { token, origins, kind, command };
+        self.pending.push(request);
         out.extend([effect]);
     }
 
@@ -275,10 +291,14 @@
         result: Result<u64, ProposeError>,
         out: &mut impl Extend<ServiceEffect>,
     ) {
-        let found = self.pending.binary_search_by_key(&token, |p| p.token);
-        let Ok(at) = found else { return };
-        let PendingRequest { origin, kind, .. } = self.pending.remove(at);
+        let Some(request) = self.pending.take(token) else { return };
+        let PendingRequest { origins, kind, .. } = request;
         let answer = match (result, kind) {
+            (Ok(_), ReplyKind::Read(read)) => {
+                let answer = |(o, _)| ServiceEffect::Answer(o, read.clone());
+                out.extend(origins.into_iter().map(answer));
+                return;
+            }
             (Ok(_), ReplyKind::Done) => ControlReply::Done,
             (
                 Ok(index),
@@ -324,8 +344,26 @@
                 log_refusal(&text, out);
                 ControlReply::Refused(text)
             }
+            (Err(ProposeError::Busy(text)), _) => {
+                self.log_busy(&text, out);
+                ControlReply::NotReady(text)
+            }
         };
-        send_reply(origin, answer, out);
+        for (origin, _) in origins {
+            send_reply(origin, answer.clone(), out);
+        }
+    }
+
+    /// Logs a refusal for lack of room, but not each of them: clients ask again.
+    fn log_busy(&mut self, text: &str, out: &mut impl Extend<ServiceEffect>) {
+        self.unlogged_refusals += 1;
+        if self.now_ms < self.next_refusal_log_ms {
+            return;
+        }
+        self.next_refusal_log_ms = self.now_ms + REFUSAL_LOG_INTERVAL_MS;
+        let refused = std::mem::take(&mut self.unlogged_refusals);
+        let detail = format!("reason={text:?} refused={refused}");
+        log_event(&kinds::CONTROL_REFUSED, detail, out);
     }
 
     fn is_member(&self, id: ReplicaId) -> bool {
