Bound the bytes of a control replica's log

Callers saw every read, claim, order and change refused with the same number of bytes that wait to be committed, for good, while one leader stayed and all processes ran.

Evidence: the new tests simulate folders with a capacity.

A command above a quarter of the folder never fits and gets a reason of its own. Smaller commands leave less room free, so that large ones do not shut them out. The entries kept in memory for slow followers are bounded in bytes. The option is not set by the daemon yet.

--- a/crates/core/src/consensus/log.rs
+++ b/crates/core/src/consensus/log.rs
@@ -6,6 +6,12 @@
     Entry, Payload, Recovered, Replica, StoredSnapshot, Write,
 };
 
+/// Most bytes that the encoding of a record with one entry adds to the payload.
+const RECORD_BYTES: u64 = 80;
+
+/// Longest identifier in a command, in bytes.
+const MAX_ID_BYTES: u64 = crate::control::service::MAX_ID_BYTES as u64;
+
 /// The log entries after a base index, and the last snapshot.
 ///
 /// The base index is at or before the last index of the snapshot, so that a
@@ -15,6 +21,8 @@
     base_term: u64,
     entries: VecDeque<Entry>,
     size_bytes: u64,
+    /// Size on disk of the entries after the snapshot.
+    stored_bytes: u64,
     pub(crate) snapshot: Option<StoredSnapshot>,
     /// Each list of members with the index from which it applies, oldest
     /// first. The first list applies from an index at or before the base.
@@ -41,6 +49,7 @@
             base_term,
             entries: VecDeque::new(),
             size_bytes: 0,
+            stored_bytes: 0,
             snapshot: recovered.snapshot,
             members,
             written_index: 0,
@@ -77,6 +86,16 @@
         self.snapshot.as_ref().map_or(0, |s| s.index)
     }
 
+    /// Returns the size of the snapshot, or 0.
+    pub(crate) fn snapshot_bytes(&self) -> u64 {
+        self.snapshot.as_ref().map_or(0, |s| s.data.len() as u64)
+    }
+
+    /// Returns the largest size on disk of the entries after the snapshot.
+    pub(crate) fn stored_bytes(&self) -> u64 {
+        self.stored_bytes
+    }
+
     /// Returns the size of the entries in memory.
     pub(crate) fn size_bytes(&self) -> u64 {
         self.size_bytes
@@ -126,6 +145,7 @@
             self.members.push((entry.index, members.clone()));
         }
         self.size_bytes += entry_bytes(&entry);
+        self.stored_bytes += disk_bytes(&entry.payload);
         self.entries.push_back(entry);
     }
 
@@ -149,7 +169,10 @@
     pub(crate) fn truncate(&mut self, after: u64) {
         while self.last_index() > after {
             match self.entries.pop_back() {
-                Some(e) => self.size_bytes -= entry_bytes(&e),
+                Some(e) => {
+                    self.size_bytes -= entry_bytes(&e);
+                    self.stored_bytes -= disk_bytes(&e.payload);
+                }
                 None => break,
             }
         }
@@ -202,9 +225,22 @@
     }
 
     /// Stores a snapshot of the own state machine and drops the entries that
-    /// it covers, except the last `keep`.
-    pub(crate) fn compact(&mut self, snapshot: StoredSnapshot, keep: u64) {
-        let base = snapshot.index.saturating_sub(keep).max(self.base_index);
+    /// it covers, except the last `keep`, of at most `keep_bytes`.
+    pub(crate) fn compact(
+        &mut self,
+        snapshot: StoredSnapshot,
+        keep: u64,
+        keep_bytes: u64,
+    ) {
+        let least = snapshot.index.saturating_sub(keep).max(self.base_index);
+        let (mut base, mut kept) = (snapshot.index, 0);
+        while base > least {
+            kept += self.entry(base).map_or(0, entry_bytes);
+            if kept > keep_bytes {
+                break;
+            }
+            base -= 1;
+        }
         let term = self.term_at(base).unwrap_or(snapshot.term);
         while self.base_index < base {
             let Some(entry) = self.entries.pop_front() else { break };
@@ -214,6 +250,8 @@
         self.base_term = term;
         let first = self.members.partition_point(|(i, _)| *i <= base);
         self.members.drain(..first.saturating_sub(1));
+        let rest = self.entries_after(snapshot.index);
+        self.stored_bytes = rest.map(|e| disk_bytes(&e.payload)).sum();
         self.snapshot = Some(snapshot);
     }
 
@@ -224,7 +262,7 @@
         let follows = self.term_at(snapshot.index) == Some(snapshot.term);
         if follows && snapshot.index >= self.base_index {
             // Entries that are written but not synced keep their tickets.
-            self.compact(snapshot, 0);
+            self.compact(snapshot, 0, 0);
             let index = self.base_index;
             self.written_index = self.written_index.max(index);
             self.unsynced.push_back((ticket, index));
@@ -234,6 +272,7 @@
         self.base_term = snapshot.term;
         self.entries.clear();
         self.size_bytes = 0;
+        self.stored_bytes = 0;
         self.members = vec![(snapshot.index, snapshot.members.clone())];
         self.written_index = snapshot.index;
         self.truncated = false;
@@ -256,10 +295,25 @@
 /// Returns the size of an entry that counts towards the limits. The constant
 /// accounts for its index, its term and the encoding overhead.
 fn entry_bytes(entry: &Entry) -> u64 {
-    let payload = match &entry.payload {
+    payload_bytes(&entry.payload) + 24
+}
+
+fn payload_bytes(payload: &Payload) -> u64 {
+    match payload {
         Payload::Empty => 0,
         Payload::Command(c) => c.len() as u64,
         Payload::Members(m) => 64 * m.len() as u64,
-    };
-    payload + 24
+    }
+}
+
+/// Returns the most that an entry adds to the data folder, as an entry or as a
+/// part of the state. A record of its own adds at most `RECORD_BYTES`, and the
+/// state holds an identifier of at most `MAX_ID_BYTES` twice.
+pub(super) fn disk_bytes(payload: &Payload) -> u64 {
+    disk_bytes_of(payload_bytes(payload))
+}
+
+/// Returns the same for a payload of `bytes`.
+pub(super) fn disk_bytes_of(bytes: u64) -> u64 {
+    bytes + bytes.min(2 * MAX_ID_BYTES) + RECORD_BYTES
 }
--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -14,6 +14,7 @@
 mod outbox;
 mod receive;
 mod replication;
+mod room;
 mod transfer;
 mod types;
 mod watch;
@@ -58,9 +59,16 @@
     pub election_timeout_max: Duration,
     /// Number of applied entries after which a snapshot is taken.
     pub snapshot_threshold: u64,
+    /// Size of the applied entries, in bytes, above which a snapshot is taken
+    /// as well, unless the last one is larger.
+    pub snapshot_bytes: u64,
     /// Number of entries covered by the snapshot that stay in memory, so
     /// that slow followers can catch up without a snapshot.
     pub trailing_entries: u64,
+    /// Largest size of these entries, in bytes.
+    pub trailing_bytes: u64,
+    /// Capacity of the data folder, in bytes; `None` if it is not limited.
+    pub folder_bytes: Option<u64>,
     /// Largest payload of one append message, in bytes, unless a single entry
     /// is larger.
     pub max_append_bytes: u64,
@@ -83,7 +91,12 @@
             election_timeout_min: Duration::from_millis(500),
             election_timeout_max: Duration::from_millis(1_000),
             snapshot_threshold: 1_000,
+            snapshot_bytes: 4 * 1024 * 1024,
             trailing_entries: 100,
+            // The largest proposals that wait, so that a follower which lacks
+            // the last of them needs no snapshot.
+            trailing_bytes: 16 * 1024 * 1024,
+            folder_bytes: None,
             max_append_bytes: 256 * 1024,
             snapshot_chunk_bytes: 64 * 1024,
             max_in_flight_appends: 4,
@@ -164,6 +177,8 @@
     incoming_snapshot: Option<IncomingSnapshot>,
     /// Whether `TakeSnapshot` was emitted and not answered yet.
     snapshot_requested: bool,
+    /// Bytes that a snapshot has to free for what was refused last.
+    room_needed: u64,
     /// The last foreign group that was logged. Repeated messages from the
     /// same group are not logged again.
     last_foreign_group: u64,
@@ -204,6 +219,7 @@
             pending: VecDeque::new(),
             incoming_snapshot: None,
             snapshot_requested: false,
+            room_needed: 0,
             last_foreign_group: 0,
             last_status: None,
             effects: Vec::new(),
--- a/crates/core/src/consensus/replication.rs
+++ b/crates/core/src/consensus/replication.rs
@@ -211,6 +211,10 @@
     }
 
     pub(super) fn propose(&mut self, now: Time, token: Token, command: Bytes) {
+        if let Some(error) = self.room_refusal(command.len() as u64) {
+            self.effects.push(ConsensusEffect::Outcome(token, Err(error)));
+            return;
+        }
         let State::Leader(leader) = &mut self.state else {
             let error = ProposeError::NotLeader(self.leader);
             self.effects.push(ConsensusEffect::Outcome(token, Err(error)));
@@ -275,6 +279,7 @@
         commit: u64,
         round: u64,
     ) {
+        self.cut_to_room(&mut entries);
         let (mut previous_index, previous_term) = previous;
         let term = self.term;
         let last_sent = previous_index + entries.len() as u64;
--- a/crates/core/src/consensus/transfer.rs
+++ b/crates/core/src/consensus/transfer.rs
@@ -42,16 +42,17 @@
 }
 
 impl Consensus {
-    /// Requests a snapshot when enough entries were applied. The log must
+    /// Requests a snapshot when enough entries or bytes were applied. The log must
     /// also have reached half the size of the last snapshot, so that a large
     /// state is not rewritten for a few small entries.
     pub(super) fn request_snapshot(&mut self) {
-        let snapshot = self.log.snapshot.as_ref();
-        let size = snapshot.map_or(0, |s| s.data.len() as u64);
+        let size = self.log.snapshot_bytes();
         let applied = self.applied - self.log.snapshot_index();
+        let enough_entries = applied >= self.options.snapshot_threshold
+            && self.log.size_bytes() >= size / 2;
         if !self.snapshot_requested
-            && applied >= self.options.snapshot_threshold
-            && self.log.size_bytes() >= size / 2
+            && applied > 0
+            && (enough_entries || self.snapshot_frees_room())
         {
             self.snapshot_requested = true;
             self.effects.push(ConsensusEffect::TakeSnapshot);
@@ -60,6 +61,7 @@
 
     pub(super) fn store_snapshot(&mut self, index: u64, data: Bytes) {
         self.snapshot_requested = false;
+        self.room_needed = 0;
         // The state machine knows the index of its last command only. The
         // entries between that one and the next command do not affect it, so
         // the snapshot covers them as well.
@@ -89,7 +91,12 @@
             format!("index={index} bytes={}", snapshot.data.len()),
         );
         self.persist(Write::Snapshot(snapshot.clone()));
-        self.log.compact(snapshot, self.options.trailing_entries);
+        let options = &self.options;
+        self.log.compact(
+            snapshot,
+            options.trailing_entries,
+            options.trailing_bytes,
+        );
     }
 
     /// Starts a snapshot transfer to a member, or sends its next chunk.
--- a/crates/core/src/consensus/types.rs
+++ b/crates/core/src/consensus/types.rs
@@ -346,6 +346,9 @@
     /// The proposal is not allowed at present, for the given reason. Nothing
     /// was appended.
     Rejected(String),
+    /// The command never fits into the data folder, for the given reason.
+    /// Nothing was appended.
+    TooLarge(String),
 }
 
 /// Role of a replica.
--- a/crates/core/src/control/service.rs
+++ b/crates/core/src/control/service.rs
@@ -320,7 +320,13 @@
                 )
             }
             (Err(ProposeError::Unknown), _) => ControlReply::Unknown,
-            (Err(ProposeError::Rejected(text)), _) => {
+            (
+                Err(
+                    ProposeError::Rejected(text)
+                    | ProposeError::TooLarge(text),
+                ),
+                _,
+            ) => {
                 log_refusal(&text, out);
                 ControlReply::Refused(text)
             }
--- a/crates/core/tests/cluster/mod.rs
+++ b/crates/core/tests/cluster/mod.rs
@@ -40,9 +40,70 @@
     pub slow_disk_us: u64,
     /// Time until which the disk is full and takes no write.
     pub full_until: Time,
+    /// Capacity of the disk in bytes; `None` if it is not limited.
+    pub capacity: Option<u64>,
+    /// Bytes of the log on the disk, and the most that it ever held.
+    pub folder_bytes: u64,
+    pub max_folder_bytes: u64,
     inbox: Vec<Event>,
 }
 
+impl Node {
+    /// Writes a record to the disk. Returns whether there was room.
+    ///
+    /// A snapshot is written, with what stays of the log, before the older
+    /// files go; so is the log if truncated entries take much of the disk.
+    fn store(&mut self, write: &Write) -> bool {
+        let Some(capacity) = self.capacity else {
+            self.disk.apply_write(write.clone());
+            return true;
+        };
+        let record = record_bytes(write);
+        let held = live_bytes(&self.disk);
+        let mut next = self.disk.clone();
+        next.apply_write(write.clone());
+        let garbage = self.folder_bytes.saturating_sub(held);
+        let compacts = matches!(write, Write::Snapshot(_))
+            || (self.folder_bytes + record > capacity / 2
+                && garbage > capacity / 128);
+        let written = if compacts { live_bytes(&next) } else { record };
+        let peak = self.folder_bytes + written;
+        if peak > capacity {
+            return false;
+        }
+        self.disk = next;
+        self.max_folder_bytes = self.max_folder_bytes.max(peak);
+        self.folder_bytes = if compacts { written } else { peak };
+        true
+    }
+}
+
+/// Returns the size of a record, with its length and checksum.
+fn record_bytes(write: &Write) -> u64 {
+    rmp_serde::to_vec(&[write]).expect("a record").len() as u64 + 8
+}
+
+/// Returns the size of a folder that was just compacted.
+fn live_bytes(disk: &Recovered) -> u64 {
+    let Recovered { group, term, vote, snapshot, entries } = disk;
+    let mut bytes = record_bytes(&Write::HardState {
+        group: *group,
+        term: *term,
+        vote: *vote,
+    });
+    if let Some(snapshot) = snapshot {
+        bytes += record_bytes(&Write::Snapshot(snapshot.clone()));
+    }
+    if !entries.is_empty() {
+        let entries = entries.clone();
+        bytes += record_bytes(&Write::Append { after: 0, entries });
+    }
+    bytes
+}
+
+/// Pause before a write to a full disk is repeated, in microseconds.
+const FULL_DISK_PAUSE_US: u64 = 200_000;
+
 #[derive(Clone)]
 enum Event {
     Deliver(Envelope),
@@ -148,6 +209,9 @@
                 records_read: 0,
                 slow_disk_us: 0,
                 full_until: Time::ZERO,
+                capacity: None,
+                folder_bytes: 0,
+                max_folder_bytes: 0,
                 inbox: Vec::new(),
             });
             cluster.start(i);
@@ -216,6 +280,7 @@
         let id = self.rng.random();
         let node = &mut self.nodes[i];
         node.disk = Recovered::default();
+        node.folder_bytes = 0;
         node.replica.id = ReplicaId(id);
     }
 
@@ -472,15 +537,27 @@
                 // earlier ones.
                 let node = &mut self.nodes[i];
                 let mut newest = None;
+                let mut full = false;
                 while let Some((t, _)) = node.unsynced.front() {
                     if *t > ticket {
                         break;
                     }
                     if let Some((t, write)) = node.unsynced.pop_front() {
-                        node.disk.apply_write(write);
+                        if !node.store(&write) {
+                            node.unsynced.push_front((t, write));
+                            full = true;
+                            break;
+                        }
                         newest = Some(t);
                     }
                 }
+                if full {
+                    self.schedule(
+                        i,
+                        FULL_DISK_PAUSE_US,
+                        Event::Synced(ticket),
+                    );
+                }
                 if let Some(t) = newest {
                     self.step(i, ConsensusEvent::Persisted(t));
                 }
