Compact a data folder with one copy, also when entries are out of date

Callers saw a replica that waited for room for good although its folder held little that counts.

Evidence: tests/capacity.rs drives the storage on a disk of 4 MB. With the storage before, entries_that_are_truncated_again_and_again_never_fill_the_folder failed: "it has room: StorageError { kind: Full, ... .segment"; with the log before as well, the_log_of_a_replica_never_fills_its_folder failed in the same way. a_folder_without_room_for_compaction_takes_what_fits passed before and guards the new compaction.

A folder whose out-of-date records reach into the half that compaction needs is compacted too, if that fits and frees something. A crash leaves the old segments, or a new one that restores the same content over them; tests/full_disk.rs stops it at each operation.

--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -7,6 +7,9 @@
 A write is reported only after it is synced. After the first failure no write
 is reported any more, and the daemon stops. The only exception is a full disk:
 the write is continued until there is space.
+
+A batch with a snapshot is not appended. What the folder holds after it is
+written to a new segment, and then the older ones are removed.
 */
 
 mod disk;
@@ -22,7 +25,7 @@
 };
 
 use primrosemast_core::{
-    consensus::{Recovered, StoredSnapshot, Write},
+    consensus::{Recovered, Write},
     id::ReplicaId,
 };
 
@@ -37,6 +40,10 @@
 /// freed after a snapshot.
 const SEGMENT_BYTES: u64 = 4 << 20;
 
+/// Part of the capacity, as a divisor, that records which are out of date take
+/// before they are compacted. Half of the reserve of the log.
+const COMPACTION_DIVISOR: u64 = 128;
+
 /// An open data folder.
 #[derive(Debug)]
 pub struct Storage<D = OsDisk> {
@@ -50,6 +57,10 @@
     /// The last hard state. It is repeated at the start of each segment,
     /// because older segments are removed.
     hard_state: Option<Write>,
+    /// Capacity of the folder in bytes, if it is limited.
+    capacity: Option<u64>,
+    /// Bytes appended since the last compaction, or since one was not due.
+    written_bytes: u64,
     progress: Progress,
 }
 
@@ -73,6 +84,8 @@
     /// Starts the next segment if one is due. The record is synced, so it
     /// must stay: a crash may find the next segment after it.
     NextSegment,
+    /// Writes what the folder holds after the batch to the next segment.
+    Compact,
     /// Removes the segments that the new one replaces.
     Remove,
 }
@@ -169,11 +182,20 @@
             segment,
             older_bytes,
             hard_state,
+            capacity: None,
+            written_bytes: u64::MAX,
             progress: Progress::Complete,
         };
         Ok((storage, replica, recovered))
     }
 
+    /// Sets the capacity of the folder in bytes. It is compacted when records
+    /// that are out of date take room in the half that compaction needs.
+    #[must_use]
+    pub fn with_capacity(self, capacity: Option<u64>) -> Storage<D> {
+        Storage { capacity, ..self }
+    }
+
     /// Returns the size of the log in the folder, in bytes.
     pub fn folder_bytes(&self) -> u64 {
         self.older_bytes + self.segment.len()
@@ -192,7 +214,11 @@
         let mut stage = Stage::Append(self.segment.len());
         let progress = std::mem::replace(&mut self.progress, Progress::Failed);
         match progress {
-            Progress::Complete => {}
+            Progress::Complete => {
+                if self.is_compaction_due(batch, &record)? {
+                    stage = Stage::Compact;
+                }
+            }
             Progress::Interrupted { record: begun, stage: at }
                 if begun == record =>
             {
@@ -229,28 +255,26 @@
                 self.segment.truncate(&self.disk, synced_len)?;
             }
             self.segment.append(&self.disk, record)?;
-            let last =
-                batch.iter().rfind(|w| matches!(w, Write::HardState { .. }));
-            if let Some(write) = last {
-                self.hard_state = Some(write.clone());
-            }
+            let len = record.len() as u64;
+            self.written_bytes = self.written_bytes.saturating_add(len);
+            self.keep_hard_state(batch);
             *stage = Stage::NextSegment;
         }
-        if let Stage::NextSegment = *stage {
-            let snapshot = batch.iter().rev().find_map(|w| match w {
-                Write::Snapshot(snapshot) => Some(snapshot),
-                _ => None,
-            });
-            if let Some(snapshot) = snapshot {
-                let head = self.compacted(snapshot)?;
+        match *stage {
+            Stage::Append(_) | Stage::NextSegment => {
+                if self.segment.len() > SEGMENT_BYTES {
+                    self.start_segment(&[])?;
+                }
+            }
+            Stage::Compact => {
+                let head = head_of(self.content_after(batch)?);
+                self.keep_hard_state(batch);
                 self.start_segment(&head)?;
+                self.written_bytes = 0;
                 *stage = Stage::Remove;
-            } else if self.segment.len() > SEGMENT_BYTES {
-                self.start_segment(&[])?;
             }
-        } else {
             // The last removal may not be synced.
-            segment::sync_folder(&self.disk, &self.folder)?;
+            Stage::Remove => segment::sync_folder(&self.disk, &self.folder)?,
         }
         if let Stage::Remove = *stage {
             for number in segment::list(&self.folder)? {
@@ -263,15 +287,44 @@
         Ok(())
     }
 
-    /// Returns what recovery needs after a snapshot, so that the older
-    /// segments can be removed.
-    fn compacted(
+    fn keep_hard_state(&mut self, batch: &[Write]) {
+        let last =
+            batch.iter().rfind(|w| matches!(w, Write::HardState { .. }));
+        if let Some(write) = last {
+            self.hard_state = Some(write.clone());
+        }
+    }
+
+    /// Returns whether a batch is written by compacting the folder.
+    fn is_compaction_due(
+        &mut self,
+        batch: &[Write],
+        record: &[u8],
+    ) -> Result<bool, StorageError> {
+        if batch.iter().any(|w| matches!(w, Write::Snapshot(_))) {
+            return Ok(true);
+        }
+        let Some(capacity) = self.capacity else { return Ok(false) };
+        let step = capacity / COMPACTION_DIVISOR;
+        let used = self.folder_bytes();
+        if self.written_bytes < step
+            || used + record.len() as u64 <= capacity / 2 - step
+        {
+            return Ok(false);
+        }
+        self.written_bytes = 0;
+        let mut buf = Vec::new();
+        encode(&head_of(self.content_after(batch)?), &mut buf)?;
+        let needed = buf.len() as u64;
+        Ok(used >= needed + step && used + needed <= capacity)
+    }
+
+    /// Returns the content of the folder after a batch.
+    fn content_after(
         &self,
-        snapshot: &StoredSnapshot,
-    ) -> Result<Vec<Write>, StorageError> {
-        // Entries after the snapshot's index may have been written before
-        // the snapshot, so they are read back from the old segments.
-        let mut recovered = Recovered::default();
+        batch: &[Write],
+    ) -> Result<Recovered, StorageError> {
+        let mut content = Recovered::default();
         for number in segment::list(&self.folder)? {
             if number > self.segment.number() {
                 // Left by an attempt that could not sync the folder.
@@ -280,17 +333,11 @@
             for write in
                 segment::read(&self.disk, &self.folder, number, false)?
             {
-                recovered.apply_write(write);
+                content.apply_write(write);
             }
         }
-        let mut head = vec![Write::Snapshot(snapshot.clone())];
-        if !recovered.entries.is_empty() {
-            head.push(Write::Append {
-                after: snapshot.index,
-                entries: recovered.entries,
-            });
-        }
-        Ok(head)
+        batch.iter().for_each(|w| content.apply_write(w.clone()));
+        Ok(content)
     }
 
     fn start_segment(&mut self, head: &[Write]) -> Result<(), StorageError> {
@@ -313,6 +360,15 @@
     }
 }
 
+/// Returns the writes, after the hard state, that restore a content whatever
+/// the older segments hold.
+fn head_of(content: Recovered) -> Vec<Write> {
+    let after = content.snapshot.as_ref().map_or(0, |s| s.index);
+    let snapshot = content.snapshot.map(Write::Snapshot);
+    let entries = Write::Append { after, entries: content.entries };
+    snapshot.into_iter().chain([entries]).collect()
+}
+
 /// Locks a folder against other processes.
 fn lock(disk: &impl Disk, folder: &Path) -> Result<File, StorageError> {
     let path = folder.join("lock");
