--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -662,6 +662,7 @@
         while inputs.try_recv().is_ok() {}
     };
     let handle = handle.clone();
+    let storage = storage.with_capacity(settings.resources.folder_bytes());
     let thread = StorageThread::spawn(storage, move |result| {
         let input = match result {
             Ok(ticket) => Input::Event(Event::Persisted(ticket)),
--- a/src/daemon/options.rs
+++ b/src/daemon/options.rs
@@ -61,6 +61,7 @@
             heartbeat_interval: ms(timing.heartbeat_interval_ms),
             election_timeout_min: ms(timing.election_timeout_ms),
             election_timeout_max: ms(2 * timing.election_timeout_ms),
+            folder_bytes: settings.resources.folder_bytes(),
             ..ConsensusOptions::default()
         },
         forward: forward_options(settings),
--- a/src/settings/instance.rs
+++ b/src/settings/instance.rs
@@ -21,6 +21,16 @@
 /// Most memory that can be named, in megabytes: a pebibyte.
 const MAX_MEMORY_MB: u64 = 1 << 30;
 
+/// Least capacity of a data folder, in megabytes. The largest configuration
+/// that it takes has about a quarter of it.
+const MIN_DISK_MB: u64 = 8;
+
+/// Most that can be named, in megabytes: a pebibyte.
+const MAX_DISK_MB: u64 = 1 << 30;
+
+/// Bytes of a megabyte of a data folder.
+const DISK_MB_BYTES: u64 = 1_000_000;
+
 /// Least number of descriptors, so that each kind of connection has some.
 const MIN_DESCRIPTORS: u64 = 64;
 
@@ -238,6 +248,9 @@
     /// Sockets and data files that the process may open; not limited if it
     /// is missing.
     pub descriptors: Option<u64>,
+    /// Capacity of the data folder, in megabytes; not limited if it is
+    /// missing.
+    pub disk_mb: Option<u64>,
     /// Share of the memory for bodies that are held for others, in percent.
     pub held_percent: u64,
     /// Share of the descriptors for connections of callers and operators, in
@@ -250,12 +263,20 @@
         Resources {
             memory_mb: None,
             descriptors: None,
+            disk_mb: None,
             held_percent: 40,
             connection_percent: 60,
         }
     }
 }
 
+impl Resources {
+    /// Returns the capacity of the data folder in bytes, if it is limited.
+    pub fn folder_bytes(&self) -> Option<u64> {
+        self.disk_mb.map(|mb| mb.saturating_mul(DISK_MB_BYTES))
+    }
+}
+
 /// Intervals and timeouts, in milliseconds.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema,
@@ -483,6 +504,7 @@
     let ranges = [
         ("memory_mb", MIN_MEMORY_MB, MAX_MEMORY_MB),
         ("descriptors", MIN_DESCRIPTORS, u64::MAX),
+        ("disk_mb", MIN_DISK_MB, MAX_DISK_MB),
         ("held_percent", 1, 80),
         ("connection_percent", 1, 90),
     ];
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -468,6 +468,25 @@
     assert_eq!(settings.resources.held_percent, 40);
 }
 
+// Guards against a data folder that has no room for a configuration.
+#[test]
+fn the_capacity_of_the_data_folder_is_checked() {
+    let folder = TempDir::new().unwrap();
+    let load = |disk_mb: &str| {
+        let text = format!(
+            r#"{{ "name": "a", "availability_zone": "west",
+               "resources": {{ "disk_mb": {disk_mb} }} }}"#
+        );
+        load_instance(&write(&folder, "instance.jsonc", &text))
+    };
+    for wrong in ["7", "0", "1073741825"] {
+        let error = load(wrong).unwrap_err().to_string();
+        assert!(error.contains("8 to 1073741824"), "{error}");
+    }
+    let settings = load("64").unwrap_or_else(|e| panic!("{e}"));
+    assert_eq!(settings.resources.folder_bytes(), Some(64_000_000));
+}
+
 // Guards against bounds of roll-outs that allow everything or nothing.
 #[test]
 fn bounds_of_rollouts_are_checked() {
