--- a/crates/core/src/consensus/proposals.rs
+++ b/crates/core/src/consensus/proposals.rs
@@ -81,11 +81,13 @@
         };
         let bytes = command.len() as u64;
         let max_large = self.options.max_uncommitted_bytes;
-        if let Some(text) = leader.account.refusal(bytes, max_large) {
-            let error = ProposeError::Busy(text);
+        let refusal = leader.account.refusal(bytes, max_large);
+        let refusal = refusal.map(ProposeError::Busy);
+        if let Some(error) = self.room_refusal(bytes).or(refusal) {
             self.effects.push(ConsensusEffect::Outcome(token, Err(error)));
             return;
         }
+        let State::Leader(leader) = &mut self.state else { return };
         let index = self.log.last_index() + 1;
         leader.account.add(bytes);
         leader.proposals.push_back(Proposal { token, index, bytes });
--- a/crates/core/src/consensus/replication.rs
+++ b/crates/core/src/consensus/replication.rs
@@ -246,6 +246,7 @@
         commit: u64,
         round: u64,
     ) {
+        self.cut_to_room(&mut entries);
         let (mut previous_index, previous_term) = previous;
         let term = self.term;
         let last_sent = previous_index + entries.len() as u64;
--- a/crates/core/src/consensus/types.rs
+++ b/crates/core/src/consensus/types.rs
@@ -354,6 +354,9 @@
     /// The replica cannot take the proposal or read at the moment, for the
     /// given reason. Nothing was appended; it may be sent again.
     Busy(String),
+    /// The command never fits into the data folder, for the given reason.
+    /// Nothing was appended.
+    TooLarge(String),
 }
 
 /// Role of a replica.
