Refuse a configuration that never fits for good

A configuration above a quarter of the data folder was refused like one that may be sent again: operators got 503 and sent it for ever.

The leader now answers with a reason of its own, the product's API with "refused" and the platform's with 413, without Retry-After. The test failed with 503 in place of 413 ("a command of 3039795 bytes does not fit into the data folder, the largest has 1843750").

--- a/crates/core/src/control/service.rs
+++ b/crates/core/src/control/service.rs
@@ -340,16 +340,14 @@
                 )
             }
             (Err(ProposeError::Unknown), _) => ControlReply::Unknown,
-            (
-                Err(
-                    ProposeError::Rejected(text)
-                    | ProposeError::TooLarge(text),
-                ),
-                _,
-            ) => {
+            (Err(ProposeError::Rejected(text)), _) => {
                 log_refusal(&text, out);
                 ControlReply::Refused(text)
             }
+            (Err(ProposeError::TooLarge(text)), _) => {
+                log_refusal(&text, out);
+                ControlReply::TooLarge(text)
+            }
             (Err(ProposeError::Busy(text)), _) => {
                 self.log_busy(&text, out);
                 ControlReply::NotReady(text)
--- a/crates/core/src/control/types.rs
+++ b/crates/core/src/control/types.rs
@@ -199,6 +199,9 @@
     NotReady(String),
     /// Result of an order for a roll-out, or of a change of its stage.
     Rollout(Box<RolloutReply>),
+    /// The request never fits into the data folder of the leader, for this
+    /// reason. Nothing was proposed.
+    TooLarge(String),
 }
 
 /// Result of an order for a roll-out, or of a change of its stage.
--- a/src/daemon/handle.rs
+++ b/src/daemon/handle.rs
@@ -153,6 +153,9 @@
     /// The request was not accepted, or its outcome is not known, for this
     /// reason. It may be sent again.
     NotNow(String),
+    /// The request was not accepted and never will be, because it is too
+    /// large for the data folder of the control leader, for this reason.
+    TooLarge(String),
 }
 
 impl Handle {
@@ -347,7 +350,9 @@
                 Ok(orders)
             }
             reply => match decision(reply) {
-                Decision::NotNow(reason) => Err(reason),
+                Decision::NotNow(reason) | Decision::TooLarge(reason) => {
+                    Err(reason)
+                }
                 Decision::Accepted(_) => {
                     Err("the outcome is not known".into())
                 }
@@ -385,7 +390,9 @@
             .await
         {
             Decision::Accepted(version) => version,
-            Decision::NotNow(reason) => return Err(reason),
+            Decision::NotNow(reason) | Decision::TooLarge(reason) => {
+                return Err(reason);
+            }
         };
         let deadline = Instant::now() + CATCH_UP_TIMEOUT;
         while self.version() < version {
@@ -493,6 +500,9 @@
             ControlReply::NotReady(reason) | ControlReply::Refused(reason),
         ))
         | Some(OperatorReply::Refused(reason)) => Decision::NotNow(reason),
+        Some(OperatorReply::Control(ControlReply::TooLarge(reason))) => {
+            Decision::TooLarge(reason)
+        }
         Some(_) => Decision::NotNow("the outcome is not known".into()),
         None => Decision::NotNow("this instance is stopping".into()),
     }
--- a/src/http/operator.rs
+++ b/src/http/operator.rs
@@ -257,6 +257,9 @@
         ControlReply::Refused(message) | ControlReply::NotReady(message) => {
             change_response(Outcome::NoQuorum, None, message)
         }
+        ControlReply::TooLarge(message) => {
+            change_response(Outcome::Refused, None, message)
+        }
         ControlReply::Unknown
         | ControlReply::Claim(_)
         | ControlReply::Version(_)
