Send an entry again only when the member lacks it

A control leader sent every append without a reply for 300 ms again whole, and the next time again. An entry of many megabytes takes longer than that to cross a link, or to be synced, so each follower was sent it again and again: callers saw changes whose outcome was not known, and a control group that committed nothing while its links carried the same entry over and over.

Now an append without progress makes the leader ask: an append without entries after the last one that was sent. A follower that has the entries answers once they are synced; one that lacks them refuses, and only that answer has them sent again. The question is repeated after 300 ms, then after twice the time, up to 4.8 s. A refusal of something older changes nothing while the same entries are on their way. The event `Receiving`, which the transport will report while a long message crosses, counts as progress. Appends in flight are also limited by their bytes, so that nothing queues behind a large entry.

The tests simulate links with a bandwidth on which long messages wait behind each other in frames, connections that fail, and slow disks.

--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -260,6 +260,9 @@
                 self.receive(now, envelope);
                 self.tick(now);
             }
+            ConsensusEvent::Receiving(instance) => {
+                self.handle_receiving(now, instance);
+            }
             ConsensusEvent::Persisted(ticket) => {
                 self.handle_persisted(now, ticket);
             }
--- a/crates/core/src/consensus/replication.rs
+++ b/crates/core/src/consensus/replication.rs
@@ -1,6 +1,6 @@
 //! Log replication, commits and the leader's heartbeats.
 
-use std::collections::VecDeque;
+use std::{collections::VecDeque, time::Duration};
 
 use bytes::Bytes;
 
@@ -11,14 +11,26 @@
 use crate::{
     consensus::ConsensusEffect,
     event::control as kinds,
-    id::{ReplicaId, Token},
+    id::{InstanceId, ReplicaId, Token},
     time::Time,
 };
 
-/// Number of heartbeat intervals without progress after which an append or
-/// snapshot chunk is sent again.
+/// Number of heartbeat intervals without progress after which a member is
+/// asked what it has, or a snapshot chunk is sent again.
 const RESEND_HEARTBEATS: u32 = 3;
 
+/// Largest number of times that this interval doubles while there is no
+/// progress: to 16 times 300 ms.
+const MAX_RESEND_DOUBLINGS: u32 = 4;
+
+/// An unanswered append.
+pub(super) struct InFlight {
+    /// Index of its last entry.
+    last: u64,
+    /// Bytes of its commands.
+    bytes: u64,
+}
+
 /// The leader's view of the replication to one member.
 pub(super) struct Progress {
     pub(super) id: ReplicaId,
@@ -32,11 +44,17 @@
     /// Whether the last index that matches is still unknown. While probing,
     /// one append is sent at a time.
     pub(super) probing: bool,
-    /// Last index of each unanswered append.
-    pub(super) in_flight: VecDeque<u64>,
-    /// When a reply last made progress, or the first of the unanswered
-    /// appends was sent.
+    /// The unanswered appends.
+    pub(super) in_flight: VecDeque<InFlight>,
+    /// When a reply last made progress, the member last received a part of a
+    /// message, or the first of the unanswered appends was sent.
     pub(super) last_progress: Time,
+    /// Number of times that the member was asked what it has since then.
+    asked: u32,
+    /// Whether a reply to that question that the appends are missing is
+    /// still due. Only that one has them sent again: the others may be
+    /// older than the appends.
+    may_resend: bool,
     /// Snapshot transfer in progress.
     pub(super) transfer: Option<SnapshotTransfer>,
 }
@@ -51,6 +69,8 @@
             probing: true,
             in_flight: VecDeque::new(),
             last_progress: now,
+            asked: 0,
+            may_resend: false,
             transfer: None,
         }
     }
@@ -62,6 +82,36 @@
         self.next_index = next_index.max(self.match_index + 1);
         self.in_flight.clear();
     }
+
+    /// Records that the member has received something.
+    pub(super) fn advance(&mut self, now: Time) {
+        self.last_progress = now;
+        self.asked = 0;
+        self.may_resend = false;
+    }
+
+    /// Whether nothing was received for so long that it may be lost. The time
+    /// doubles with each question.
+    fn is_overdue(&self, now: Time, resend_after: Duration) -> bool {
+        let doublings = self.asked.min(MAX_RESEND_DOUBLINGS);
+        now.since(self.last_progress) >= resend_after * (1 << doublings)
+    }
+
+    /// Records that the member is asked, or a chunk is sent again.
+    fn ask(&mut self, now: Time) {
+        self.last_progress = now;
+        self.asked += 1;
+        self.may_resend = true;
+    }
+
+    /// Whether another append may be sent to the member.
+    fn has_room(&self, max_appends: usize, max_append_bytes: u64) -> bool {
+        let window = if self.probing { 1 } else { max_appends };
+        let bytes: u64 = self.in_flight.iter().map(|a| a.bytes).sum();
+        // Nothing waits behind an entry that is larger than the window.
+        self.in_flight.len() < window
+            && bytes < max_append_bytes * window as u64
+    }
 }
 
 impl Leader {
@@ -81,7 +131,7 @@
     /// Returns the start of the window in which a reply of a member must have
     /// arrived for it to count as active. The window ends at the last round, not at
     /// the current time, so that the result does not change between rounds.
-    pub(super) fn active_since(&self, span: std::time::Duration) -> Time {
+    pub(super) fn active_since(&self, span: Duration) -> Time {
         self.last_round_at - span
     }
 }
@@ -114,22 +164,32 @@
         leader.round += 1;
         leader.last_round_at = now;
         leader.next_heartbeat = now + self.options.heartbeat_interval;
+        let mut overdue = Vec::new();
         for p in &mut leader.progress {
-            if !p.in_flight.is_empty() && now.since(p.last_progress) >= resend
-            {
-                p.probe(p.match_index + 1);
-                p.last_progress = now;
+            if !p.is_overdue(now, resend) {
+                continue;
             }
-            if let Some(transfer) = &mut p.transfer
-                && now.since(p.last_progress) >= resend
-            {
+            if let Some(last) = p.in_flight.back().map(|a| a.last) {
+                p.ask(now);
+                if last < self.log.base_index() {
+                    // Only a snapshot has these entries.
+                    p.probe(p.match_index + 1);
+                } else {
+                    overdue.push((p.id, last));
+                }
+            }
+            if let Some(transfer) = &mut p.transfer {
                 transfer.awaiting_reply = false;
-                p.last_progress = now;
+                p.ask(now);
             }
         }
         let round = leader.round;
         for member in &self.other_members() {
             self.send_heartbeat(member, round);
+            let last = overdue.iter().find(|(id, _)| *id == member.id);
+            if let Some((_, last)) = last {
+                self.send_empty_append(member, round, *last);
+            }
         }
         self.replicate_all(now);
     }
@@ -140,6 +200,18 @@
         let State::Leader(leader) = &self.state else { return };
         let Some(p) = leader.progress(member.id) else { return };
         let previous = p.match_index.max(self.log.base_index());
+        self.send_empty_append(member, round, previous);
+    }
+
+    /// Sends an append without entries after the index `previous`. The reply
+    /// tells whether the member has the entries up to there, without sending
+    /// them again.
+    fn send_empty_append(
+        &mut self,
+        member: &Replica,
+        round: u64,
+        previous: u64,
+    ) {
         let Some(previous_term) = self.log.term_at(previous) else {
             return;
         };
@@ -177,10 +249,12 @@
                 self.send_snapshot(member, now);
                 return;
             }
-            let window =
-                if p.probing { 1 } else { self.options.max_in_flight_appends };
+            let options = &self.options;
             if p.next_index > self.log.last_index()
-                || p.in_flight.len() >= window
+                || !p.has_room(
+                    options.max_in_flight_appends,
+                    options.max_append_bytes,
+                )
             {
                 return;
             }
@@ -194,7 +268,8 @@
                 p.last_progress = now;
             }
             let last = previous + entries.len() as u64;
-            p.in_flight.push_back(last);
+            let bytes = entries.iter().map(command_bytes).sum();
+            p.in_flight.push_back(InFlight { last, bytes });
             if !p.probing {
                 p.next_index = last + 1;
             }
@@ -232,6 +307,16 @@
         self.append_local(now, Payload::Command(command));
     }
 
+    /// Handles a report that a member receives a message piece by piece.
+    pub(super) fn handle_receiving(&mut self, now: Time, to: InstanceId) {
+        let State::Leader(leader) = &mut self.state else { return };
+        for member in self.log.members().iter().filter(|m| m.instance == to) {
+            if let Some(p) = leader.progress_mut(member.id) {
+                p.advance(now);
+            }
+        }
+    }
+
     /// Appends an entry to the leader's log. Entries that arrive while a
     /// write is in progress are written together after it.
     pub(super) fn append_local(&mut self, now: Time, payload: Payload) {
@@ -366,18 +451,26 @@
         p.last_reply = now;
         if !success {
             // A delayed reply must not undo a known match.
-            if index > p.match_index && p.transfer.is_none() {
-                p.probe(index.min(last + 1));
+            let next = index.min(last + 1).max(p.match_index + 1);
+            // The same entries were sent after the member had replied to an
+            // earlier message, and may still be crossing.
+            let crosses = p.probing
+                && !p.in_flight.is_empty()
+                && !p.may_resend
+                && next == p.next_index;
+            if index > p.match_index && p.transfer.is_none() && !crosses {
+                p.probe(next);
                 p.last_progress = now;
+                p.may_resend = false;
             }
             self.replicate_one(from, now);
             return;
         }
         if index > p.match_index {
             p.match_index = index;
-            p.last_progress = now;
+            p.advance(now);
         }
-        while p.in_flight.front().is_some_and(|last| *last <= index) {
+        while p.in_flight.front().is_some_and(|a| a.last <= index) {
             p.in_flight.pop_front();
             // The probing append has matched.
             p.probing = false;
@@ -391,3 +484,11 @@
         self.replicate_one(from, now);
     }
 }
+
+/// Returns the bytes of the command of an entry.
+fn command_bytes(entry: &Entry) -> u64 {
+    match &entry.payload {
+        Payload::Command(command) => command.len() as u64,
+        Payload::Empty | Payload::Members(_) => 0,
+    }
+}
--- a/crates/core/src/consensus/transfer.rs
+++ b/crates/core/src/consensus/transfer.rs
@@ -224,7 +224,7 @@
         if offset != t.offset || !t.awaiting_reply {
             t.offset = offset;
             t.awaiting_reply = false;
-            p.last_progress = now;
+            p.advance(now);
             self.replicate_one(from, now);
         }
     }
--- a/crates/core/src/consensus/types.rs
+++ b/crates/core/src/consensus/types.rs
@@ -176,6 +176,9 @@
     },
     /// A message arrived.
     Message(Envelope),
+    /// A message to this instance is still crossing: the instance has
+    /// received more of it, but not yet all.
+    Receiving(InstanceId),
     /// The write with this ticket and all earlier writes are synced.
     Persisted(u64),
     /// Proposes a command; answered with `Outcome`.
--- a/crates/core/tests/cluster/mod.rs
+++ b/crates/core/tests/cluster/mod.rs
@@ -7,6 +7,8 @@
 
 #![allow(dead_code)]
 
+pub mod links;
+
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap, VecDeque},
@@ -47,6 +49,7 @@
 enum Event {
     Deliver(Envelope),
     Synced(u64),
+    Receiving(InstanceId),
 }
 
 pub struct Faults {
@@ -86,6 +89,8 @@
     pub messages: u64,
     pub logs: Vec<String>,
     pub options: ConsensusOptions,
+    /// Bandwidth of the links; unlimited if `None`.
+    pub links: Option<links::Links>,
     queue: BinaryHeap<Reverse<(Time, u64, usize, u64)>>,
     events: BTreeMap<u64, Event>,
     next_id: u64,
@@ -127,6 +132,7 @@
             messages: 0,
             logs: Vec::new(),
             options,
+            links: None,
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
             next_id: 1,
@@ -360,6 +366,10 @@
         }
         let duplicate =
             self.rng.random_range(0..100) < self.faults.duplicate_percent;
+        if self.links.is_some() {
+            self.send_over_link(from, to, envelope);
+            return;
+        }
         let (min, max) = self.faults.delay_us;
         for _ in 0..1 + u8::from(duplicate) {
             let wait = self.rng.random_range(min..=max);
@@ -467,6 +477,9 @@
             Event::Deliver(envelope) => {
                 self.step(i, ConsensusEvent::Message(envelope));
             }
+            Event::Receiving(to) => {
+                self.step(i, ConsensusEvent::Receiving(to));
+            }
             Event::Synced(ticket) => {
                 // Writes are done in order, so a synced ticket covers all
                 // earlier ones.
