Send long messages between instances in frames

A message to another instance was one delivery with one acknowledgement, due within 0.4 to 1.6 s. One that takes longer to cross had its connection closed, lost what was left of it, and had to begin again, for ever: a change whose entry is large never reached the followers, and callers were told that the outcome is not known. Heartbeats waited behind it. The same holds for the configurations that are sent to every instance.

A body above 16 KiB now crosses in frames, each of them acknowledged. Short messages that need no order (heartbeats, votes, probes) pass between them; the others keep their order within their class, and the classes take turns. The number of frames under way follows the measured round trips, so that it fills a long link and leaves no queue on a slow one. A message goes on over the next connection, where the receiver still has its frames; one that must not arrive twice is given up if its last frame may have arrived. An acknowledged frame of the replicated log is reported to the leader as progress of the member, so it does not ask for the entry meanwhile. Long messages are refused above 64 MiB in the queue of a peer, and receivers hold at most 128 MiB of incomplete ones, each for 10 s without a frame.

A frame is an envelope of version 2. An older instance refuses it with the reason that it does not know the version, and is sent the messages whole.

The stand-in's proxy learns a bandwidth, shared by the connections of a source, and connections that buffer little: with the usual buffers of a loopback the kernel takes all of a message and delivers it after the close, which hides the fault. The new test has links of 100,000 bytes per second and one change of 1.35 MB.

--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -35,6 +35,7 @@
 use crate::{
     config::Configuration,
     config_sync::{ConfigRecord, ConfigSync, SyncEffect, SyncEvent},
+    consensus::ConsensusEvent,
     control::client::{Client, ClientEffect, ClientEvent},
     event::{LogEvent, config::CONFIG_REJECTED},
     forward::{ForwardEvent, Forwarder},
@@ -209,6 +210,10 @@
                 self.handle_peer_message(now, from, message, out);
             }
             Event::Unreachable(id) => self.mark_unreachable(now, id),
+            Event::Receiving(id) => {
+                let event = ConsensusEvent::Receiving(id);
+                self.step_consensus(now, event, out);
+            }
             Event::Target(event) => self.push(Internal::Target(event)),
             Event::Forward(event) => self.push(Internal::Forward(event)),
             Event::Seeds(seeds) => {
--- a/crates/core/src/node/types.rs
+++ b/crates/core/src/node/types.rs
@@ -109,6 +109,8 @@
     Peer(InstanceId, PeerMessage),
     /// A connection to another instance could not be opened.
     Unreachable(InstanceId),
+    /// This instance is receiving a long message of the replicated log.
+    Receiving(InstanceId),
     /// An event from a target or from a connection to one.
     Target(TargetEvent),
     /// An event of the forwarding path.
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -54,6 +54,8 @@
     pub log: String,
     /// Fields merged into the settings of every instance.
     pub settings: Value,
+    /// Whether the links between instances buffer few bytes.
+    pub narrow_links: bool,
 }
 
 impl FleetOptions {
@@ -67,7 +69,12 @@
                 control: i < control,
             })
             .collect();
-        FleetOptions { instances, log: "info".into(), settings: json!({}) }
+        FleetOptions {
+            instances,
+            log: "info".into(),
+            settings: json!({}),
+            narrow_links: false,
+        }
     }
 }
 
@@ -191,7 +198,12 @@
         };
         let subnet = network::Subnet::allocate();
         for (i, instance) in options.instances.into_iter().enumerate() {
-            let proxy = Proxy::start(([127, 0, 0, 1], 0).into(), None).await?;
+            let any = ([127, 0, 0, 1], 0).into();
+            let proxy = if options.narrow_links {
+                Proxy::start_narrow(any, None)?
+            } else {
+                Proxy::start(any, None).await?
+            };
             let ip = subnet.host(i as u8 + 1);
             let any_port = SocketAddr::new(ip, 0);
             let peer = proxy.address();
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -9,23 +9,30 @@
 */
 
 use std::{
+    collections::BTreeMap,
     net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::watch,
     task::{JoinHandle, JoinSet},
 };
 
+/// Receive buffer of a narrow connection, in bytes.
+const NARROW_BUFFER_BYTES: u32 = 16 * 1024;
+
 /// Faults to inject.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Faults {
     /// Delay of the bytes, in each direction.
     pub delay: Duration,
+    /// Bandwidth in bytes per second, in each direction, for all connections
+    /// from one source address together.
+    pub bandwidth: Option<u32>,
     /// Discards bytes from the client to the server.
     pub drop_to_server: bool,
     /// Discards bytes from the server to the client.
@@ -46,6 +53,10 @@
     pub server: Option<SocketAddr>,
 }
 
+/// When the bytes that were sent so far have crossed, for each source address
+/// and direction.
+type Lines = Arc<Mutex<BTreeMap<(IpAddr, bool), Instant>>>;
+
 /// A running proxy; stops when dropped.
 #[derive(Debug)]
 pub struct Proxy {
@@ -67,6 +78,32 @@
         server: Option<SocketAddr>,
     ) -> std::io::Result<Proxy> {
         let listener = TcpListener::bind(listen).await?;
+        Proxy::with_listener(listener, server)
+    }
+
+    /// Starts a proxy whose connections buffer few bytes, as a link of a low
+    /// bandwidth makes them do: what does not fit waits at the sender.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub fn start_narrow(
+        listen: SocketAddr,
+        server: Option<SocketAddr>,
+    ) -> std::io::Result<Proxy> {
+        let socket = match listen {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.set_recv_buffer_size(NARROW_BUFFER_BYTES)?;
+        socket.bind(listen)?;
+        Proxy::with_listener(socket.listen(1_024)?, server)
+    }
+
+    fn with_listener(
+        listener: TcpListener,
+        server: Option<SocketAddr>,
+    ) -> std::io::Result<Proxy> {
         let address = listener.local_addr()?;
         let (faults, watch) =
             watch::channel(Faults { server, ..Faults::default() });
@@ -115,6 +152,7 @@
     accepted: Arc<Mutex<u64>>,
 ) {
     let mut connections = JoinSet::new();
+    let lines = Lines::default();
     loop {
         let Ok((client, source)) = listener.accept().await else { continue };
         while connections.try_join_next().is_some() {}
@@ -126,8 +164,12 @@
             *accepted += 1;
             *accepted - 1
         };
-        let connection =
-            Connection { number, source: source.ip(), faults: faults.clone() };
+        let connection = Connection {
+            number,
+            source: source.ip(),
+            faults: faults.clone(),
+            lines: lines.clone(),
+        };
         connections.spawn(connection.forward(client));
     }
 }
@@ -136,6 +178,7 @@
     number: u64,
     source: IpAddr,
     faults: watch::Receiver<Faults>,
+    lines: Lines,
 }
 
 impl Connection {
@@ -176,6 +219,7 @@
     source: IpAddr,
     to_server: bool,
     faults: watch::Receiver<Faults>,
+    lines: Lines,
 }
 
 impl Direction {
@@ -185,6 +229,7 @@
             source: connection.source,
             to_server,
             faults: connection.faults.clone(),
+            lines: connection.lines.clone(),
         }
     }
 
@@ -199,6 +244,16 @@
             || faults.cut_sources.contains(&self.source)
     }
 
+    /// Returns the time until some more bytes have crossed.
+    fn reserve(&self, bytes: u64, bandwidth: u64) -> Duration {
+        let mut lines = self.lines.lock().expect("not poisoned");
+        let now = Instant::now();
+        let free = lines.entry((self.source, self.to_server)).or_insert(now);
+        let crossing = Duration::from_micros(bytes * 1_000_000 / bandwidth);
+        *free = now.max(*free) + crossing;
+        *free - now
+    }
+
     /// Waits while the bytes of this direction are held back.
     async fn wait_held(&mut self) {
         let (to_server, source) = (self.to_server, self.source);
@@ -223,7 +278,11 @@
             };
             let (delay, discard) = {
                 let faults = self.faults.borrow();
-                (faults.delay, self.discards(&faults))
+                let crossing =
+                    faults.bandwidth.map_or(Duration::ZERO, |bandwidth| {
+                        self.reserve(n as u64, u64::from(bandwidth))
+                    });
+                (faults.delay + crossing, self.discards(&faults))
             };
             if discard {
                 continue;
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -15,7 +15,9 @@
   # Incarnation of the sender.
   class @4 :Class;
   body @5 :Data;
-  # The message, encoded with MessagePack.
+  # The message, encoded with MessagePack. In version 2, a frame of it: an
+  # identifier of the message, the position of the part and the length of the
+  # whole in bytes, each as 8 bytes in little-endian order, and the part.
   senderName @6 :Text;
   senderAddress @7 :Text;
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -243,6 +243,10 @@
     fn unreachable(&self, instance: InstanceId) {
         self.event(Event::Unreachable(instance));
     }
+
+    fn receiving(&self, instance: InstanceId) {
+        self.event(Event::Receiving(instance));
+    }
 }
 
 /// A caller's or operator's request that has not been answered.
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -7,8 +7,11 @@
 retries, and late messages are worth less than new ones.
 */
 
+mod frames;
+
 use std::{
     borrow::Cow,
+    cell::{Cell, RefCell},
     collections::VecDeque,
     net::{IpAddr, SocketAddr},
     rc::Rc,
@@ -17,7 +20,9 @@
 
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty};
 use futures::{StreamExt, stream::FuturesUnordered};
-use primrosemast_core::{id::InstanceId, message::PeerMessage, query};
+use primrosemast_core::{
+    consensus, id::InstanceId, message::PeerMessage, query,
+};
 use primrosemast_wire::peer_capnp::{Class, peer};
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
@@ -27,9 +32,26 @@
 };
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
+use self::frames::{Assembly, Frame, SentFrame, Transfers};
+
 /// Version of the message encoding.
 const PROTOCOL_VERSION: u16 = 1;
 
+/// Version of an envelope whose body is a frame of a message. A peer that does
+/// not know it refuses the envelope, and is sent the message whole.
+const FRAME_VERSION: u16 = 2;
+
+/// Beginning of the reason with which an unknown version is refused.
+const UNKNOWN_VERSION: &str = "unknown protocol version";
+
+/// Bytes of the queued messages for one peer above which long ones are
+/// dropped. Twice the largest configuration, compressed or not.
+const MAX_QUEUED_BYTES: usize = 64 << 20;
+
+/// Shortest interval between two reports of a long message that crosses. Half
+/// of a heartbeat interval.
+const REPORT_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Length of the queue of messages for one peer; further ones are dropped.
 const QUEUE_LENGTH: usize = 4_096;
 
@@ -76,13 +98,37 @@
 }
 
 /// A message to a peer.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 struct Outgoing {
     to: InstanceId,
     class: Class,
     body: Vec<u8>,
     /// Whether the message is sent once more if its connection fails.
     resend: bool,
+    /// Whether it must not pass a long message of its class.
+    ordered: bool,
+    _queued: QueuedBytes,
+}
+
+/// The share of a message in the queued bytes for its peer, until it is
+/// dropped.
+#[derive(Debug)]
+struct QueuedBytes {
+    all: Rc<Cell<usize>>,
+    own: usize,
+}
+
+impl QueuedBytes {
+    fn new(all: &Rc<Cell<usize>>, own: usize) -> QueuedBytes {
+        all.set(all.get() + own);
+        QueuedBytes { all: all.clone(), own }
+    }
+}
+
+impl Drop for QueuedBytes {
+    fn drop(&mut self) {
+        self.all.set(self.all.get() - self.own);
+    }
 }
 
 /// Receiver of the transport's events.
@@ -92,6 +138,10 @@
 
     /// Handles the failure to open or reopen a connection to this instance.
     fn unreachable(&self, instance: InstanceId);
+
+    /// Handles a report that this instance receives a long message of the
+    /// replicated log.
+    fn receiving(&self, instance: InstanceId);
 }
 
 /// The sending side: one connection to each peer.
@@ -107,6 +157,7 @@
 struct Connection {
     address: SocketAddr,
     queue: mpsc::Sender<Outgoing>,
+    queued_bytes: Rc<Cell<usize>>,
     task: AbortHandle,
 }
 
@@ -146,12 +197,18 @@
             | PeerMessage::Shares(_) => Class::Query,
         };
         let resend = is_resendable(message);
+        let ordered = is_ordered(message);
         let body = compress_body(rmp_serde::to_vec(message).ok()?);
         let size = body.len();
         let connection = self.connection(address);
+        let queued = &connection.queued_bytes;
+        if size > frames::FRAME_BYTES && queued.get() > MAX_QUEUED_BYTES {
+            return None;
+        }
+        let _queued = QueuedBytes::new(queued, size);
         connection
             .queue
-            .try_send(Outgoing { to, class, body, resend })
+            .try_send(Outgoing { to, class, body, resend, ordered, _queued })
             .ok()?;
         Some(size)
     }
@@ -179,8 +236,11 @@
                 self.events.clone(),
             ));
             let task = task.abort_handle();
-            self.connections
-                .insert(i, Connection { address, queue: tx, task });
+            let queued_bytes = Rc::new(Cell::new(0));
+            self.connections.insert(
+                i,
+                Connection { address, queue: tx, queued_bytes, task },
+            );
             i
         });
         &self.connections[i]
@@ -230,6 +290,20 @@
     }
 }
 
+/// Returns whether a message must not pass a long one of its class. Those
+/// which keep a leader or a member alive may.
+fn is_ordered(message: &PeerMessage) -> bool {
+    match message {
+        PeerMessage::Membership(_) => false,
+        PeerMessage::Consensus(envelope) => match &envelope.message {
+            consensus::Message::Append { entries, .. } => !entries.is_empty(),
+            consensus::Message::Snapshot { .. } => true,
+            _ => false,
+        },
+        _ => true,
+    }
+}
+
 /// Maintains the connection to one peer and sends the queued messages.
 async fn run_connection(
     own_id: InstanceId,
@@ -239,6 +313,7 @@
     events: impl EventSink,
 ) {
     let mut pending: VecDeque<Outgoing> = VecDeque::new();
+    let mut transfers = Transfers::new();
     let mut to = InstanceId(0);
     let mut was_open = false;
     let mut ack_timeout = ACK_TIMEOUT;
@@ -247,22 +322,26 @@
         // instance is reported as unreachable only if that fails: a device
         // in between may have dropped the state of the old connection while
         // new connections work.
-        if pending.is_empty() && !was_open {
+        if pending.is_empty() && transfers.is_empty() && !was_open {
             let Some(message) = queue.recv().await else { return };
             pending.push_back(message);
         }
-        to = pending.front().map_or(to, |message| message.to);
+        let next = pending.front().or_else(|| transfers.next_outgoing());
+        to = next.map_or(to, |message| message.to);
         match timeout(CONNECT_TIMEOUT, connect(source, address)).await {
             Ok(Ok(stream)) => {
                 let delivered = deliver_all(
                     own_id,
                     stream,
                     pending,
+                    &mut transfers,
                     &mut queue,
                     &mut ack_timeout,
+                    &events,
                 );
                 let Some(unacknowledged) = delivered.await else { return };
                 pending = unacknowledged;
+                transfers.reconnect();
                 was_open = true;
             }
             Ok(Err(_)) | Err(_) => {
@@ -270,6 +349,7 @@
                 // Messages that were queued in the meantime are as late as
                 // the one that could not be sent, so all are dropped.
                 pending.clear();
+                transfers = Transfers::new();
                 while queue.try_recv().is_ok() {}
                 was_open = false;
                 ack_timeout = ACK_TIMEOUT;
@@ -302,8 +382,10 @@
     own_id: InstanceId,
     stream: TcpStream,
     mut pending: VecDeque<Outgoing>,
+    transfers: &mut Transfers,
     queue: &mut mpsc::Receiver<Outgoing>,
     ack_timeout: &mut Duration,
+    events: &impl EventSink,
 ) -> Option<VecDeque<Outgoing>> {
     let mut system = RpcSystem::new(network(stream, Side::Client), None);
     let client: peer::Client = system.bootstrap(Side::Server);
@@ -316,32 +398,71 @@
     // The last acknowledgement, or the first message sent after all were
     // acknowledged.
     let mut silent_since = Instant::now();
+    let mut takes_frames = true;
+    let mut last_report: Option<Instant> = None;
     loop {
+        if unacknowledged.is_empty() {
+            silent_since = Instant::now();
+        }
         while let Some(mut outgoing) = pending.pop_front() {
-            number += 1;
-            if unacknowledged.is_empty() {
-                silent_since = Instant::now();
+            if takes_frames && transfers.must_queue(&outgoing) {
+                transfers.push(outgoing);
+                continue;
             }
-            let sent = Instant::now();
-            let delivery = deliver(own_id, &client, &outgoing);
-            unacknowledged.push(async move { (number, sent, delivery.await) });
+            number += 1;
+            let ack = deliver(
+                own_id,
+                &client,
+                &outgoing,
+                PROTOCOL_VERSION,
+                &outgoing.body,
+            );
+            unacknowledged.push(acknowledged(Delivery::Whole(number), ack));
             if std::mem::take(&mut outgoing.resend) {
                 resends.push_back((number, outgoing));
             }
         }
+        while let Some((frame, body, outgoing)) = transfers.next_frame() {
+            let ack = deliver(own_id, &client, outgoing, FRAME_VERSION, &body);
+            unacknowledged.push(acknowledged(Delivery::Frame(frame), ack));
+        }
         tokio::select! {
             biased;
-            Some((number, sent, ack)) = unacknowledged.next() => {
-                if ack.is_err() {
-                    break;
+            Some((delivery, sent, ack)) = unacknowledged.next() => {
+                match (delivery, ack) {
+                    (Delivery::Frame(_), Err(e))
+                        if e.extra.contains(UNKNOWN_VERSION) =>
+                    {
+                        takes_frames = false;
+                        pending.extend(transfers.take_all());
+                    }
+                    (Delivery::Frame(frame), Err(e))
+                        if e.kind == capnp::ErrorKind::Failed =>
+                    {
+                        transfers.refuse(frame, &e.extra);
+                    }
+                    (_, Err(_)) => break,
+                    (Delivery::Frame(frame), Ok(())) => {
+                        transfers.acknowledge(frame, sent.elapsed());
+                        let is_due = last_report
+                            .is_none_or(|at| at.elapsed() >= REPORT_INTERVAL);
+                        if frame.class() == Class::Consensus && is_due {
+                            last_report = Some(Instant::now());
+                            events.receiving(frame.to());
+                        }
+                    }
+                    (Delivery::Whole(number), Ok(())) => {
+                        let at =
+                            resends.binary_search_by_key(&number, |r| r.0);
+                        if let Ok(i) = at {
+                            resends.remove(i);
+                        }
+                    }
                 }
                 silent_since = Instant::now();
                 if sent.elapsed() < ACK_TIMEOUT {
                     *ack_timeout = ACK_TIMEOUT;
                 }
-                if let Ok(i) = resends.binary_search_by_key(&number, |r| r.0) {
-                    resends.remove(i);
-                }
             }
             () = sleep_until(silent_since + *ack_timeout),
                 if !unacknowledged.is_empty() =>
@@ -370,6 +491,23 @@
     Some(resends.into_iter().map(|(_, outgoing)| outgoing).collect())
 }
 
+/// What an acknowledgement is for.
+enum Delivery {
+    /// A whole message, by its number.
+    Whole(u64),
+    /// A frame of a message.
+    Frame(SentFrame),
+}
+
+/// Waits for an acknowledgement, and returns it with the time of sending.
+fn acknowledged(
+    delivery: Delivery,
+    ack: impl Future<Output = Result<(), capnp::Error>>,
+) -> impl Future<Output = (Delivery, Instant, Result<(), capnp::Error>)> {
+    let sent = Instant::now();
+    async move { (delivery, sent, ack.await) }
+}
+
 /// Aborts a task when it is dropped.
 struct AbortOnDrop(AbortHandle);
 
@@ -379,19 +517,22 @@
     }
 }
 
-/// Sends one message; the future resolves when it is acknowledged.
+/// Sends one message, or a frame of it; the future resolves when it is
+/// acknowledged.
 fn deliver(
     own_id: InstanceId,
     client: &peer::Client,
     outgoing: &Outgoing,
+    version: u16,
+    body: &[u8],
 ) -> impl Future<Output = Result<(), capnp::Error>> + use<> {
     let mut request = client.deliver_request();
     let mut envelope = request.get().init_envelope();
-    envelope.set_protocol(PROTOCOL_VERSION);
+    envelope.set_protocol(version);
     envelope.set_sender(own_id.0);
     envelope.set_recipient(outgoing.to.0);
     envelope.set_class(outgoing.class);
-    envelope.set_body(&outgoing.body);
+    envelope.set_body(body);
     let promise = request.send().promise;
     async move { promise.await.map(drop) }
 }
@@ -416,10 +557,15 @@
     listener: TcpListener,
     events: impl EventSink,
 ) {
+    let assembly = Rc::new(RefCell::new(Assembly::default()));
     loop {
         let Ok((stream, _)) = listener.accept().await else { continue };
         let _ = stream.set_nodelay(true);
-        let service = Service { own_id, events: events.clone() };
+        let service = Service {
+            own_id,
+            events: events.clone(),
+            assembly: assembly.clone(),
+        };
         let client: peer::Client = capnp_rpc::new_client(service);
         let network = network(stream, Side::Server);
         let system = RpcSystem::new(network, Some(client.client));
@@ -433,6 +579,8 @@
 struct Service<E> {
     own_id: InstanceId,
     events: E,
+    /// Incomplete messages, shared by all connections.
+    assembly: Rc<RefCell<Assembly>>,
 }
 
 impl<E: EventSink> peer::Server for Service<E> {
@@ -452,10 +600,10 @@
         params: &peer::DeliverParams,
     ) -> Result<(), capnp::Error> {
         let envelope = params.get()?.get_envelope()?;
-        if envelope.get_protocol() != PROTOCOL_VERSION {
-            let version = envelope.get_protocol();
+        let version = envelope.get_protocol();
+        if !matches!(version, PROTOCOL_VERSION | FRAME_VERSION) {
             return Err(capnp::Error::failed(format!(
-                "unknown protocol version {version}"
+                "{UNKNOWN_VERSION} {version}"
             )));
         }
         let recipient = envelope.get_recipient();
@@ -463,7 +611,25 @@
         if recipient != 0 && recipient != self.own_id.0 {
             return Ok(());
         }
-        let body = decompress_body(envelope.get_body()?)?;
+        let mut body = Cow::Borrowed(envelope.get_body()?);
+        if version == FRAME_VERSION {
+            let frame = Frame::decode(&body).ok_or_else(|| {
+                capnp::Error::failed("a frame is too short".into())
+            })?;
+            let complete = self.assembly.borrow_mut().add(
+                envelope.get_sender(),
+                envelope.get_class()?,
+                frame,
+                MAX_DECOMPRESSED_BYTES,
+                std::time::Instant::now(),
+            );
+            let Some(complete) = complete.map_err(capnp::Error::failed)?
+            else {
+                return Ok(());
+            };
+            body = Cow::Owned(complete);
+        }
+        let body = decompress_body(&body)?;
         let message = rmp_serde::from_slice(&body)
             .map_err(|e| capnp::Error::failed(e.to_string()))?;
         let from = InstanceId(envelope.get_sender());
