--- a/crates/core/src/consensus/log.rs
+++ b/crates/core/src/consensus/log.rs
@@ -41,7 +41,10 @@
 impl Log {
     pub(crate) fn new(recovered: Recovered) -> Log {
         let (base_index, base_term, members) = match &recovered.snapshot {
-            Some(s) => (s.index, s.term, vec![(s.index, s.members.clone())]),
+            Some(s) => {
+                let members = (s.members_since(), s.members.clone());
+                (s.index, s.term, vec![members])
+            }
             None => (0, 0, vec![(0, Vec::new())]),
         };
         let mut log = Log {
@@ -124,10 +127,11 @@
         self.members.last().map_or(0, |(i, _)| *i)
     }
 
-    /// Returns the members as of `index`.
-    pub(crate) fn members_at(&self, index: u64) -> &[Replica] {
+    /// Returns the members as of `index`, and since when they apply.
+    pub(crate) fn members_at(&self, index: u64) -> (u64, &[Replica]) {
         let at = self.members.partition_point(|(i, _)| *i <= index);
-        at.checked_sub(1).map_or(&[], |at| &self.members[at].1)
+        let list = at.checked_sub(1).map(|at| &self.members[at]);
+        list.map_or((0, &[]), |(since, members)| (*since, members))
     }
 
     /// Returns every replica in the members as of `commit` or in a later
@@ -273,7 +277,8 @@
         self.entries.clear();
         self.size_bytes = 0;
         self.stored_bytes = 0;
-        self.members = vec![(snapshot.index, snapshot.members.clone())];
+        self.members =
+            vec![(snapshot.members_since(), snapshot.members.clone())];
         self.written_index = snapshot.index;
         self.truncated = false;
         self.synced_index = 0;
--- a/crates/core/src/consensus/receive.rs
+++ b/crates/core/src/consensus/receive.rs
@@ -120,10 +120,16 @@
                 offset,
                 data,
                 done,
+                members_index,
                 ..
             } => {
-                let part =
-                    StoredSnapshot { index, term: index_term, members, data };
+                let part = StoredSnapshot {
+                    index,
+                    term: index_term,
+                    members,
+                    data,
+                    members_index,
+                };
                 self.handle_snapshot_part(peer, part, offset, done);
             }
             Message::SnapshotReply { term, index, offset } => {
--- a/crates/core/src/consensus/transfer.rs
+++ b/crates/core/src/consensus/transfer.rs
@@ -80,11 +80,13 @@
         }
         // Entries must be written before the snapshot that covers them.
         self.write_log();
+        let (members_index, members) = self.log.members_at(index);
         let snapshot = StoredSnapshot {
             index,
             term,
-            members: self.log.members_at(index).to_vec(),
+            members: members.to_vec(),
             data,
+            members_index,
         };
         self.log_event(
             &kinds::SNAPSHOT_TAKEN,
@@ -137,6 +139,7 @@
             offset: start as u64,
             data: t.snapshot.data.slice(start..end),
             done: end == size,
+            members_index: t.snapshot.members_index,
         };
         self.send(member, 0, message);
     }
--- a/crates/core/src/consensus/types.rs
+++ b/crates/core/src/consensus/types.rs
@@ -151,6 +151,10 @@
         data: Bytes,
         /// Whether this is the last chunk.
         done: bool,
+        /// Index of the change that made these the members; 0 if a release
+        /// without this field sent the chunk.
+        #[serde(default)]
+        members_index: u64,
     },
     /// Reply to `Snapshot`.
     SnapshotReply {
@@ -290,6 +294,20 @@
     pub members: Vec<Replica>,
     /// Encoded state of the state machine.
     pub data: Bytes,
+    /// Index of the change that made these the members; 0 in a snapshot of a
+    /// release that did not store it.
+    #[serde(default)]
+    pub members_index: u64,
+}
+
+impl StoredSnapshot {
+    /// Returns the index from which the members apply, as far as it is known.
+    pub(crate) fn members_since(&self) -> u64 {
+        match self.members_index {
+            0 => self.index,
+            index => index,
+        }
+    }
 }
 
 /// The state read from the data folder at startup.
--- a/tests/capacity.rs
+++ b/tests/capacity.rs
@@ -150,6 +150,7 @@
         index: 5,
         term: 1,
         members: Vec::new(),
+        members_index: 1,
         data: Bytes::from(vec![3; 900_000]),
     });
     let mut expected = Recovered::default();
--- a/tests/full_disk.rs
+++ b/tests/full_disk.rs
@@ -178,6 +178,7 @@
         index,
         term: 1,
         members: Vec::new(),
+        members_index: 1,
         data: Bytes::from_static(b"state"),
     })
 }
--- a/tests/storage.rs
+++ b/tests/storage.rs
@@ -28,6 +28,7 @@
         index,
         term,
         members: Vec::new(),
+        members_index: 1,
         data: Bytes::from_static(b"state"),
     })
 }
