Open a data folder after a kill between two removals

A replica that was killed, or lost power, while compaction removed the old segments could not open its folder again: "entries are missing in segment 2: append after 2". The instance ended with an error, and its disk was lost.

Cause: compaction writes a segment with all that stays and then removes the older ones one by one. Recovery replayed from the first one that was left, which continues one that is gone.

--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -124,11 +124,17 @@
         let mut hard_state = None;
         let last = numbers.last().copied();
         let mut older_bytes = 0;
+        let first = segment::newest_complete(folder, &numbers)?;
         for &number in &numbers {
             let is_last = Some(number) == last;
             if !is_last {
                 older_bytes += segment::size(folder, number)?;
             }
+            // The removal of the segments that `first` replaces was
+            // interrupted.
+            if number < first {
+                continue;
+            }
             for write in segment::read(&disk, folder, number, is_last)? {
                 if matches!(write, Write::HardState { .. }) {
                     hard_state = Some(write.clone());
--- a/src/storage/segment.rs
+++ b/src/storage/segment.rs
@@ -149,6 +149,32 @@
     Ok(numbers)
 }
 
+/// Returns the number of the newest segment that begins with all that the
+/// older ones hold, or else of the first one. Compaction writes such a segment
+/// as a whole.
+pub(super) fn newest_complete(
+    folder: &Path,
+    numbers: &[u64],
+) -> Result<u64, StorageError> {
+    let first = numbers.first().copied().unwrap_or_default();
+    for &number in numbers.iter().skip(1).rev() {
+        let path = path(folder, number);
+        let bytes =
+            fs::read(&path).map_err(|e| StorageError::io("read", &path, e))?;
+        let Decoded::Record(head, _) = decode(&bytes) else { continue };
+        let replaces = |write: &Write| {
+            matches!(
+                write,
+                Write::Snapshot(_) | Write::Append { after: 0, .. }
+            )
+        };
+        if head.iter().any(replaces) {
+            return Ok(number);
+        }
+    }
+    Ok(first)
+}
+
 /// Returns the size of a segment in bytes.
 pub(super) fn size(folder: &Path, number: u64) -> Result<u64, StorageError> {
     let path = path(folder, number);
--- a/tests/storage.rs
+++ b/tests/storage.rs
@@ -312,3 +312,47 @@
     let index = recovered.snapshot.expect("a snapshot").index;
     assert_eq!((index, recovered.entries.len()), (2, 1));
 }
+
+/// Guards against a data folder that cannot be opened any more after a kill
+/// between the removals of the segments that compaction has replaced.
+#[test]
+fn a_kill_between_removals_loses_nothing() {
+    let dir = tempfile::tempdir().expect("folder");
+    let copy = tempfile::tempdir().expect("folder");
+    let copy_files = || {
+        for file in fs::read_dir(dir.path()).expect("the folder") {
+            let file = file.expect("a file");
+            let to = copy.path().join(file.file_name());
+            fs::copy(file.path(), to).expect("a copy");
+        }
+    };
+    let (mut storage, ..) = Storage::open(dir.path()).expect("open");
+    let mut expected = Recovered::default();
+    let mut write = |write: Write| {
+        storage.write(std::slice::from_ref(&write)).expect("it is written");
+        expected.apply_write(write);
+    };
+    write(hard_state(1));
+    for index in 1..=6 {
+        write(append(index, 2 << 20));
+    }
+    copy_files();
+    write(snapshot(5, 1));
+    drop(storage);
+    copy_files();
+
+    let mut segments: Vec<PathBuf> = fs::read_dir(copy.path())
+        .expect("the folder")
+        .map(|file| file.expect("a file").path())
+        .filter(|path| path.extension().is_some_and(|e| e == "segment"))
+        .collect();
+    segments.sort();
+    assert!(segments.len() > 2, "{segments:?}");
+    for removed in &segments[..segments.len() - 1] {
+        let (_, _, recovered) = Storage::open(copy.path()).expect("open");
+        assert_eq!(recovered, expected, "before {removed:?} is removed");
+        fs::remove_file(removed).expect("removed");
+    }
+    let (_, _, recovered) = Storage::open(copy.path()).expect("open");
+    assert_eq!(recovered, expected);
+}
