Let a log above the bound of its folder commit again

After an upgrade, or with a smaller disk_mb, all voters may hold a log above the bound.

Entries without a command are not cut any more, and a follower whose log is above the bound already takes what the folder can hold.

--- a/crates/core/src/consensus/room.rs
+++ b/crates/core/src/consensus/room.rs
@@ -8,7 +8,7 @@
 //! refuses commands above that, and a follower leaves entries for later.
 
 use super::{
-    Consensus, Entry, ProposeError, State,
+    Consensus, Entry, Payload, ProposeError, State,
     log::{disk_bytes, disk_bytes_of},
 };
 
@@ -29,13 +29,20 @@
 pub(super) struct Room {
     /// Largest size of the snapshot and the entries after it, in bytes.
     pub(super) limit: u64,
+    /// The same for a log that already exceeds it, in bytes: nearly the whole
+    /// folder.
+    hard_limit: u64,
     reserve: u64,
 }
 
 impl Room {
     pub(super) fn new(folder_bytes: u64) -> Room {
         let reserve = folder_bytes / RESERVE_DIVISOR;
-        Room { limit: (folder_bytes - reserve) / 2, reserve }
+        Room {
+            limit: (folder_bytes - reserve) / 2,
+            hard_limit: folder_bytes - reserve,
+            reserve,
+        }
     }
 
     /// Largest command, in bytes. A state that holds one has room for another
@@ -109,6 +116,12 @@
 
     /// Drops the entries for which a follower has no room yet. It takes a
     /// snapshot, and the leader sends them again.
+    ///
+    /// A log of an older release, or from before the folder got smaller, may
+    /// exceed the limit while nothing in it is known to be committed. It has to
+    /// grow by what commits it, since only then a snapshot frees anything.
+    /// Entries without a command, which leaders add for that, are kept by the
+    /// reserve.
     pub(super) fn cut_to_room(&mut self, entries: &mut Vec<Entry>) {
         let Some(room) = self.room() else { return };
         let base = self.log.base_index();
@@ -119,10 +132,15 @@
         let replaced = self.log.entries_after(entries[first].index - 1);
         let replaced: u64 = replaced.map(|e| disk_bytes(&e.payload)).sum();
         let mut after = self.live_bytes().saturating_sub(replaced);
+        let limit = match after > room.limit {
+            true => room.hard_limit,
+            false => room.limit,
+        };
         for at in first..entries.len() {
-            after += disk_bytes(&entries[at].payload);
-            if after > room.limit {
-                self.room_needed = after - room.limit;
+            let payload = &entries[at].payload;
+            after += disk_bytes(payload);
+            if after > limit && matches!(payload, Payload::Command(_)) {
+                self.room_needed = after - limit;
                 entries.truncate(at);
                 return;
             }
