Do not refuse a change for good while an attempt is open

A change that one leader finds too large ended with that refusal although an earlier attempt was open, which a leader with a larger folder may have taken. The reply is Unknown then. The new test failed with TooLarge.

--- a/crates/core/src/control/client.rs
+++ b/crates/core/src/control/client.rs
@@ -310,13 +310,12 @@
                     self.give_up(now, p, reply, out);
                 }
             }
-            ControlReply::Refused(text) => {
+            reply @ (ControlReply::Refused(_) | ControlReply::TooLarge(_)) => {
                 self.close_attempt(at, sequence);
                 if !is_current {
                     return;
                 }
                 let p = self.remove(at);
-                let reply = ControlReply::Refused(text);
                 self.give_up(now, p, reply, out);
             }
             reply => {
--- a/crates/core/tests/control_requests.rs
+++ b/crates/core/tests/control_requests.rs
@@ -295,3 +295,15 @@
     let (attempts, _, _) = submit(revise(1, 1), |_| None);
     assert!((4..=6).contains(&attempts), "{attempts} attempts");
 }
+
+// Guards against a change that is refused for good although an earlier attempt
+// is open, which another leader may have taken.
+#[test]
+fn a_change_with_an_open_attempt_is_not_refused_for_good() {
+    let too_large = ControlReply::TooLarge("does not fit".into());
+    let later = |ms| (ms > 0).then(|| too_large.clone());
+    let (_, reply, _) = submit(revise(1, 1), later);
+    assert_eq!(reply, ControlReply::Unknown);
+    let (_, reply, _) = submit(revise(1, 1), |_| Some(too_large.clone()));
+    assert_eq!(reply, too_large);
+}
