Let comparisons pass configurations that cross

Comparisons of versions renew the lease of an instance. They were sent in order behind the configurations that cross to it in frames, which may take longer than a lease on a slow link. Found by the review by reading; there is no test of it yet.

--- a/src/peer.rs
+++ b/src/peer.rs
@@ -21,7 +21,7 @@
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty};
 use futures::{StreamExt, stream::FuturesUnordered};
 use primrosemast_core::{
-    consensus, id::InstanceId, message::PeerMessage, query,
+    config_sync, consensus, id::InstanceId, message::PeerMessage, query,
 };
 use primrosemast_wire::peer_capnp::{Class, peer};
 use tokio::{
@@ -300,6 +300,10 @@
             consensus::Message::Snapshot { .. } => true,
             _ => false,
         },
+        // The others renew leases.
+        PeerMessage::Sync(message) => {
+            matches!(message, config_sync::Message::Push(_))
+        }
         _ => true,
     }
 }
