--- a/crates/core/src/consensus/transfer.rs
+++ b/crates/core/src/consensus/transfer.rs
@@ -42,9 +42,10 @@
 }
 
 impl Consensus {
-    /// Requests a snapshot when enough entries or bytes were applied. The log must
-    /// also have reached half the size of the last snapshot, so that a large
-    /// state is not rewritten for a few small entries.
+    /// Requests a snapshot when enough entries or bytes were applied. For the
+    /// number of entries, the log must also have reached half the size of the
+    /// last snapshot, so that a large state is not rewritten for a few small
+    /// entries.
     pub(super) fn request_snapshot(&mut self) {
         let size = self.log.snapshot_bytes();
         let applied = self.applied - self.log.snapshot_index();
--- a/crates/core/src/consensus/watch.rs
+++ b/crates/core/src/consensus/watch.rs
@@ -6,7 +6,7 @@
 use crate::{event::control as kinds, time::Time};
 
 /// Time without a commit, while entries wait for one, after which the leader
-/// logs it. Four times the heartbeats that an append takes to be sent again.
+/// logs it. By then, members have been asked twice for what they have.
 const STALL_LOG_AFTER: Duration = Duration::from_secs(1);
 
 /// Longest interval at which it is logged again. The interval doubles.
