--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -8,6 +8,7 @@
 mod http;
 mod site;
 
+mod list_bytes;
 mod route_names;
 
 use std::{
@@ -38,6 +39,7 @@
         Arc::new(Record::create(&PathBuf::from(folder).join("record.txt")));
     record.say(&format!("case {case}, trouble {trouble}"));
     let run: fn(Arc<Record>, bool) -> bool = match case.as_str() {
+        "list-bytes" => list_bytes::run,
         "route-names" => route_names::run,
         _ => {
             eprintln!("there is no case {case}");
