--- a/review/standin-2/list_bytes.rs
+++ b/review/standin-2/list_bytes.rs
@@ -1,18 +1,18 @@
-//! The platform's list gets an entry of another writer with bytes that cannot
-//! be read, while searchers drain and others take their place.
+//! The platform's list cannot be read as a whole by the machines, while
+//! searchers drain and others take their place: it gets an entry of another
+//! writer with bytes that cannot be read, or its server closes each connection
+//! after a response.
 
 use std::{
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
-    },
+    ops::Range,
+    sync::{Arc, atomic::Ordering},
     thread,
     time::{Duration, Instant},
 };
 
 use crate::{
-    http::call,
     site::{Record, Reply, Searcher, Site, ZONES},
+    traffic::{Sent, Traffic, configure, one_route},
 };
 
 const DRAIN: Duration = Duration::from_millis(3_000);
@@ -20,6 +20,12 @@
 /// Time for which a searcher serves on after `DRAIN`.
 const LONGER: Duration = Duration::from_millis(2_500);
 
+/// Searchers of `ledger` at the start, as `tool-ledger` has.
+const FIRST: usize = 7;
+
+/// Searchers that are replaced at a time: a share of 0.43.
+const REPLACED: usize = 3;
+
 /// Tolerance of the measurement.
 const SLACK: Duration = Duration::from_millis(300);
 
@@ -27,87 +33,52 @@
 const UNREADABLE: &[u8] = b"{\"Id\":\"\x00\x01\x9f\xff\",\"Service\":\"ledger\",\
     \"Address\":\"\x07\x02\",\"State\":\"ready\"}";
 
-struct Sent {
-    at: Instant,
-    status: u16,
-    id: String,
+/// The list gets an entry with bytes that cannot be read.
+pub fn unreadable_entry(record: Arc<Record>, trouble: bool) -> bool {
+    run(record, trouble, 0, false)
+}
+
+/// The list has two pages, and its server closes the connection after each.
+pub fn closed_connections(record: Arc<Record>, trouble: bool) -> bool {
+    run(record, false, 50, trouble)
 }
 
-pub fn run(record: Arc<Record>, trouble: bool) -> bool {
+fn run(record: Arc<Record>, odd: bool, others: usize, closes: bool) -> bool {
     let mut site = Site::start(record.clone());
     let mut searchers: Vec<Searcher> = Vec::new();
-    for n in 0..5 {
+    for n in 0..FIRST + 2 * REPLACED {
         let work = |_: &_, _: &_| Reply::Run(Duration::from_millis(120));
         let id = format!("i-ledger-{n}");
         let zone = ZONES[n % ZONES.len()];
         searchers.push(site.searcher(&id, "ledger", zone, work));
     }
-    let list = |states: &[(usize, &str)], odd: bool| {
-        let mut entries: Vec<Vec<u8>> = states
-            .iter()
-            .map(|&(n, state)| searchers[n].entry(state).into_bytes())
+    // Searchers of a service that gets no requests here.
+    let mut further = Vec::new();
+    for n in 0..others {
+        let work = |_: &_, _: &_| Reply::Run(Duration::from_millis(5));
+        let id = format!("i-notes-{n}");
+        let zone = ZONES[n % ZONES.len()];
+        further.push(site.searcher(&id, "notes", zone, work).entry("ready"));
+    }
+    // The list with these searchers of `ledger` as draining and as ready.
+    let list = |draining: Range<usize>, ready: Range<usize>, odd: bool| {
+        let draining = searchers[draining].iter().map(|s| s.entry("draining"));
+        let ready = searchers[ready].iter().map(|s| s.entry("ready"));
+        let mut entries: Vec<Vec<u8>> = draining
+            .chain(ready)
+            .chain(further.iter().cloned())
+            .map(String::into_bytes)
             .collect();
         if odd {
             entries.insert(0, UNREADABLE.to_vec());
         }
         entries
     };
-    site.set_list(list(&[(0, "ready"), (1, "ready"), (2, "ready")], false));
-    let configuration = "{\"Version\":3,\"Routes\":[{\"Name\":\"checkout\",\
-        \"Host\":\"ledger.example\",\"PathPrefix\":\"/checkout/\",\
-        \"Type\":\"non_idempotent\",\"TimeoutMs\":3000,\"SloMs\":500,\
-        \"Priority\":2,\"Service\":\"ledger\",\"MaxAttempts\":2}],\
-        \"Services\":[{\"Name\":\"ledger\",\"HealthPath\":\"/health\",\
-        \"MaxConns\":110,\"Protocol\":\"h1\",\"Tls\":false,\
-        \"WarmupS\":3.0,\"WarmupPerS\":0.0}],\
-        \"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":262144,\
-        \"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}}";
-    record.write(&format!("configuration: {configuration}"));
-    if !site.configure(configuration) {
-        crate::cannot_run("the configuration was refused");
-    }
-    site.wait_ready();
-    thread::sleep(Duration::from_secs(4));
-
-    let stop = Arc::new(AtomicBool::new(false));
-    let results: Arc<Mutex<Vec<Sent>>> = Arc::default();
-    let next = Arc::new(AtomicUsize::new(0));
-    let clients: Vec<_> = (0..8)
-        .map(|client| {
-            let (stop, results) = (stop.clone(), results.clone());
-            let (record, next) = (record.clone(), next.clone());
-            let fronts: Vec<_> =
-                site.machines.iter().map(|m| m.front()).collect();
-            thread::spawn(move || {
-                while !stop.load(Ordering::SeqCst) {
-                    let n = next.fetch_add(1, Ordering::SeqCst);
-                    let id = format!("{client:04x}{n:012x}");
-                    let headers = [
-                        ("Host", "ledger.example"),
-                        ("X-Request-Id", id.as_str()),
-                        ("X-Deadline-Ms", "3000"),
-                    ];
-                    let at = Instant::now();
-                    let answer = call(
-                        fronts[n % fronts.len()],
-                        "POST",
-                        "/checkout/pick",
-                        &headers,
-                        b"one pick",
-                        Duration::from_secs(4),
-                    );
-                    let status = answer.as_ref().map_or(0, |a| a.status());
-                    record.write(&format!("client: {id} -> {status}"));
-                    results.lock().expect("the results").push(Sent {
-                        at,
-                        status,
-                        id,
-                    });
-                    thread::sleep(Duration::from_millis(60));
-                }
-            })
-        })
-        .collect();
+    site.set_list(list(0..0, 0..FIRST, false));
+    configure(&site, &one_route(&["notes"]));
+    let pause = Duration::from_millis(60);
+    let traffic =
+        Traffic::start(&site, 8, pause, "ledger.example", "/checkout/pick");
 
     let start = Instant::now();
     let wait_until = |ms| {
@@ -115,48 +86,44 @@
         thread::sleep(until.saturating_duration_since(Instant::now()));
     };
     wait_until(3_000);
-    if trouble {
+    if odd {
         record.say("the list gets an entry with bytes that cannot be read");
     }
-    site.set_list(list(&[(0, "ready"), (1, "ready"), (2, "ready")], trouble));
+    if closes {
+        record.say("the list's server closes connections after a response");
+        site.list_closes.store(true, Ordering::SeqCst);
+    }
+    site.set_list(list(0..0, 0..FIRST, odd));
     wait_until(5_000);
-    record.say("the list shows i-ledger-0 as draining");
-    let drained_0 = Instant::now();
-    site.set_list(list(&[(0, "draining"), (1, "ready"), (2, "ready")], trouble));
-    let end = |n: usize| {
-        record.say(&format!("{} ends", searchers[n].id));
-        searchers[n].ended.store(1, Ordering::SeqCst);
-        // Its listener notices on the next connection.
-        let _ = std::net::TcpStream::connect(searchers[n].address);
+    // The first leaves, then half of the others are replaced, then the rest;
+    // the new ones start first.
+    let mut drained_at = vec![None; searchers.len()];
+    let mut leave = |leaving: Range<usize>, ready: Range<usize>| {
+        record.say(&format!(
+            "the list shows ledger {leaving:?} as draining, {ready:?} as ready"
+        ));
+        drained_at[leaving.clone()].fill(Some(Instant::now()));
+        site.set_list(list(leaving.clone(), ready.clone(), odd));
+        thread::sleep(DRAIN + LONGER);
+        record.say(&format!("ledger {leaving:?} end"));
+        searchers[leaving].iter().for_each(Searcher::end);
+        site.set_list(list(0..0, ready, odd));
     };
-    thread::sleep(DRAIN + LONGER);
-    end(0);
-    record.say(
-        "the list shows i-ledger-3 and -4 as ready, -1 and -2 as draining",
-    );
-    let drained_1 = Instant::now();
-    let states =
-        [(1, "draining"), (2, "draining"), (3, "ready"), (4, "ready")];
-    site.set_list(list(&states, trouble));
-    thread::sleep(DRAIN + LONGER);
-    end(1);
-    end(2);
-    site.set_list(list(&[(3, "ready"), (4, "ready")], trouble));
+    let middle = 1 + REPLACED;
+    leave(0..1, 1..FIRST);
+    leave(1..middle, middle..FIRST + REPLACED);
+    leave(middle..FIRST, FIRST..FIRST + 2 * REPLACED);
     thread::sleep(Duration::from_secs(2));
     let replaced = Instant::now();
     thread::sleep(Duration::from_secs(5));
-    stop.store(true, Ordering::SeqCst);
-    for client in clients {
-        let _ = client.join();
-    }
+    let sent = traffic.stop();
 
     let runs = site.runs.lock().expect("the runs").clone();
     let mut late = 0;
     for run in &runs {
-        let drained = match run.searcher.as_str() {
-            "i-ledger-0" => drained_0,
-            "i-ledger-1" | "i-ledger-2" => drained_1,
-            _ => continue,
+        let number = searchers.iter().position(|s| s.id == run.searcher);
+        let Some(drained) = number.and_then(|n| drained_at[n]) else {
+            continue;
         };
         let after = run.at.saturating_duration_since(drained);
         if after > DRAIN + SLACK {
@@ -169,23 +136,22 @@
             ));
         }
     }
-    let results = results.lock().expect("the results");
-    let cut = results
+    let cut = sent
         .iter()
-        .filter(|r| {
-            r.status != 200 && runs.iter().any(|run| run.request == r.id)
+        .filter(|s| {
+            s.status() != 200 && runs.iter().any(|r| r.request == s.id)
         })
         .count();
-    let last: Vec<&Sent> = results.iter().filter(|r| r.at >= replaced).collect();
-    let served = last.iter().filter(|r| r.status == 200).count();
-    let before = results.iter().filter(|r| r.at < drained_0);
-    let served_before = before.filter(|r| r.status == 200).count();
+    let last: Vec<&Sent> = sent.iter().filter(|s| s.at >= replaced).collect();
+    let served = last.iter().filter(|s| s.status() == 200).count();
+    let before = sent.iter().filter(|s| Some(s.at) < drained_at[0]);
+    let served_before = before.filter(|s| s.status() == 200).count();
     record.say(&format!(
         "{} requests; {late} reached a searcher later than {} ms after it was \
          listed as draining; {cut} ran and were lost with a searcher that \
-         ended; in the last 5 s, with two searchers ready, {served} of {} \
+         ended; in the last 5 s, with six searchers ready, {served} of {} \
          were served; calls to the list: {}",
-        results.len(),
+        sent.len(),
         DRAIN.as_millis(),
         last.len(),
         site.list_calls.load(Ordering::SeqCst)
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -8,8 +8,11 @@
 mod http;
 mod site;
 
+mod answers;
 mod list_bytes;
+mod list_fields;
 mod route_names;
+mod traffic;
 
 use std::{
     panic::{self, AssertUnwindSafe},
@@ -39,7 +42,11 @@
         Arc::new(Record::create(&PathBuf::from(folder).join("record.txt")));
     record.say(&format!("case {case}, trouble {trouble}"));
     let run: fn(Arc<Record>, bool) -> bool = match case.as_str() {
-        "list-bytes" => list_bytes::run,
+        "answer-503" => answers::failed_with_503,
+        "answer-stamp" => answers::spoiled_stamp,
+        "list-bytes" => list_bytes::unreadable_entry,
+        "list-close" => list_bytes::closed_connections,
+        "list-fields" => list_fields::run,
         "route-names" => route_names::run,
         _ => {
             eprintln!("there is no case {case}");
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -10,7 +10,7 @@
     process::{Child, Command, Stdio},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -76,8 +76,6 @@
     /// It runs the request, and these bytes are its answer. The
     /// connection stays open.
     Bytes(Duration, Vec<u8>),
-    /// It is gone: the connection is closed.
-    Close,
 }
 
 type Behaviour = dyn Fn(&Message, &str) -> Reply + Send + Sync;
@@ -89,11 +87,18 @@
     pub service: String,
     pub zone: String,
     pub address: SocketAddr,
-    /// Set to let it end: it closes its listener and its connections.
-    pub ended: Arc<AtomicU64>,
+    /// Whether it has ended.
+    ended: Arc<AtomicU64>,
 }
 
 impl Searcher {
+    /// Lets it end: it closes its listener and its connections.
+    pub fn end(&self) {
+        self.ended.store(1, Ordering::SeqCst);
+        // Its listener notices on the next connection.
+        let _ = std::net::TcpStream::connect(self.address);
+    }
+
     /// Returns its entry in the platform's list.
     pub fn entry(&self, state: &str) -> String {
         format!(
@@ -151,6 +156,8 @@
     pub list: Arc<Mutex<Vec<Vec<u8>>>>,
     /// Calls to the list that were answered.
     pub list_calls: Arc<AtomicU64>,
+    /// Whether the server of the list closes the connection after a response.
+    pub list_closes: Arc<AtomicBool>,
     pub runs: Arc<Mutex<Vec<Run>>>,
     net: [u8; 2],
     next_ip: u8,
@@ -196,12 +203,19 @@
         let list_address = listener.local_addr().expect("an address");
         let list: Arc<Mutex<Vec<Vec<u8>>>> = Arc::default();
         let list_calls = Arc::<AtomicU64>::default();
-        serve_list(listener, list.clone(), list_calls.clone());
+        let list_closes = Arc::<AtomicBool>::default();
+        serve_list(
+            listener,
+            list.clone(),
+            list_calls.clone(),
+            list_closes.clone(),
+        );
         let mut site = Site {
             record,
             machines: Vec::new(),
             list,
             list_calls,
+            list_closes,
             runs: Arc::default(),
             net,
             next_ip: 100,
@@ -405,18 +419,25 @@
     listener: TcpListener,
     list: Arc<Mutex<Vec<Vec<u8>>>>,
     calls: Arc<AtomicU64>,
+    closes: Arc<AtomicBool>,
 ) {
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let (list, calls) = (list.clone(), calls.clone());
+            let closes = closes.clone();
             thread::spawn(move || {
                 let mut connection = Connection::new(stream);
                 while let Ok(Some(request)) = connection.read(None) {
                     calls.fetch_add(1, Ordering::Relaxed);
                     let page = page(&list.lock().expect("the list"), request.path());
-                    let headers = [("Content-Type", "application/json")];
+                    let closes = closes.load(Ordering::SeqCst);
+                    let end = if closes { "close" } else { "keep-alive" };
+                    let headers = [
+                        ("Content-Type", "application/json"),
+                        ("Connection", end),
+                    ];
                     let answer = response("200 OK", &headers, page);
-                    if connection.write(&answer).is_err() {
+                    if connection.write(&answer).is_err() || closes {
                         return;
                     }
                 }
@@ -471,7 +492,6 @@
         let stamp = format!("{stamp:x}.{}", this.id);
         let reply = behaviour(&request, &stamp);
         let (work, bytes) = match reply {
-            Reply::Close => return,
             Reply::Run(work) => (work, None),
             Reply::Bytes(work, bytes) => (work, Some(bytes)),
         };
