Identify a forwarding route by its host and prefix

A configuration may have several routes with one name; only host and prefix together are unique in it.

The identifier of a route was the hash of its name. A delegate looked up the route of a task by this identifier, took the first match, and read the task's shards as positions in that route's services. Latencies, credits of split routes and tallies of roll-outs were kept under the same key. Zone plans are checked against the route itself. Ruled out: tasks of another revision (declined), and refusing the configuration (it is valid).

The identifier is now the hash of host and prefix. Log lines and metrics name routes by a label that adds both where the name is not unique. Instances of releases before and after this decline each other's tasks; the roots send those shards themselves.

Tests of the core's forwarding, decoders, whole_path, settings, events and cli pass.

--- a/crates/core/src/forward/finish.rs
+++ b/crates/core/src/forward/finish.rs
@@ -175,7 +175,7 @@
              answered={} sent={sent} refused={refused} version={} \
              priority={}{extra}",
             request.id,
-            route.name,
+            request.route.label,
             now.since(request.started).as_millis(),
             route.objective_ms,
             request.shards.len(),
--- a/crates/core/src/forward/send.rs
+++ b/crates/core/src/forward/send.rs
@@ -217,7 +217,7 @@
     ) {
         let detail = format!(
             "request={request_id} route={} reason={} retry_after_ms={}",
-            route.route.name,
+            route.label,
             reason.as_str(),
             retry_after.unwrap_or_default().as_millis()
         );
--- a/crates/core/src/forward/table.rs
+++ b/crates/core/src/forward/table.rs
@@ -92,7 +92,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct ForwardRoute {
-    /// Name, unique in the table.
+    /// Name for logs and metrics. Several routes may have the same one.
     pub name: String,
     /// Host of the request. A port is ignored, and so is the case of letters.
     pub host: String,
@@ -322,6 +322,9 @@
     pub route: ForwardRoute,
     /// Identifier of the route.
     pub id: RouteId,
+    /// Name in logs and metrics, followed by the host and the prefix if other
+    /// routes of the table have the same name.
+    pub label: String,
     /// Revision of the table that the route belongs to.
     pub revision: u64,
     /// Identifiers of the services, in the order of the configuration.
@@ -386,20 +389,33 @@
 impl CompiledTable {
     /// Compiles a table without problems.
     pub fn new(table: &Forwarding) -> CompiledTable {
+        let mut names: Vec<&str> =
+            table.routes.iter().map(|r| r.name.as_str()).collect();
+        names.sort_unstable();
         let mut routes: Vec<_> = table
             .routes
             .iter()
             .map(|route| {
                 let mut route = route.clone();
                 route.host = host_name(&route.host);
+                let label = label(&route, &names);
                 let services = route
                     .destination
                     .services()
                     .map(ServiceId::from_name)
                     .collect();
-                let id = RouteId::from_name(&route.name);
+                let id = RouteId::from_host_and_prefix(
+                    &route.host,
+                    &route.path_prefix,
+                );
                 let revision = table.revision;
-                Arc::new(CompiledRoute { route, id, revision, services })
+                Arc::new(CompiledRoute {
+                    route,
+                    id,
+                    label,
+                    revision,
+                    services,
+                })
             })
             .collect();
         routes.sort_by(|a, b| sort_key(a).cmp(&sort_key(b)));
@@ -501,6 +517,18 @@
     name.to_ascii_lowercase()
 }
 
+/// Returns the name of a route in logs and metrics; `names` holds the names of
+/// all routes, sorted.
+fn label(route: &ForwardRoute, names: &[&str]) -> String {
+    let ForwardRoute { name, host, path_prefix, .. } = route;
+    let first = names.partition_point(|n| *n < name.as_str());
+    if names.get(first + 1) == Some(&name.as_str()) {
+        format!("{name} ({host}{path_prefix})")
+    } else {
+        name.clone()
+    }
+}
+
 /// Returns the host and the prefix by which routes are sorted.
 fn sort_key(route: &CompiledRoute) -> (&str, &str) {
     (&route.route.host, &route.route.path_prefix)
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -9,7 +9,7 @@
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 macro_rules! identifier {
     ($(#[$doc:meta])* $name:ident) => {
@@ -53,7 +53,8 @@
     ZoneId
 );
 identifier!(
-    /// Identifier of a query route, the hash of its name.
+    /// Identifier of a route: the hash of the name of a query route, or of the
+    /// host and prefix of a forwarding route.
     RouteId
 );
 identifier!(
@@ -105,6 +106,15 @@
 from_name!(ServiceId);
 from_name!(TeamId);
 
+impl RouteId {
+    /// Returns the identifier of a forwarding route. The host and the prefix
+    /// together are unique in a table, and the name is not.
+    pub fn from_host_and_prefix(host: &str, prefix: &str) -> RouteId {
+        let host = xxh3_64(host.as_bytes());
+        RouteId(xxh3_64_with_seed(prefix.as_bytes(), host))
+    }
+}
+
 impl From<TeamId> for LimitId {
     fn from(team: TeamId) -> LimitId {
         LimitId(team.0)
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -40,11 +40,11 @@
     routes.push(route("a/b/c", single_service()));
     routes[2].host = "other.example".into();
     let table = CompiledTable::new(&table(routes));
-    let find = |host, path| table.find(host, path).map(|r| r.id);
-    let id = |name| Some(RouteId::from_name(name));
-    assert_eq!(find("site.example", "/a/x"), id("a"));
-    assert_eq!(find("SITE.example:80", "/a/b/c/x"), id("a/b"));
-    assert_eq!(find("other.example", "/a/b/c/"), id("a/b/c"));
+    let find =
+        |host, path| table.find(host, path).map(|r| r.route.name.as_str());
+    assert_eq!(find("site.example", "/a/x"), Some("a"));
+    assert_eq!(find("SITE.example:80", "/a/b/c/x"), Some("a/b"));
+    assert_eq!(find("other.example", "/a/b/c/"), Some("a/b/c"));
     assert_eq!(find("other.example", "/a/b/x"), None);
     assert_eq!(find("site.example", "/ab"), None);
     assert_eq!(find("site.example", ""), None);
@@ -715,7 +715,7 @@
         number: 77,
         request_id: "r".into(),
         revision: 1,
-        route: RouteId::from_name("q"),
+        route: RouteId::from_host_and_prefix("site.example", "/q/"),
         shards: vec![2, 4, 5],
         remaining_us: 900_000,
         soft_us: 60_000,
@@ -827,7 +827,7 @@
         number: 5,
         request_id: "r".into(),
         revision: 1,
-        route: RouteId::from_name("q"),
+        route: RouteId::from_host_and_prefix("site.example", "/q/"),
         shards: vec![0, 1],
         remaining_us: 900_000,
         soft_us: 90_000,
--- a/crates/core/tests/forward_keys.rs
+++ b/crates/core/tests/forward_keys.rs
@@ -292,7 +292,7 @@
         number: 77,
         request_id: "r".into(),
         revision: 1,
-        route: RouteId::from_name("q"),
+        route: RouteId::from_host_and_prefix("site.example", "/q/"),
         shards: vec![2, 4],
         remaining_us: 900_000,
         soft_us: 60_000,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -471,7 +471,7 @@
                 let _ = response.send(configuration.map(|c| c.1.clone()));
             }
             Input::Forward { token, submission, req, response } => {
-                let route = &submission.route.route.name;
+                let route = &submission.route.label;
                 self.forwarding.add_caller(token, route, req, response);
                 let event = ForwardEvent::Submit(token, submission);
                 self.step(Event::Forward(event), effects);
