Find the entries of a list without parsing the document as a whole

Entries were decoded one by one, but a page was parsed as one JSON document to find them, so what JSON does not allow in one entry failed the page and with it the list. The same held for the product's own two lists.

ListDocument now splits a document into the texts of its entries. All three lists use it.

--- a/src/daemon/platform.rs
+++ b/src/daemon/platform.rs
@@ -9,11 +9,10 @@
 use hyper_util::rt::TokioIo;
 use primrosemast_core::node::{Event, PlatformList};
 use serde::Deserialize;
-use serde_json::value::RawValue;
 use tokio::{net::TcpStream, task::spawn_local, time::timeout};
 
 use super::Handle;
-use crate::list_entries::{decode_entries, list_text};
+use crate::list_entries::{ListDocument, decode_entries, list_text};
 
 /// Time to fetch the list, including the connection.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
@@ -36,13 +35,8 @@
 }
 
 async fn fetch(url: &str) -> Option<PlatformList> {
-    #[derive(Deserialize)]
-    struct List<'a> {
-        #[serde(borrow, default)]
-        instances: Vec<&'a RawValue>,
-        #[serde(borrow, default)]
-        targets: Vec<&'a RawValue>,
-    }
+    const INSTANCES: &str = "instances";
+    const TARGETS: &str = "targets";
 
     #[derive(Deserialize)]
     struct Entry {
@@ -67,12 +61,13 @@
     let body = Limited::new(response.into_body(), MAX_LIST_BYTES);
     let body = body.collect().await.ok()?.to_bytes();
     let text = list_text(&body);
-    let list: List = serde_json::from_str(&text).ok()?;
-    let entries = |list: &[&RawValue]| {
-        decode_entries(list, |e: Entry| Ok((e.address, e.leaving)))
+    let list = ListDocument::split(&text, &[INSTANCES, TARGETS], &[]).ok()?;
+    let entries = |name| {
+        let entries = list.entries(name).unwrap_or_default();
+        decode_entries(entries, |e: Entry| Ok((e.address, e.leaving)))
     };
     Some(PlatformList {
-        instances: entries(&list.instances),
-        targets: entries(&list.targets),
+        instances: entries(INSTANCES),
+        targets: entries(TARGETS),
     })
 }
--- a/src/forward/native.rs
+++ b/src/forward/native.rs
@@ -20,8 +20,6 @@
     forward::{Outcome, Reason, TargetRequest, directory::Directory},
     verdict::Verdict,
 };
-use serde::Deserialize;
-use serde_json::value::RawValue;
 
 use super::{
     AnswerHead, CallerHead, CallerRequest, CallerResponse, Malformed,
@@ -30,7 +28,7 @@
 };
 use crate::{
     http_client::Client,
-    list_entries::{decode_entries, list_text},
+    list_entries::{ListDocument, decode_entries, list_text},
 };
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
@@ -159,12 +157,8 @@
     }
 }
 
-/// The platform's list as it is served.
-#[derive(Deserialize)]
-struct List<'a> {
-    #[serde(borrow, default)]
-    listed_targets: Vec<&'a RawValue>,
-}
+/// Member of the platform's list that holds the targets.
+const TARGETS: &str = "listed_targets";
 
 async fn read_list(url: &str) -> anyhow::Result<Directory> {
     let uri: Uri = url.parse()?;
@@ -175,6 +169,7 @@
     let mut client = Client::connect(address, READ_TIMEOUT).await?;
     let body = client.get(uri.path(), MAX_LIST_BYTES).await?;
     let text = list_text(&body);
-    let list: List = serde_json::from_str(&text)?;
-    Ok(Directory { targets: decode_entries(&list.listed_targets, Ok) })
+    let list = ListDocument::split(&text, &[TARGETS], &[])?;
+    let entries = list.entries(TARGETS).unwrap_or_default();
+    Ok(Directory { targets: decode_entries(entries, Ok) })
 }
