Take only statuses from 200 to 599 for answers

Callers got answers of targets with a status from 600 to 999 as they were. With X-Not-Executed beside such a status, a request that must not be repeated was sent again and then answered 503, which promises that it has not run. Status 000, which was asked for, and those up to 099 or without three digits already led to 502.

hyper refuses the latter, passes over 1xx, and returns what is above 599. Only 101 was refused here. http_exchange, through which all answers of targets and both lists of targets come, now treats any final status outside 200 to 599 as a broken answer: the connection is closed and the request may have run.

Test: cut_answers::an_answer_whose_status_is_out_of_range_is_not_passed_on, 16 statuses with and without X-Not-Executed on a single service and on shards.

--- a/src/http_exchange.rs
+++ b/src/http_exchange.rs
@@ -9,6 +9,7 @@
 
 use std::{
     fmt, io,
+    ops::RangeInclusive,
     pin::Pin,
     sync::{
         Arc,
@@ -18,7 +19,7 @@
 };
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{Request, Response};
 use http_body_util::Full;
 use hyper::{
     body::Incoming,
@@ -38,6 +39,11 @@
 /// head, and what the last read holds of the body.
 const MAX_HEAD_BYTES: usize = 2 * MAX_BUFFER_BYTES;
 
+/// Statuses of final responses. hyper passes over interim ones except 101: no
+/// request asks for another protocol, and what would follow in it is no body.
+/// It also returns statuses that HTTP does not define, up to 999.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// The driver of a connection, which runs as a task of its own.
 pub(crate) type Driver = http1::Connection<TokioIo<Stream>, Full<Bytes>>;
 
@@ -88,7 +94,7 @@
     /// # Errors
     ///
     /// Fails if the connection breaks, or if what arrives is not the head of
-    /// a response, is too long for one or changes the protocol.
+    /// a response, is too long for one or has no final status.
     pub(crate) async fn send(
         &mut self,
         req: Request<Full<Bytes>>,
@@ -103,12 +109,11 @@
                 SendError::Broken
             }
         })?;
-        // No request asks for another protocol, and what would follow in it
-        // is no body.
-        if response.status() == StatusCode::SWITCHING_PROTOCOLS {
-            return Err(SendError::Broken);
+        if FINAL_STATUSES.contains(&response.status().as_u16()) {
+            Ok(response)
+        } else {
+            Err(SendError::Broken)
         }
-        Ok(response)
     }
 }
 
