--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -7,7 +7,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
 use http::{Method, StatusCode};
@@ -39,6 +42,7 @@
 pub struct Platform {
     address: SocketAddr,
     list: Arc<Mutex<List>>,
+    failing: Arc<AtomicBool>,
     task: JoinHandle<()>,
 }
 
@@ -53,20 +57,29 @@
         let address = listener.local_addr()?;
         let list = Arc::new(Mutex::new(list));
         let served = Arc::clone(&list);
+        let failing = Arc::new(AtomicBool::new(false));
+        let fails = Arc::clone(&failing);
         let task = tokio::spawn(serve(
             listener,
             || async { Some(()) },
             move |req| {
                 let list = served.lock().expect("not poisoned").clone();
+                let fails = fails.load(Ordering::Relaxed);
                 async move {
                     match (req.method(), req.uri().path()) {
+                        (&Method::GET, "/list") if fails => {
+                            let mut reply = json(&List::default());
+                            *reply.status_mut() =
+                                StatusCode::INTERNAL_SERVER_ERROR;
+                            Ok(reply)
+                        }
                         (&Method::GET, "/list") => Ok(json(&list)),
                         _ => Ok(status(StatusCode::NOT_FOUND)),
                     }
                 }
             },
         ));
-        Ok(Platform { address, list, task })
+        Ok(Platform { address, list, failing, task })
     }
 
     /// Returns the address of the server; the path of the list is `/list`.
@@ -78,6 +91,11 @@
     pub fn set(&self, list: List) {
         *self.list.lock().expect("not poisoned") = list;
     }
+
+    /// Sets whether the server answers with status 500 and an empty list.
+    pub fn set_failing(&self, failing: bool) {
+        self.failing.store(failing, Ordering::Relaxed);
+    }
 }
 
 impl Drop for Platform {
--- a/src/forward/native.rs
+++ b/src/forward/native.rs
@@ -14,7 +14,7 @@
 
 use anyhow::Context;
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, Uri, header};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use http_body_util::Full;
 use primrosemast_core::{
     forward::{Outcome, Reason, TargetRequest, directory::Directory},
@@ -27,7 +27,7 @@
     protocol::{forwarded_request, key_rejection_status, read_caller_head},
 };
 use crate::{
-    http_client::Client,
+    http_client,
     list_entries::{ListDocument, decode_entries, list_text},
 };
 
@@ -161,13 +161,7 @@
 const TARGETS: &str = "listed_targets";
 
 async fn read_list(url: &str) -> anyhow::Result<Directory> {
-    let uri: Uri = url.parse()?;
-    let authority = uri
-        .authority()
-        .context("the URL of the platform list has no address")?;
-    let address = authority.as_str().parse()?;
-    let mut client = Client::connect(address, READ_TIMEOUT).await?;
-    let body = client.get(uri.path(), MAX_LIST_BYTES).await?;
+    let body = http_client::get(url, READ_TIMEOUT, MAX_LIST_BYTES).await?;
     let text = list_text(&body);
     let list = ListDocument::split(&text, &[TARGETS], &[])?;
     let entries = list.entries(TARGETS).unwrap_or_default();
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Context;
 use bytes::Bytes;
-use http::{Request, StatusCode, header};
+use http::{Request, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full, Limited};
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
@@ -100,3 +100,23 @@
             .with_context(|| format!("{address} did not respond in time"))?
     }
 }
+
+/// Gets a document of at most `max_bytes` from a URL whose host is an IP
+/// address, on a connection of its own. `limit` is the timeout of the
+/// connection and of the request, each.
+///
+/// # Errors
+///
+/// Fails like [`Client::connect`] and [`Client::get`], or if the URL has no
+/// such address.
+pub(crate) async fn get(
+    url: &str,
+    limit: Duration,
+    max_bytes: usize,
+) -> anyhow::Result<Bytes> {
+    let uri: Uri = url.parse()?;
+    let authority = uri.authority().context("the URL has no address")?;
+    let address = authority.as_str().parse()?;
+    let mut client = Client::connect(address, limit).await?;
+    client.get(uri.path(), max_bytes).await
+}
--- a/tests/fleet_membership.rs
+++ b/tests/fleet_membership.rs
@@ -148,3 +148,43 @@
     .await
     .expect("all are alive");
 }
+
+/// Guards against a failure of the platform that is read as an empty list, so
+/// that a leaving target gets new work again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failing_platform_list_takes_nothing_back() {
+    let platform = Platform::start(List::default()).await.expect("platform");
+    let mut options = FleetOptions::spread(4, 3, &ZONES);
+    options.settings = json!({
+        "platform_list": format!("http://{}/list", platform.address()),
+        "timing": {"platform_list_interval_ms": 100},
+    });
+    let cluster = TestCluster::with_options(options).await;
+    for i in 0..4 {
+        cluster.wait_complete_answer(i).await;
+    }
+    let address = cluster.site.targets[0].proxy.address();
+    let leaving = ListEntry { address, leaving: true };
+    platform.set(List { instances: Vec::new(), targets: vec![leaving] });
+    let is_leaving = |status: &Value| {
+        let targets = status["targets"].as_array().expect("targets");
+        targets.iter().any(|t| t["report"]["state"] == "leaving")
+    };
+    let known = wait_for("a leaving target", || async {
+        for i in 0..4 {
+            let status = cluster.fleet.status(i).await.ok()?;
+            if is_leaving(&status) {
+                return Some(i);
+            }
+        }
+        None
+    });
+    let home = known.await.expect("a home that knows it");
+    platform.set_failing(true);
+    // The instance reads the list 10 times meanwhile.
+    for _ in 0..10 {
+        tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+        let status = cluster.fleet.status(home).await.expect("status");
+        assert!(is_leaving(&status), "{status}");
+    }
+}
