Pass on no failure of a target as a success or a promise

By the same code its 503, 429 or 408 without X-Not-Executed reached callers as the promise that the request has not run.

Both counted as failures that may have run, but a request that failed is answered with the last failure of a target, whatever its status says to the caller. Such an answer now counts as broken: the caller gets 502. Other failures are relayed as before. The product's own protocol shares the rule.

--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -87,7 +87,8 @@
 pub enum Outcome {
     /// The target ran the request successfully.
     Success,
-    /// The target ran the request and answered with an error.
+    /// The target ran the request and answered with an error that the caller
+    /// may be given.
     Failure,
     /// The target refused the request without running it.
     Refused,
@@ -96,7 +97,8 @@
     Replaced,
     /// No connection could be opened; nothing was sent.
     Unreachable,
-    /// The connection failed after the request was sent.
+    /// The connection failed after the request was sent, or the answer says
+    /// nothing that the caller may be given.
     Broken,
     /// The time by which the request had to be written had passed; nothing was
     /// sent.
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -34,7 +34,8 @@
 pub use self::protocol::{
     AnswerHead, CallerHead, CallerRequest, CallerResponse, Malformed,
     Protocol, Rejection, TargetAnswer, TeamHeaders, end_to_end_headers,
-    forwarded_request, key_rejection_status, read_caller_head,
+    failure_outcome, forwarded_request, key_rejection_status,
+    read_caller_head,
 };
 pub(crate) use self::{ingress::serve, native::Native};
 use crate::daemon::{Clock, ForwardMetrics, Handle, Input};
--- a/src/forward/native.rs
+++ b/src/forward/native.rs
@@ -24,7 +24,10 @@
 use super::{
     AnswerHead, CallerHead, CallerRequest, CallerResponse, Malformed,
     Protocol, Rejection, TeamHeaders,
-    protocol::{forwarded_request, key_rejection_status, read_caller_head},
+    protocol::{
+        failure_outcome, forwarded_request, key_rejection_status,
+        read_caller_head,
+    },
 };
 use crate::{
     http_client,
@@ -98,7 +101,7 @@
             None if status.is_success() && signature.is_some() => {
                 Outcome::Success
             }
-            None => Outcome::Failure,
+            None => failure_outcome(status),
         };
         Some(AnswerHead {
             outcome,
--- a/src/forward/protocol.rs
+++ b/src/forward/protocol.rs
@@ -186,6 +186,25 @@
         .then_some(StatusCode::UNAUTHORIZED)
 }
 
+/// Statuses by which callers are told that their request has not run.
+const NOT_RUN_STATUSES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
+/// Returns the outcome of an answer that is neither a signed success nor a
+/// refusal. The caller is not given a status that means either: the request
+/// may have run, and its answer may be damaged.
+pub fn failure_outcome(status: StatusCode) -> Outcome {
+    if status.is_success() || NOT_RUN_STATUSES.contains(&status) {
+        Outcome::Broken
+    } else {
+        Outcome::Failure
+    }
+}
+
 /// Hop-by-hop headers, which concern one connection only; sorted.
 const HOP_BY_HOP_HEADERS: [&str; 9] = [
     "connection",
