Log when the target list is outdated and when that ends

Each instance now logs PM0722 once when its list is older than 3 s, the time in which a leaving target is to get no more work, and once when it is current again. The metric counts from when the list was needed if there is none.

--- a/crates/core/src/event/forward.rs
+++ b/crates/core/src/event/forward.rs
@@ -16,6 +16,7 @@
     DELEGATE_SILENT = (713, Info, "An instance did not acknowledge delegated shards in time. This instance requests them itself.");
     DIRECTORY_INSTALLED = (720, Debug, "A changed reading of the platform's list was installed.");
     DIRECTORY_FAILED = (721, Warn, "The platform's list could not be read. The last reading stays in use.");
+    DIRECTORY_OUTDATED = (722, Warn, "The last reading of the platform's list is so old that targets may have left since, or a new one was installed after that.");
     TABLE_INSTALLED = (730, Info, "A forwarding table came into force.");
     TABLE_REJECTED = (731, Error, "A forwarding table is invalid and was not installed.");
     KEYS_CONFIRMED = (733, Warn, "Requests with a key are refused because no control quorum confirms that the keys are still in use, or this has ended.");
--- a/crates/core/src/forward/directory.rs
+++ b/crates/core/src/forward/directory.rs
@@ -321,6 +321,12 @@
         self.read_at.map(|at| now.since(at))
     }
 
+    /// Returns the age of the newest list or, if there is none, the time since
+    /// one has been needed.
+    pub fn wait(&self, now: Time) -> Option<Duration> {
+        self.read_at.or(self.needed_since).map(|at| now.since(at))
+    }
+
     /// Returns the newest list.
     pub fn directory(&self) -> &Directory {
         &self.directory
--- a/crates/core/src/forward/reducer.rs
+++ b/crates/core/src/forward/reducer.rs
@@ -30,6 +30,10 @@
 /// Typical latency that is assumed for a route without measurements.
 const DEFAULT_LATENCY: Duration = Duration::from_millis(20);
 
+/// Age from which the target list counts as outdated: a leaving target is to
+/// get no new work after this time.
+const OUTDATED_LIST_AGE: Duration = Duration::from_secs(3);
+
 /// The state of the forwarding path.
 #[derive(Clone, Debug)]
 pub struct Forwarder {
@@ -41,6 +45,8 @@
     pub(super) targets: TargetTable,
     pub(super) versions: Versions,
     reader: DirectoryReader,
+    /// Whether the target list in use counts as outdated.
+    list_is_outdated: bool,
     /// Requests in flight, sorted by token.
     pub(super) requests: Vec<Request>,
     /// Requests that need a token of the limit of their team, sorted by
@@ -101,6 +107,7 @@
             versions: Versions::default(),
             reader: DirectoryReader::new(own_id, options.directory.clone())
                 .with_first_request(first_request),
+            list_is_outdated: false,
             requests: Vec::new(),
             unadmitted: Vec::new(),
             attempts: Attempts::default(),
@@ -143,9 +150,10 @@
         self.reader.has_directory()
     }
 
-    /// Returns the age of the target list in use.
-    pub fn directory_age(&self, now: Time) -> Option<Duration> {
-        self.reader.age(now)
+    /// Returns the age of the target list in use or, if there is none, the
+    /// time since one has been needed.
+    pub fn list_wait(&self, now: Time) -> Option<Duration> {
+        self.reader.wait(now)
     }
 
     /// Allocates a token under which the content of a task is stored.
@@ -243,6 +251,7 @@
             let mut effects = Vec::new();
             self.reader.tick(now, &mut effects);
             self.directory_effects(now, effects);
+            self.check_list_age(now);
         }
         self.report_rollouts(now);
         for id in self.attempts.overdue(now) {
@@ -275,6 +284,21 @@
         self.directory_effects(now, effects);
     }
 
+    /// Logs when the target list becomes outdated, and when that has ended.
+    fn check_list_age(&mut self, now: Time) {
+        let Some(age) = self.reader.wait(now) else { return };
+        let is_outdated = age >= OUTDATED_LIST_AGE;
+        if is_outdated != self.list_is_outdated {
+            self.list_is_outdated = is_outdated;
+            let detail = format!(
+                "outdated={is_outdated} age_ms={} targets={}",
+                age.as_millis(),
+                self.targets.targets().len()
+            );
+            self.log(&kinds::DIRECTORY_OUTDATED, detail);
+        }
+    }
+
     fn directory_effects(&mut self, now: Time, effects: Vec<DirectoryEffect>) {
         for effect in effects {
             match effect {
--- a/src/daemon/forward_metrics.rs
+++ b/src/daemon/forward_metrics.rs
@@ -96,7 +96,9 @@
             ),
             list_age: meter
                 .f64_gauge("primrosemast_forward_list_age_seconds")
-                .with_description("Age of the reading that is in use")
+                .with_description(
+                    "Age of the reading that is in use, or time without one",
+                )
                 .build(),
             share_tokens: meter
                 .f64_counter("primrosemast_share_tokens")
@@ -193,7 +195,7 @@
         self.open_attempts.record(forwarder.open_attempts() as u64, &[]);
         let targets = forwarder.targets().targets().len();
         self.targets.record(targets as u64, &[]);
-        if let Some(age) = forwarder.directory_age(now) {
+        if let Some(age) = forwarder.list_wait(now) {
             self.list_age.record(age.as_secs_f64(), &[]);
         }
         for (service, stage) in forwarder.rollout_stages() {
