Repeat a failed reading of the target list less and less often

The pause now doubles with each call that fails in a row, up to the interval of readings that succeed.

Test: forward_list_age::failed_readings_are_repeated_less_and_less_often.

--- a/crates/core/src/forward/directory.rs
+++ b/crates/core/src/forward/directory.rs
@@ -49,10 +49,14 @@
 /// Number of former lists that are kept to answer with differences.
 const MAX_FORMER_LISTS: usize = 8;
 
-/// Maximum number of doublings of the pause before a request or a call is
-/// repeated.
+/// Maximum number of doublings of the pause before a request is repeated.
 const MAX_RETRY_DOUBLINGS: u32 = 1;
 
+/// Maximum number of doublings of the pause before a failed call is repeated.
+/// The pause ends at the interval, so that instances whose calls fail make no
+/// more of them than while they succeed.
+const MAX_CALL_DOUBLINGS: u32 = 8;
+
 /// An entry of the platform's target list.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListedTarget {
@@ -155,7 +159,7 @@
     /// Time between two fetches, and between a reply and the next request.
     pub interval: Duration,
     /// Time after which an unanswered request is sent to another instance,
-    /// and a failed call is repeated.
+    /// and a call that has failed for the first time is repeated.
     pub retry_after: Duration,
     /// Age of the list at which the first instance after the designated
     /// reader fetches it.
@@ -397,13 +401,17 @@
         self.peers.len() > MAX_DIRECT_REQUESTERS
     }
 
-    /// Returns the pause before a request or a call is repeated.
+    /// Returns the pause before a request is repeated.
     fn retry_pause(&self, doublings: u32) -> Duration {
         // After a loss of power, no instance has a list and all wait for it.
         let backs_off = self.is_large() && self.read_at.is_some();
         let most = if backs_off { MAX_RETRY_DOUBLINGS } else { 0 };
-        let factor = 1 << doublings.min(most);
-        (self.options.retry_after * factor).min(self.options.interval)
+        self.pause_after(doublings.min(most))
+    }
+
+    fn pause_after(&self, doublings: u32) -> Duration {
+        let pause = self.options.retry_after * (1 << doublings);
+        pause.min(self.options.interval)
     }
 
     /// Returns the instance from which the list is requested next.
@@ -497,8 +505,9 @@
     ) {
         let Some(read_at) = self.call_started.take() else { return };
         let Some(mut directory) = directory else {
-            let pause = self.retry_pause(self.failed_calls);
-            self.failed_calls += 1;
+            let pause =
+                self.pause_after(self.failed_calls.min(MAX_CALL_DOUBLINGS));
+            self.failed_calls = self.failed_calls.saturating_add(1);
             self.call_at = now + pause;
             self.next_at = self.next_at.min(now + pause);
             return;
--- a/crates/core/tests/forward_list_age.rs
+++ b/crates/core/tests/forward_list_age.rs
@@ -7,7 +7,7 @@
 
 use primrosemast_core::{
     event::forward::DIRECTORY_OUTDATED,
-    forward::{ForwardEffect, ForwardEvent},
+    forward::{ForwardEffect, ForwardEvent, directory::DirectoryOptions},
 };
 use support::{Harness, ms, route, split, table};
 
@@ -76,3 +76,20 @@
     let age = harness.forwarder.list_wait(harness.now).expect("an age");
     assert!(age < ms(1_000), "{age:?}");
 }
+
+// Guards against readings that fail and are repeated more often than the
+// platform accepts, which then refuses those of other instances, too.
+#[test]
+fn failed_readings_are_repeated_less_and_less_often() {
+    let interval = DirectoryOptions::default().interval;
+    let mut harness = harness();
+    let span = interval * 20;
+    let reads = read_for(&mut harness, span, true);
+    // The first ones follow soon; after that, one an interval is due, as
+    // while the readings succeed.
+    assert!((20..=26).contains(&reads), "{reads}");
+    // A list is read as soon as before once one could be read.
+    read_for(&mut harness, interval * 2, false);
+    let first = read_for(&mut harness, interval + ms(150), true);
+    assert!(first >= 2, "{first}");
+}
