Accept several teams of one name

A configuration with two teams of one name was refused with 400, although nothing makes it invalid. Like routes, teams were identified by the hash of their name, so both would have had one priority and one limit; the table was refused instead.

The second and later teams of a name get identifiers of their own, by their order in the table. The first keeps its identifier, which the limits of running instances use. A key in two teams is refused as before, also if they have one name.

--- a/crates/core/src/forward/table.rs
+++ b/crates/core/src/forward/table.rs
@@ -35,7 +35,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Team {
-    /// Name, unique in the table.
+    /// Name, which targets receive. Several teams may have the same one.
     pub name: String,
     /// Digests of the keys. The keys themselves are not kept.
     pub keys: Vec<KeyDigest>,
@@ -263,12 +263,6 @@
     /// Adds the problems of the teams. None of them contains a key or its
     /// digest.
     fn team_problems(&self, problems: &mut Vec<String>) {
-        let mut names: Vec<&str> =
-            self.teams.iter().map(|t| t.name.as_str()).collect();
-        names.sort_unstable();
-        for pair in names.windows(2).filter(|p| p[0] == p[1]) {
-            problems.push(format!("two teams have the name {:?}", pair[0]));
-        }
         for team in &self.teams {
             let name = &team.name;
             if !is_header_value(name) {
@@ -290,20 +284,22 @@
                 }
             }
         }
-        let mut keys: Vec<(KeyDigest, &str)> = self
+        let mut keys: Vec<(KeyDigest, usize)> = self
             .teams
             .iter()
-            .flat_map(|t| t.keys.iter().map(|k| (*k, t.name.as_str())))
+            .enumerate()
+            .flat_map(|(i, t)| t.keys.iter().map(move |k| (*k, i)))
             .collect();
         keys.sort_unstable();
+        // A team may list a key twice.
+        keys.dedup();
         for pair in keys.windows(2).filter(|p| p[0].0 == p[1].0) {
-            let (first, second) = (pair[0].1, pair[1].1);
-            // A team may list a key twice.
-            if first != second {
-                problems.push(format!(
-                    "teams {first:?} and {second:?} share a key"
-                ));
-            }
+            let mut names =
+                [pair[0].1, pair[1].1].map(|i| &self.teams[i].name);
+            names.sort_unstable();
+            let [first, second] = names;
+            problems
+                .push(format!("teams {first:?} and {second:?} share a key"));
         }
     }
 }
@@ -425,11 +421,13 @@
             .map(|s| (ServiceId::from_name(&s.name), s.clone()))
             .collect();
         services.sort_by_key(|s| s.0);
+        let earlier = teams_of_name_before(&table.teams);
         let mut teams: Vec<_> = table
             .teams
             .iter()
-            .map(|team| {
-                let id = TeamId::from_name(&team.name);
+            .enumerate()
+            .map(|(i, team)| {
+                let id = TeamId::from_name_after(&team.name, earlier[i]);
                 Arc::new(CompiledTeam { team: team.clone(), id })
             })
             .collect();
@@ -517,6 +515,19 @@
     name.to_ascii_lowercase()
 }
 
+/// Returns, for each team, the number of teams with its name before it.
+fn teams_of_name_before(teams: &[Team]) -> Vec<u64> {
+    let mut order: Vec<usize> = (0..teams.len()).collect();
+    order.sort_by_key(|&i| &teams[i].name);
+    let mut before = vec![0; teams.len()];
+    for pair in order.windows(2) {
+        if teams[pair[0]].name == teams[pair[1]].name {
+            before[pair[1]] = before[pair[0]] + 1;
+        }
+    }
+    before
+}
+
 /// Returns the name of a route in logs and metrics; `names` holds the names of
 /// all routes, sorted.
 fn label(route: &ForwardRoute, names: &[&str]) -> String {
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -63,7 +63,8 @@
     ServiceId
 );
 identifier!(
-    /// Identifier of a team, the hash of its name.
+    /// Identifier of a team, the hash of its name and of the number of teams
+    /// with this name before it.
     TeamId
 );
 identifier!(
@@ -115,6 +116,14 @@
     }
 }
 
+impl TeamId {
+    /// Returns the identifier of a team that has `earlier` teams of the same
+    /// name before it in its table. The first one's is that of its name.
+    pub fn from_name_after(name: &str, earlier: u64) -> TeamId {
+        TeamId(xxh3_64_with_seed(name.as_bytes(), earlier))
+    }
+}
+
 impl From<TeamId> for LimitId {
     fn from(team: TeamId) -> LimitId {
         LimitId(team.0)
