--- a/tests/fleet_membership.rs
+++ b/tests/fleet_membership.rs
@@ -38,6 +38,18 @@
         .expect("a home")
 }
 
+/// Starts a fleet that reads an empty list of the platform.
+async fn start_with_list() -> (Platform, TestCluster) {
+    let platform = Platform::start(List::default()).await.expect("platform");
+    let mut options = FleetOptions::spread(4, 3, &ZONES);
+    options.settings = json!({
+        "platform_list": format!("http://{}/list", platform.address()),
+        "timing": {"platform_list_interval_ms": 100},
+    });
+    let cluster = TestCluster::with_options(options).await;
+    (platform, cluster)
+}
+
 /// Guards against targets that stay without a home after their home crashed.
 #[tokio::test(flavor = "multi_thread")]
 async fn crashed_instance_is_dead_and_its_targets_get_new_homes() {
@@ -99,13 +111,7 @@
 /// because the platform list omits it or wrongly shows it as leaving.
 #[tokio::test(flavor = "multi_thread")]
 async fn platform_list_removes_no_live_instance() {
-    let platform = Platform::start(List::default()).await.expect("platform");
-    let mut options = FleetOptions::spread(4, 3, &ZONES);
-    options.settings = json!({
-        "platform_list": format!("http://{}/list", platform.address()),
-        "timing": {"platform_list_interval_ms": 100},
-    });
-    let cluster = TestCluster::with_options(options).await;
+    let (platform, cluster) = start_with_list().await;
     let instances = cluster.fleet.instances();
     let entry = |i: usize, leaving| ListEntry {
         address: instances[i].addresses().peer,
@@ -153,13 +159,7 @@
 /// that a leaving target gets new work again.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_failing_platform_list_takes_nothing_back() {
-    let platform = Platform::start(List::default()).await.expect("platform");
-    let mut options = FleetOptions::spread(4, 3, &ZONES);
-    options.settings = json!({
-        "platform_list": format!("http://{}/list", platform.address()),
-        "timing": {"platform_list_interval_ms": 100},
-    });
-    let cluster = TestCluster::with_options(options).await;
+    let (platform, cluster) = start_with_list().await;
     for i in 0..4 {
         cluster.wait_complete_answer(i).await;
     }
