Replace a dead voter at once when no further loss is tolerated

The schedule it printed fails each time: a follower of five loses its disk, 0.8 to 2.9 s later the leader loses its own, and after the catch-up time of the first another disk is lost. Two voters are left, so that no instance has a configuration again.

Cause: the leader alone measures for how long a voter is silent, from the check that first finds it inactive, and the next leader measures it anew. With the election in between, the first dead voter is still a voter 4 s after its loss, when it no longer counts. Ruled out: lost entries, spares that are not ready, a loss outside of the tolerance.

While several voters are inactive and one more loss would leave no majority, an inactive voter is replaced at once. The times count from the last reply, or from the election.

--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -312,6 +312,7 @@
     pub fn status(&self) -> Status {
         let members = self.log.members().to_vec();
         let (mut progress, mut active) = (Vec::new(), Vec::new());
+        let mut last_reply = Vec::new();
         if let State::Leader(leader) = &self.state {
             let since = leader.active_since(self.options.election_timeout_min);
             for member in &members {
@@ -321,6 +322,8 @@
                     None => self.log.synced_index(),
                 });
                 active.push(p.is_none_or(|p| p.last_reply >= since));
+                last_reply
+                    .push(p.map_or(leader.last_round_at, |p| p.last_reply));
             }
         }
         let role = match &self.state {
@@ -340,6 +343,7 @@
             members,
             progress,
             active,
+            last_reply,
             members_index: self.log.members_index(),
         }
     }
--- a/crates/core/src/consensus/types.rs
+++ b/crates/core/src/consensus/types.rs
@@ -8,6 +8,7 @@
 use crate::{
     event::LogEvent,
     id::{InstanceId, ReplicaId, Token},
+    time::Time,
 };
 
 /// A control replica as a member of the group.
@@ -423,6 +424,10 @@
     /// timeout, in the order of `members`.
     #[serde(default)]
     pub active: Vec<bool>,
+    /// At the leader: when each member last answered, or else when the leader
+    /// was elected, in the order of `members`. Each process has its own clock.
+    #[serde(skip)]
+    pub last_reply: Vec<Time>,
     /// Index of the last membership change.
     #[serde(default)]
     pub members_index: u64,
--- a/crates/core/src/control/repair.rs
+++ b/crates/core/src/control/repair.rs
@@ -12,10 +12,10 @@
 /// Interval between checks of the group.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time after which an inactive voter is removed from a group that has more
-/// voters than its size. Such a group tolerates one loss less, also after a
-/// change of leader, which starts the times of inactive voters anew.
-const SURPLUS_REMOVE_AFTER: Duration = Duration::from_millis(500);
+/// Time without a reply after which a voter is removed from a group that has
+/// more voters than its size. Such a group tolerates one loss less, also after
+/// a change of leader, which starts the times of inactive voters anew.
+const SURPLUS_REMOVE_AFTER: Duration = Duration::from_millis(1_000);
 
 /// Largest number of entries by which a learner may be behind and still
 /// count as caught up.
@@ -26,8 +26,9 @@
 pub struct RepairOptions {
     /// Target number of voters.
     pub group_size: usize,
-    /// Time after which an inactive voter is replaced, if a learner is
-    /// ready. Until then the group tolerates one failure less.
+    /// Time without a reply after which a voter is replaced, if a learner is
+    /// ready. Until then the group tolerates one failure less. While it
+    /// tolerates none, an inactive voter is replaced at once.
     pub replace_after: Duration,
 }
 
@@ -68,7 +69,7 @@
 /// while another one is in progress.
 pub struct Repair {
     options: RepairOptions,
-    /// Inactive voters, sorted by identifier, with the time since when.
+    /// Inactive voters, sorted by identifier, with the time of the last reply.
     inactive: Vec<(ReplicaId, Time)>,
     next_check: Time,
     running_change: Option<Token>,
@@ -147,7 +148,7 @@
         }
     }
 
-    /// Records since when each voter is inactive. The times are not shared
+    /// Records when each inactive voter last replied. The times are not shared
     /// between replicas, so a change of leader starts them anew.
     fn track_inactive(&mut self, now: Time, status: &Status) {
         if status.role != Role::Leader {
@@ -162,13 +163,14 @@
             })
         };
         self.inactive.retain(|x| is_inactive_voter(x.0));
-        for member in &status.members {
+        for (i, member) in status.members.iter().enumerate() {
             let found =
                 self.inactive.binary_search_by_key(&member.id, |x| x.0);
             if let Err(at) = found
                 && is_inactive_voter(member.id)
             {
-                self.inactive.insert(at, (member.id, now));
+                let since = status.last_reply.get(i).copied().unwrap_or(now);
+                self.inactive.insert(at, (member.id, since));
             }
         }
     }
@@ -178,9 +180,10 @@
     ///
     /// If an instance has two replicas, the older one has lost its disk and is
     /// removed before the newer one, which must have caught up, is promoted.
-    /// Any other voter that has been inactive for `replace_after` is replaced:
-    /// a learner is promoted first and then the voter is removed, so that the
-    /// number of voters with every entry never falls.
+    /// Any other voter that has been inactive for `replace_after` is replaced,
+    /// or at once if the group tolerates no further loss: a learner is
+    /// promoted first and then the voter is removed, so that the number of
+    /// voters with every entry never falls.
     fn next_step(&self, now: Time, status: &Status) -> Option<MemberChange> {
         let voters = status.members.iter().filter(|m| m.voter).count();
         let longest = self.inactive.iter().min_by_key(|x| x.1).copied();
@@ -190,8 +193,10 @@
         {
             return Some(MemberChange::Remove(lost));
         }
-        let lost =
-            longest.filter(|x| now.since(x.1) >= self.options.replace_after);
+        let is_urgent = self.tolerates_no_loss(voters);
+        let lost = longest.filter(|x| {
+            is_urgent || now.since(x.1) >= self.options.replace_after
+        });
         let learner = ready_learner(status)?;
         let superseded = status
             .members
@@ -204,6 +209,14 @@
         let can_promote = voters < size || (lost.is_some() && voters == size);
         can_promote.then_some(MemberChange::Promote(learner.id))
     }
+
+    /// Whether several voters are inactive, and the loss of one more would
+    /// leave no majority. A single inactive voter of three may be restarting,
+    /// and has the whole time to come back.
+    fn tolerates_no_loss(&self, voters: usize) -> bool {
+        let inactive = self.inactive.len();
+        inactive > 1 && voters.saturating_sub(inactive) <= voters / 2 + 1
+    }
 }
 
 /// Whether a command that the group commits now survives the losses for which
--- a/crates/core/tests/power_loss.rs
+++ b/crates/core/tests/power_loss.rs
@@ -459,6 +459,35 @@
     }
 }
 
+/// Guards against a dead voter that is not replaced within the catch-up time
+/// because the leader is lost meanwhile: the loss of a third disk after that
+/// time then leaves two of five voters.
+#[test]
+fn a_lost_leader_during_a_replacement_is_survived() {
+    for seed in 0..60 {
+        let mut group = Group::new(5, 3, seed);
+        group.cluster.faults.sync_us = (200, 20_000);
+        let leader = group.cluster.wait_leader();
+        let status = group.cluster.status(leader).expect("it runs");
+        let dead = (0..8)
+            .find(|&i| {
+                let id = group.cluster.nodes[i].replica.id;
+                i != leader
+                    && status.members.iter().any(|m| m.id == id && m.voter)
+            })
+            .expect("one");
+        group.fail(dead, Fault::Replaced, 0);
+        group.advance(50 + seed % 20 * 190);
+        let leader = group.cluster.wait_leader();
+        group.fail(leader, Fault::Replaced, 0);
+        group.wait(CATCH_UP, "the catch-up time of the first", |g| {
+            g.outages.len() < 2
+        });
+        group.submit(true);
+        group.close(Victims::Leader, seed);
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: std::env::var("PROPTEST_CASES")
