--- a/crates/core/src/node/types.rs
+++ b/crates/core/src/node/types.rs
@@ -45,7 +45,8 @@
     /// the group could not survive the number of failures that the site is
     /// configured to tolerate.
     pub min_voters: u32,
-    /// Time without contact after which a voter is replaced by a learner.
+    /// Time without contact after which a voter is replaced by a learner; see
+    /// `RepairOptions::replace_after`.
     pub replace_voter_after: Duration,
     /// Whether this instance may bootstrap the control group without an
     /// operator.
--- a/src/list_entries.rs
+++ b/src/list_entries.rs
@@ -316,6 +316,7 @@
         loop {
             match self.byte(at)? {
                 opening @ (b'{' | b'[') => {
+                    // In ASCII, a closing bracket is two after its opening one.
                     let closing = opening + 2;
                     at = self.skip_space(at + 1);
                     if self.byte(at)? == closing {
--- a/src/settings/instance.rs
+++ b/src/settings/instance.rs
@@ -303,7 +303,8 @@
     /// Minimum election timeout.
     pub election_timeout_ms: u64,
     /// Time without contact after which a voter is replaced, if another
-    /// replica is ready.
+    /// replica is ready. While several voters are silent and the loss of one
+    /// more would leave no majority, one is replaced at once.
     pub replace_voter_ms: u64,
     /// Time for which a new home of a target observes a reduced limit.
     pub takeover_hold_ms: u64,
