Find the new shards of a searcher that gets no requests

It is then known by its health reports alone, which came every 5 s after a recent answer, and whose holdings were ignored for 1 s after an answer. Ruled out: reports lost between instances and homes that were gone.

Slower than needed for the 2% bound of the test would be 1 s alone: the test drops the old shards 0.4 s after the new ones appear.

--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -410,6 +410,11 @@
                 QueryEffect::Respond(token, response) => {
                     out.extend([Effect::Respond(token, response)]);
                 }
+                QueryEffect::SnapshotAppeared(snapshot, targets) => {
+                    let event =
+                        TargetEvent::SnapshotAppeared(snapshot, targets);
+                    self.push(Internal::Target(event));
+                }
                 QueryEffect::Log(event) => out.extend([Effect::Log(event)]),
             }
         }
--- a/crates/core/src/query/api.rs
+++ b/crates/core/src/query/api.rs
@@ -288,6 +288,9 @@
     /// Respond to the caller. Each submitted request gets exactly one response
     /// unless the caller has disconnected.
     Respond(Token, CallerResponse),
+    /// Tell the homes in this instance that a target holds a snapshot that is
+    /// newer than all others of a route. Contains the targets of the route.
+    SnapshotAppeared(Snapshot, Vec<TargetId>),
     /// Write a line to the log.
     Log(LogEvent),
 }
--- a/crates/core/src/query/recover.rs
+++ b/crates/core/src/query/recover.rs
@@ -92,7 +92,7 @@
             self.table.release(slot);
         }
         if let Some(report) = reply.report {
-            self.table.report(now, from, report);
+            self.apply_report(now, from, report);
         }
         let plan = query.plan.as_ref();
         if plan.is_some_and(|p| !p.shards[position].answered) {
--- a/crates/core/src/query/root.rs
+++ b/crates/core/src/query/root.rs
@@ -407,6 +407,19 @@
         }
     }
 
+    pub(super) fn apply_report(
+        &mut self,
+        now: Time,
+        from: InstanceId,
+        report: TargetReport,
+    ) {
+        let appeared = self.table.report(now, from, report);
+        if let Some((snapshot, targets)) = appeared {
+            let effect = QueryEffect::SnapshotAppeared(snapshot, targets);
+            self.out.push(effect);
+        }
+    }
+
     fn handle_message(
         &mut self,
         now: Time,
@@ -420,7 +433,7 @@
         match message {
             Message::Reports(reports) => {
                 for report in reports {
-                    self.table.report(now, from, report);
+                    self.apply_report(now, from, report);
                 }
             }
             Message::Accepted { query, attempt } => {
--- a/crates/core/src/query/route.rs
+++ b/crates/core/src/query/route.rs
@@ -11,6 +11,7 @@
         budget::{ExtraLoadBudget, Latencies},
         index::RouteIndex,
     },
+    snapshot::Snapshot,
     time::Time,
 };
 
@@ -27,6 +28,8 @@
     pub(crate) policy: AnswerPolicy,
     pub(crate) repeatable: bool,
     pub(crate) index: RouteIndex,
+    /// Newest snapshot that any target has reported.
+    pub(crate) newest_snapshot: Option<Snapshot>,
     pub(crate) extra_budget: ExtraLoadBudget,
     pub(crate) latencies: Latencies,
     /// Time of the last log line about a last-resort replica (`FLOOR_USED`).
--- a/crates/core/src/query/table.rs
+++ b/crates/core/src/query/table.rs
@@ -14,7 +14,7 @@
         options::{DispatchMode, QueryOptions},
         route::{RouteEntry, configured_shards, zone_shares},
     },
-    snapshot::Holding,
+    snapshot::{Holding, Snapshot},
     target::{TargetReport, TargetState},
     time::Time,
 };
@@ -338,6 +338,7 @@
                 policy: route.policy,
                 repeatable: route.repeatable,
                 index: RouteIndex::default(),
+                newest_snapshot: None,
                 extra_budget,
                 latencies,
                 last_resort_logged,
@@ -442,17 +443,19 @@
         }
     }
 
-    /// Applies a report, if it comes from the target's home or standby.
+    /// Applies a report, if it comes from the target's home or standby. If it
+    /// lists a snapshot that is newer than all others of a route, returns the
+    /// snapshot and the targets of the route.
     pub(crate) fn report(
         &mut self,
         now: Time,
         from: InstanceId,
         report: TargetReport,
-    ) {
-        let Some(slot) = self.find(report.target) else { return };
+    ) -> Option<(Snapshot, Vec<TargetId>)> {
+        let slot = self.find(report.target)?;
         let (home, standby) = self.homes(slot);
         if home != Some(from) && standby != Some(from) {
-            return;
+            return None;
         }
         let t = &mut self.targets[slot as usize];
         let TargetReport { state, limit, running, queued, mut holds, .. } =
@@ -475,10 +478,40 @@
             TargetState::Leaving => t.leaving_since.or(Some(now)),
             _ => None,
         };
-        if reindex {
-            self.holdings[slot as usize] = holds;
-            self.index_target(slot, true);
+        if !reindex {
+            return None;
         }
+        self.holdings[slot as usize] = holds;
+        self.index_target(slot, true);
+        self.note_newest_snapshot(slot)
+    }
+
+    /// Updates the newest snapshots of a target's routes. If one has changed,
+    /// returns it and the targets of the routes that it is new to.
+    fn note_newest_snapshot(
+        &mut self,
+        slot: u32,
+    ) -> Option<(Snapshot, Vec<TargetId>)> {
+        let holds = &self.holdings[slot as usize];
+        let newest = holds.iter().map(|h| h.snapshot).max()?;
+        let service = self.targets[slot as usize].service;
+        let mut changed = Vec::new();
+        for &r in &self.service_routes[service as usize] {
+            let route = &mut self.routes[r as usize];
+            if route.newest_snapshot < Some(newest) {
+                route.newest_snapshot = Some(newest);
+                changed.push(r);
+            }
+        }
+        if changed.is_empty() {
+            return None;
+        }
+        let is_affected = |t: &&TargetEntry| {
+            let routes = &self.service_routes[t.service as usize];
+            routes.iter().any(|r| changed.contains(r))
+        };
+        let affected = self.targets.iter().filter(is_affected);
+        Some((newest, affected.map(|t| t.id).collect()))
     }
 
     /// Adds a target to the indexes of its routes or removes it. Targets in a
--- a/crates/core/src/target/entry.rs
+++ b/crates/core/src/target/entry.rs
@@ -19,7 +19,7 @@
 use crate::{
     event::{self, EventKind, LogEvent},
     id::{ConnId, JobId},
-    snapshot::Holding,
+    snapshot::{Holding, Snapshot},
     time::Time,
 };
 
@@ -103,6 +103,8 @@
     pub(crate) refuted_boot: Option<u64>,
     pub(crate) last_uptime_ms: u64,
     pub(crate) holds: Vec<Holding>,
+    /// Newest snapshot that any target of its routes holds.
+    pub(crate) newest_snapshot: Option<Snapshot>,
     /// When an answer last listed what the target holds.
     pub(crate) holds_answered_at: Option<Time>,
     pub(crate) queue: JobQueue,
@@ -119,6 +121,9 @@
     pub(crate) reduced_cap: Option<(usize, Time)>,
     /// When the health probe in flight was sent.
     pub(crate) probe_started_at: Option<Time>,
+    /// When the last health probe ended.
+    pub(crate) probed_at: Time,
+    /// When the next health probe is due at the latest.
     pub(crate) next_probe: Time,
     pub(crate) missed_probes: u32,
     /// Summary in the last published report.
@@ -165,6 +170,7 @@
             refuted_boot: None,
             last_uptime_ms: 0,
             holds: Vec::new(),
+            newest_snapshot: None,
             holds_answered_at: None,
             queue: JobQueue::default(),
             conns: Vec::new(),
@@ -174,6 +180,7 @@
             retry_at: None,
             reduced_cap: None,
             probe_started_at: None,
+            probed_at: now,
             next_probe: now,
             missed_probes: 0,
             last_report: None,
--- a/crates/core/src/target/health.rs
+++ b/crates/core/src/target/health.rs
@@ -4,10 +4,11 @@
 */
 
 use super::{
-    HealthReport, HealthStatus, TargetEffect, TargetState,
+    HealthReport, HealthStatus, HomeRole, TargetEffect, TargetOptions,
+    TargetState,
     entry::{Cx, Target},
 };
-use crate::snapshot::Holding;
+use crate::{snapshot::Holding, time::Time};
 
 impl Target {
     /// Starts a health probe unless one is in flight.
@@ -45,6 +46,7 @@
         // Jitter spreads the probes of targets that were configured
         // together.
         let jitter = cx.jitter(interval / 10);
+        self.probed_at = cx.now;
         self.next_probe = cx.now + (interval - jitter);
         if let Some(started) = started {
             self.resolve_suspicions(cx, started, report.is_some());
@@ -97,11 +99,30 @@
         let holds_recent = self
             .holds_answered_at
             .is_some_and(|at| cx.now.since(at) <= cx.options.answer_ttl);
-        if !holds_recent {
+        if holds_recent {
+            self.add_newer_holds(report.holds);
+        } else {
             self.set_holds(report.holds);
         }
     }
 
+    /// Returns when the next health probe is due. Of a target that gets no
+    /// requests, only probes tell which shards it has loaded.
+    pub(crate) fn probe_due(&self, options: &TargetOptions) -> Time {
+        let newest_held = self.holds.last().map(|h| h.snapshot);
+        let is_behind = self.spec.role == HomeRole::Home
+            && self.accepts_jobs()
+            && newest_held < self.newest_snapshot;
+        let interval = if is_behind {
+            options.probe_interval_behind
+        } else {
+            options.probe_interval_other
+        };
+        let known_at = self.holds_answered_at.max(Some(self.probed_at));
+        known_at
+            .map_or(self.next_probe, |at| self.next_probe.min(at + interval))
+    }
+
     /// Marks the target cold unless recent good answers contradict the health
     /// report.
     fn demote<O: Extend<TargetEffect>>(
@@ -153,6 +174,17 @@
         );
     }
 
+    /// Adds the holdings of snapshots that are newer than all that the target
+    /// is known to hold. Other differences from recent answers are ignored,
+    /// because health reports may be out of date.
+    fn add_newer_holds(&mut self, holds: Vec<Holding>) {
+        let newest_held = self.holds.last().map(|h| h.snapshot);
+        let is_newer = |h: &Holding| Some(h.snapshot) > newest_held;
+        let mut all = self.holds.clone();
+        all.extend(holds.into_iter().filter(is_newer));
+        self.set_holds(all);
+    }
+
     /// Replaces the list of snapshots and shards that the target holds.
     pub(crate) fn set_holds(&mut self, mut holds: Vec<Holding>) {
         holds.sort_unstable();
--- a/crates/core/src/target/options.rs
+++ b/crates/core/src/target/options.rs
@@ -59,13 +59,17 @@
     pub probe_interval_ready: Duration,
     /// Interval of health probes of any other target.
     pub probe_interval_other: Duration,
+    /// Interval of health probes of a target that gets no requests and holds
+    /// nothing of a snapshot that other targets of its routes hold.
+    pub probe_interval_behind: Duration,
     /// Time after which a health probe without an answer fails.
     pub probe_timeout: Duration,
     /// Number of failed health probes in a row that mark a target cold, unless
     /// it has given a good answer recently.
     pub probe_failure_threshold: u32,
     /// How long an answer takes precedence over health reports: a good answer
-    /// for the state of the target, and a list of holdings for its holdings.
+    /// for the state of the target, and a list of holdings for its holdings,
+    /// to which reports may only add newer snapshots.
     pub answer_ttl: Duration,
     /// How long an abandoned request occupies its slot if the target does not
     /// confirm the cancellation. Equals the time that the daemon waits for the
@@ -103,6 +107,7 @@
             backoff_max: Duration::from_secs(5),
             probe_interval_ready: Duration::from_secs(5),
             probe_interval_other: Duration::from_secs(1),
+            probe_interval_behind: Duration::from_millis(200),
             probe_timeout: Duration::from_secs(1),
             probe_failure_threshold: 2,
             answer_ttl: Duration::from_secs(1),
--- a/crates/core/src/target/reducer.rs
+++ b/crates/core/src/target/reducer.rs
@@ -126,6 +126,15 @@
                     self.apply(now, key, out, |t, cx| t.health(cx, report));
                 }
             }
+            TargetEvent::SnapshotAppeared(snapshot, targets) => {
+                for target in targets {
+                    let Some(key) = self.key_of(target) else { continue };
+                    self.apply(now, key, out, |t, _| {
+                        t.newest_snapshot =
+                            t.newest_snapshot.max(Some(snapshot));
+                    });
+                }
+            }
             TargetEvent::PlatformLeaving(target, leaving) => {
                 if let Some(key) = self.key_of(target) {
                     self.apply(now, key, out, |t, cx| {
@@ -342,7 +351,9 @@
             Some(started) if cx.now >= started + cx.options.probe_timeout => {
                 self.health(cx, None);
             }
-            None if self.is_probed() && cx.now >= self.next_probe => {
+            None if self.is_probed()
+                && cx.now >= self.probe_due(cx.options) =>
+            {
                 self.start_probe(cx);
             }
             _ => {}
@@ -363,7 +374,7 @@
         let silence_timeout = self.silence_timeout(options);
         let probe = match self.probe_started_at {
             Some(started) => Some(started + options.probe_timeout),
-            None => self.is_probed().then_some(self.next_probe),
+            None => self.is_probed().then(|| self.probe_due(options)),
         };
         let awaits_conn = self.is_enabled()
             && (self.state == TargetState::Down || self.queue.len() > 0)
--- a/crates/core/tests/node.rs
+++ b/crates/core/tests/node.rs
@@ -3,10 +3,13 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use primrosemast_core::{
-    config::{AvailabilityZone, Configuration, ZoneState},
+    config::{
+        AnswerPolicy, AvailabilityZone, Configuration, Priority, Route,
+        Searcher, Service, ZoneShare, ZoneState,
+    },
     config_sync::{ConfigRecord, Message},
     consensus::Recovered,
-    control::{ControlReply, TableRevision, ZoneStateChange},
+    control::{Change, ControlReply, TableRevision, ZoneStateChange},
     forward::{
         ForwardEffect, ForwardEvent, Reason, Response, Submission,
         directory::{Directory, ListedTarget},
@@ -15,10 +18,14 @@
             RateLimit, Team,
         },
     },
-    id::{ConfigVersion, InstanceId, ReplicaId, TeamId, Token, ZoneId},
+    id::{
+        ConfigVersion, InstanceId, ReplicaId, TargetId, TeamId, Token, ZoneId,
+    },
     membership::{Member, MemberState},
     message::PeerMessage,
     node::{Effect, Event, Node, NodeOptions, OperatorReply, OperatorRequest},
+    snapshot::{Holding, Snapshot},
+    target::{HealthReport, HealthStatus, TargetEffect, TargetEvent},
     time::Time,
     verdict::Verdict,
 };
@@ -108,6 +115,16 @@
 /// Steps a node that is alone in its control group for a second, and completes
 /// its writes at once.
 fn run_alone(node: &mut Node, from_ms: u64, event: Event) {
+    run_alone_with(node, from_ms, event, |_| None);
+}
+
+/// Like `run_alone`, with the answers of `answer` to further effects.
+fn run_alone_with(
+    node: &mut Node,
+    from_ms: u64,
+    event: Event,
+    mut answer: impl FnMut(&Effect) -> Option<Event>,
+) {
     let mut events = vec![event];
     for ms in from_ms..from_ms + 1_000 {
         let now = Time::from_millis(ms);
@@ -123,7 +140,7 @@
                     let event = ForwardEvent::DirectoryRead(Ok(directory()));
                     Some(Event::Forward(event))
                 }
-                _ => None,
+                effect => answer(&effect),
             }));
         }
     }
@@ -166,6 +183,101 @@
     assert_eq!(node.forwarding_table().revision, 1);
 }
 
+/// A configuration with a route over two searchers in zone `a`.
+fn two_searchers() -> Configuration {
+    let searcher = |n: u16| Searcher {
+        name: format!("searcher-{n}"),
+        address: ([10, 0, 0, 9], 80 + n).into(),
+        availability_zone: "a".into(),
+        slots: 2,
+        connections: 20,
+        connect_cost_ms: 0,
+    };
+    let share = ZoneShare { availability_zone: "a".into(), percent: 100 };
+    Configuration {
+        availability_zones: vec![AvailabilityZone {
+            name: "a".into(),
+            state: ZoneState::In,
+        }],
+        services: vec![Service {
+            name: "index".into(),
+            searchers: vec![searcher(0), searcher(1)],
+        }],
+        routes: vec![Route {
+            name: "search".into(),
+            services: vec!["index".into()],
+            shards: None,
+            shares: vec![share],
+            deadline_ms: 1_000,
+            priority: Priority::Normal,
+            policy: AnswerPolicy::Coverage,
+            repeatable: true,
+        }],
+        ..Configuration::default()
+    }
+}
+
+/// Steps a node that is alone through a second, answers its health probes with
+/// the index version that each searcher holds, and returns how often each one
+/// was probed.
+fn probes_in_a_second(
+    node: &mut Node,
+    from_ms: u64,
+    held: [(TargetId, u64); 2],
+) -> [usize; 2] {
+    let mut counts = [0; 2];
+    run_alone_with(node, from_ms, Event::Tick, |effect| {
+        let Effect::Target(TargetEffect::ProbeHealth { target, .. }) = effect
+        else {
+            return None;
+        };
+        let i = held.iter().position(|h| h.0 == *target)?;
+        counts[i] += 1;
+        let snapshot = Snapshot { index_version: held[i].1, partition_map: 1 };
+        let shard = i as u32;
+        let report = HealthReport {
+            status: HealthStatus::Ok,
+            boot_id: 1,
+            uptime_ms: from_ms,
+            holds: vec![Holding { snapshot, shard, shard_count: 2 }],
+        };
+        Some(Event::Target(TargetEvent::Health(*target, Some(report))))
+    });
+    counts
+}
+
+// Guards against queries that lack a shard of a new snapshot, because the
+// searcher that loaded it gets no requests and is found with its next probe.
+#[test]
+fn searchers_behind_a_new_snapshot_are_probed_more_often() {
+    let mut node = node();
+    let recovered = Some((ReplicaId(5), Recovered::default()));
+    run_alone(&mut node, 0, Event::Start { recovered });
+    let bootstrap = OperatorRequest::Bootstrap { group: 77 };
+    run_alone(&mut node, 1_000, Event::Operator(Token(1), bootstrap));
+    let cfg = two_searchers();
+    let change = OperatorRequest::Change(Change {
+        change_id: "searchers".into(),
+        expected_version: ConfigVersion(0),
+        document: rmp_serde::to_vec_named(&cfg).expect("encoded").into(),
+    });
+    run_alone(&mut node, 2_000, Event::Operator(Token(2), change));
+    let [a, b] = [0, 1].map(|i| cfg.services[0].searchers[i].id());
+    let mut probes = |from_ms, versions: [u64; 2]| {
+        let held = [(a, versions[0]), (b, versions[1])];
+        probes_in_a_second(&mut node, from_ms, held)
+    };
+    probes(3_000, [1, 1]);
+    let steady = probes(4_000, [1, 1]);
+    assert!(steady.iter().all(|n| (1..=2).contains(n)), "{steady:?}");
+    probes(5_000, [2, 1]);
+    let behind = probes(6_000, [2, 1]);
+    assert!(behind[0] <= 2 && behind[1] >= 4, "{behind:?}");
+    probes(7_000, [2, 2]);
+    let steady = probes(8_000, [2, 2]);
+    assert!(steady.iter().all(|n| (1..=2).contains(n)), "{steady:?}");
+}
+
 // Guards against a limit that is not passed to the shared limits, tokens that
 // are not passed to the requests, and a voter that grants without waiting.
 #[test]
--- a/crates/core/tests/query_properties.rs
+++ b/crates/core/tests/query_properties.rs
@@ -444,7 +444,9 @@
                     assert!(entry.granted, "settled without a claim");
                     assert!(verdict > Verdict::NotRun || !entry.ran);
                 }
-                QueryEffect::Send(..) | QueryEffect::Log(_) => {}
+                QueryEffect::Send(..)
+                | QueryEffect::SnapshotAppeared(..)
+                | QueryEffect::Log(_) => {}
             }
         }
         let now = self.root.now;
--- a/crates/core/tests/target.rs
+++ b/crates/core/tests/target.rs
@@ -5,7 +5,11 @@
 use std::time::Duration;
 
 use primrosemast_core::{
-    config::Priority, id::TargetId, snapshot::Holding, target::*, time::Time,
+    config::Priority,
+    id::TargetId,
+    snapshot::{Holding, Snapshot},
+    target::*,
+    time::Time,
     verdict::Verdict,
 };
 use target_support::*;
@@ -161,6 +165,40 @@
     assert_eq!((cold_phases, before), (1, TargetState::Ready));
 }
 
+/// Guards against shards that are not found for seconds, because the target
+/// that loaded them has just been probed and gets no requests.
+#[test]
+fn a_target_without_requests_is_probed_a_second_after_its_last_answer() {
+    let mut rig = Rig::ready(2);
+    rig.health(Some(health(HealthStatus::Ok, BOOT)));
+    for _ in 0..30 {
+        assert_eq!(probes(&rig.advance(ms(95))), []);
+        rig.serve(ms(5));
+    }
+    assert_eq!(probes(&rig.advance(ms(1_000))), [TargetId(1)]);
+}
+
+/// Guards against shards of a new snapshot that are not found, because the
+/// health report that lists them follows an older answer too closely. Reports
+/// that lag behind the answer must not undo it.
+#[test]
+fn a_health_report_adds_newer_snapshots_to_what_answers_list() {
+    let mut rig = Rig::ready(2);
+    let of_version = |index_version| Holding {
+        snapshot: Snapshot { index_version, ..SNAPSHOT },
+        ..holding()
+    };
+    let (older, newer) = (of_version(6), of_version(8));
+    let report = health(HealthStatus::Ok, BOOT);
+    let holds = vec![older, newer];
+    rig.health(Some(HealthReport { holds, ..report.clone() }));
+    assert_eq!(rig.report().holds, [holding(), newer]);
+    rig.health(Some(HealthReport { holds: vec![older], ..report }));
+    assert_eq!(rig.report().holds, [holding(), newer]);
+    rig.serve(ms(5));
+    assert_eq!(rig.report().holds, [holding()]);
+}
+
 /// Guards H3: a restarted process is cold, whether its answers or its health
 /// reports show the restart.
 #[test]
--- a/tests/query_path.rs
+++ b/tests/query_path.rs
@@ -133,6 +133,20 @@
 /// queries.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn answers_come_from_one_snapshot_with_true_coverage() {
+    check_answers_while_the_index_changes(Duration::ZERO).await;
+}
+
+/// Guards against answers without a shard, because the searcher that has
+/// loaded it is slow and gets too few requests to announce it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn shards_of_a_searcher_without_requests_are_found() {
+    check_answers_while_the_index_changes(Duration::from_millis(150)).await;
+}
+
+/// Checks answers during changes of the index and the loss of a searcher.
+/// Until the loss, the only other searcher of one of its new shards takes
+/// longer for each answer by `delay`.
+async fn check_answers_while_the_index_changes(delay: Duration) {
     let _slot = test_slot().await;
     let site = Site::start(&ZONES, &[SearcherGroup::default()]).await.unwrap();
     let mut history = History::new();
@@ -143,6 +157,9 @@
     wait_full_coverage(&fleet, "search", 4).await.unwrap();
     let load = Load::start(&callers(&fleet), LoadOptions::default());
     load.wait_replies(50).await.unwrap();
+    let delay_us = delay.as_micros() as u64;
+    site.targets[5].searcher.update(|b| b.latency_us += delay_us);
+    load.wait_replies(50).await.unwrap();
 
     // A new index version, first on one replica of every shard and then on
     // the other.
@@ -168,6 +185,7 @@
     let failed = &site.targets[3];
     failed.proxy.update(|f| f.refuse = true);
     failed.proxy.close_open_connections();
+    site.targets[5].searcher.update(|b| b.latency_us -= delay_us);
     load.wait_replies(50).await.unwrap();
     for i in order {
         announce(&site, &mut history, i, new_shards(i).collect());
