Send a retry on a connection that is opened after it arrives

Cause: the retry asks for a new connection, and any connection without an answer counted as new, also one that had been opened for a queue before the loss and never used.

A connection now counts as new only if it was established after the last job that needs a new one arrived. a_job_that_needs_a_new_connection_uses_no_idle_one failed before.

--- a/crates/core/src/target/conn.rs
+++ b/crates/core/src/target/conn.rs
@@ -35,6 +35,9 @@
     pub(crate) state: ConnState,
     /// Whether the connection has carried an answer.
     pub(crate) carried_answer: bool,
+    /// Whether a job that needs a new connection may use it: it has carried no
+    /// answer and was established after the last such job arrived.
+    pub(crate) is_new: bool,
 }
 
 /// State of a connection.
--- a/crates/core/src/target/entry.rs
+++ b/crates/core/src/target/entry.rs
@@ -231,6 +231,12 @@
             self.shed(cx, job.id, "home_only");
             return;
         }
+        if job.fresh_connection {
+            // All of these may have been lost together with the connection of
+            // the earlier request.
+            let idle = |c: &&mut Conn| c.idle_since().is_some();
+            self.conns.iter_mut().filter(idle).for_each(|c| c.is_new = false);
+        }
         // The queue is bounded by the number of jobs that can be served
         // before the latest deadline in it.
         let horizon = self
@@ -312,9 +318,7 @@
         self.conns
             .iter()
             .enumerate()
-            // A connection that has carried an answer may have been lost
-            // together with the connection of the earlier request.
-            .filter(|(_, conn)| !(job.fresh_connection && conn.carried_answer))
+            .filter(|(_, conn)| conn.is_new || !job.fresh_connection)
             .filter_map(|(i, conn)| Some((conn.idle_since()?, i)))
             // A health probe uses a separate connection and proves nothing
             // about this one. A request that must not be repeated gets a
@@ -364,6 +368,7 @@
                 id,
                 state: ConnState::Connecting { since: cx.now },
                 carried_answer: false,
+                is_new: true,
             });
             cx.emit(TargetEffect::Connect {
                 target: self.spec.id,
--- a/crates/core/src/target/exchange.rs
+++ b/crates/core/src/target/exchange.rs
@@ -274,6 +274,7 @@
         if keep {
             self.conns[i].state = ConnState::Idle { since: cx.now };
             self.conns[i].carried_answer = true;
+            self.conns[i].is_new = false;
         } else {
             self.conns.swap_remove(i);
             cx.emit(TargetEffect::Close(id));
--- a/crates/core/tests/target.rs
+++ b/crates/core/tests/target.rs
@@ -415,6 +415,29 @@
     assert!(codes(&rig.effects).contains(&204));
 }
 
+/// Guards F9: a request that is sent again after the loss of a connection must
+/// not wait on one that was open, but unused, when connections were lost.
+#[test]
+fn a_job_that_needs_a_new_connection_uses_no_idle_one() {
+    let mut rig = Rig::ready(2);
+    let (first, a) = rig.send();
+    let b = rig.submit();
+    let unused = connects(&rig.effects)[0];
+    rig.step(TargetEvent::Cancel(b.id));
+    rig.step(TargetEvent::Connected(unused));
+    rig.answer(first, &a);
+    let job = Job { fresh_connection: true, ..rig.job() };
+    rig.step(TargetEvent::Submit(job.clone()));
+    assert_eq!(sends(&rig.effects), []);
+    let new = connects(&rig.effects)[0];
+    rig.step(TargetEvent::Connected(new));
+    assert_eq!(sends(&rig.effects), [(new, job.clone())]);
+    rig.answer(new, &job);
+    // Other jobs may use the idle ones.
+    let (conn, _) = rig.send();
+    assert!([first, unused, new].contains(&conn));
+}
+
 /// Guards H2: a request whose answer is only slow must not be abandoned while
 /// most of the time until its deadline is left.
 #[test]
