Close all idle connections when those of two targets are lost together

After all open connections to searchers had gone silent, a later query lacked one of four shards: in 2 of 120 runs of silent_connections_to_searchers_cost_no_coverage beside eight busy processes. The log shows five silent connections of five searchers within 20 ms, then a sixth, whose request was not sent again. Cause: only the idle connections of the same searcher were closed, so each other one cost a token of the extra-load budget, of which hedges leave four. A larger budget was ruled out: it bounds the load on slow searchers.

When connections to two targets are found silent within a second, all connections that were idle when the request was sent are closed. idle_connections_of_all_ targets_are_closed_after_a_shared_loss failed before; 0 of 120 runs as above fail after (x86_64, debug).

--- a/crates/core/src/target/entry.rs
+++ b/crates/core/src/target/entry.rs
@@ -31,6 +31,9 @@
     /// Jobs that have not ended, with the slab key of their target.
     pub(crate) jobs: &'a mut BTreeMap<JobId, u32>,
     pub(crate) conn_counter: &'a mut u64,
+    /// When the request was sent on the latest connection that was found
+    /// silent in this step.
+    pub(crate) silent_since: Option<Time>,
     pub(crate) out: &'a mut O,
 }
 
@@ -393,6 +396,15 @@
         });
     }
 
+    /// Closes the connections that have been idle since `at` or longer.
+    pub(crate) fn close_idle_since<O: Extend<TargetEffect>>(
+        &mut self,
+        cx: &mut Cx<'_, O>,
+        at: Time,
+    ) {
+        self.close_unused(cx, |c| c.idle_since().is_some_and(|s| s <= at));
+    }
+
     fn summary(&self) -> Summary {
         let latency = self.latency.smoothed().unwrap_or_default();
         Summary {
--- a/crates/core/src/target/exchange.rs
+++ b/crates/core/src/target/exchange.rs
@@ -401,8 +401,8 @@
                 (self.silence_doublings + 1).min(MAX_SILENCE_DOUBLINGS);
             // Whatever dropped the state of this connection has probably
             // dropped that of connections that were idle for as long.
-            let at = sent.sent_at;
-            self.close_unused(cx, |c| c.idle_since().is_some_and(|s| s <= at));
+            cx.silent_since = Some(sent.sent_at);
+            self.close_idle_since(cx, sent.sent_at);
             i = 0;
         }
     }
--- a/crates/core/src/target/reducer.rs
+++ b/crates/core/src/target/reducer.rs
@@ -6,7 +6,10 @@
 looked up in ordered maps.
 */
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -23,6 +26,11 @@
     time::Time,
 };
 
+/// Time between two connections of different targets that are found silent
+/// within which they count as lost together. Requests that are sent at the
+/// same time end within the time of a health probe of each other, 1 s.
+const SHARED_LOSS_WINDOW: Duration = Duration::from_secs(1);
+
 /// All targets that this instance serves.
 #[derive(Debug)]
 pub struct Targets {
@@ -42,6 +50,8 @@
     timers: BTreeSet<(Time, u32)>,
     /// Number of the connection that was opened last.
     conn_counter: u64,
+    /// When a connection was last found silent, and the key of its target.
+    last_silent: Option<(Time, u32)>,
     /// Whether a configuration has been applied.
     configured: bool,
 }
@@ -59,6 +69,7 @@
             jobs: BTreeMap::new(),
             timers: BTreeSet::new(),
             conn_counter: 0,
+            last_silent: None,
             configured: false,
         }
     }
@@ -287,6 +298,7 @@
             rng: &mut self.rng,
             jobs: &mut self.jobs,
             conn_counter: &mut self.conn_counter,
+            silent_since: None,
             out,
         };
         target.expire(&cx);
@@ -295,6 +307,7 @@
         target.confirm_revocation(&mut cx);
         target.dispatch(&mut cx);
         target.publish_report(&mut cx);
+        let silent_since = cx.silent_since;
         let due = target.next_deadline(&self.options);
         let previous = std::mem::replace(&mut target.scheduled_tick, due);
         if previous != due {
@@ -308,6 +321,38 @@
         if target.is_removable() {
             self.remove(key);
         }
+        if let Some(at) = silent_since {
+            self.connection_silent(now, key, at, out);
+        }
+    }
+
+    /// Notes that a connection on which a request was sent at `sent_at` was
+    /// silent. If connections of several targets were, something between this
+    /// instance and its targets has lost track of them, and probably of all
+    /// that were idle at that time.
+    fn connection_silent<O: Extend<TargetEffect>>(
+        &mut self,
+        now: Time,
+        key: u32,
+        sent_at: Time,
+        out: &mut O,
+    ) {
+        let previous = self.last_silent.replace((now, key));
+        let is_shared = previous.is_some_and(|(at, other)| {
+            other != key && now.since(at) <= SHARED_LOSS_WINDOW
+        });
+        if !is_shared {
+            return;
+        }
+        let keys: Vec<u32> = self.by_id.iter().map(|x| x.1).collect();
+        for key in keys {
+            self.apply(now, key, out, |t, cx| {
+                let was_connected = !t.conns.is_empty();
+                t.close_idle_since(cx, sent_at);
+                // Without a connection, a restart would go unnoticed.
+                t.maybe_restarted |= was_connected && t.conns.is_empty();
+            });
+        }
     }
 
     fn remove(&mut self, key: u32) {
--- a/crates/core/tests/target.rs
+++ b/crates/core/tests/target.rs
@@ -438,6 +438,41 @@
     assert!([first, unused, new].contains(&conn));
 }
 
+/// Guards F9: when connections of several targets are lost together, each
+/// further one that is found by a request costs a retry. A single one says
+/// nothing of other targets.
+#[test]
+fn idle_connections_of_all_targets_are_closed_after_a_shared_loss() {
+    let mut rig = Rig::with_target(2);
+    let ids = [1, 2, 3, 4];
+    rig.step(TargetEvent::Configure(ids.map(|id| spec(id, 2)).to_vec()));
+    let report = health(HealthStatus::Ok, BOOT);
+    let answered =
+        |id| TargetEvent::Health(TargetId(id), Some(report.clone()));
+    let mut conns = Vec::new();
+    for id in ids {
+        rig.step(answered(id));
+        let (conn, job) = rig.send_to(id);
+        rig.answer(conn, &job);
+        conns.push(conn);
+    }
+    rig.now += ms(1);
+    let (first, _) = rig.send_to(1);
+    let (second, _) = rig.send_to(2);
+    assert_eq!([first, second], [conns[0], conns[1]]);
+    // The connection to the fourth target is used meanwhile.
+    rig.now += ms(5);
+    let (used, job) = rig.send_to(4);
+    rig.answer(used, &job);
+    rig.now += ms(200);
+    rig.step(TargetEvent::Tick);
+    assert_eq!(probes(&rig.effects), [TargetId(1), TargetId(2)]);
+    rig.step(answered(1));
+    assert_eq!(closes(&rig.effects), [conns[0]]);
+    rig.step(answered(2));
+    assert_eq!(closes(&rig.effects), [conns[1], conns[2]]);
+}
+
 /// Guards H2: a request whose answer is only slow must not be abandoned while
 /// most of the time until its deadline is left.
 #[test]
--- a/crates/core/tests/target_support/mod.rs
+++ b/crates/core/tests/target_support/mod.rs
@@ -189,6 +189,13 @@
         self.open_all().pop().expect("the job is sent at once")
     }
 
+    /// Like `send`, with a job for another target.
+    pub fn send_to(&mut self, target: u64) -> (ConnId, Job) {
+        let job = Job { target: TargetId(target), ..self.job() };
+        self.step(TargetEvent::Submit(job));
+        self.open_all().pop().expect("the job is sent at once")
+    }
+
     pub fn answer(&mut self, conn: ConnId, job: &Job) -> &[TargetEffect] {
         let answer = answer_to(job);
         self.step(TargetEvent::Answer(conn, job.id, answer))
