--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -410,9 +410,8 @@
                 QueryEffect::Respond(token, response) => {
                     out.extend([Effect::Respond(token, response)]);
                 }
-                QueryEffect::SnapshotAppeared(snapshot, targets) => {
-                    let event =
-                        TargetEvent::SnapshotAppeared(snapshot, targets);
+                QueryEffect::NewestSnapshots(newest) => {
+                    let event = TargetEvent::NewestSnapshots(newest);
                     self.push(Internal::Target(event));
                 }
                 QueryEffect::Log(event) => out.extend([Effect::Log(event)]),
--- a/crates/core/src/query/api.rs
+++ b/crates/core/src/query/api.rs
@@ -288,9 +288,9 @@
     /// Respond to the caller. Each submitted request gets exactly one response
     /// unless the caller has disconnected.
     Respond(Token, CallerResponse),
-    /// Tell the homes in this instance that a target holds a snapshot that is
-    /// newer than all others of a route. Contains the targets of the route.
-    SnapshotAppeared(Snapshot, Vec<TargetId>),
+    /// The newest snapshot of a route has changed. Contains, for each target
+    /// of the route, the newest one that any target of its routes holds.
+    NewestSnapshots(Vec<(TargetId, Option<Snapshot>)>),
     /// Write a line to the log.
     Log(LogEvent),
 }
--- a/crates/core/src/query/root.rs
+++ b/crates/core/src/query/root.rs
@@ -413,10 +413,9 @@
         from: InstanceId,
         report: TargetReport,
     ) {
-        let appeared = self.table.report(now, from, report);
-        if let Some((snapshot, targets)) = appeared {
-            let effect = QueryEffect::SnapshotAppeared(snapshot, targets);
-            self.out.push(effect);
+        let newest = self.table.report(now, from, report);
+        if !newest.is_empty() {
+            self.out.push(QueryEffect::NewestSnapshots(newest));
         }
     }
 
--- a/crates/core/src/query/route.rs
+++ b/crates/core/src/query/route.rs
@@ -28,7 +28,7 @@
     pub(crate) policy: AnswerPolicy,
     pub(crate) repeatable: bool,
     pub(crate) index: RouteIndex,
-    /// Newest snapshot that any target has reported.
+    /// Newest snapshot in `index` after the last report.
     pub(crate) newest_snapshot: Option<Snapshot>,
     pub(crate) extra_budget: ExtraLoadBudget,
     pub(crate) latencies: Latencies,
--- a/crates/core/src/query/table.rs
+++ b/crates/core/src/query/table.rs
@@ -444,18 +444,18 @@
     }
 
     /// Applies a report, if it comes from the target's home or standby. If it
-    /// lists a snapshot that is newer than all others of a route, returns the
-    /// snapshot and the targets of the route.
+    /// changes the newest snapshot of a route, returns the targets of the route
+    /// with the newest snapshot of all of their routes.
     pub(crate) fn report(
         &mut self,
         now: Time,
         from: InstanceId,
         report: TargetReport,
-    ) -> Option<(Snapshot, Vec<TargetId>)> {
-        let slot = self.find(report.target)?;
+    ) -> Vec<(TargetId, Option<Snapshot>)> {
+        let Some(slot) = self.find(report.target) else { return Vec::new() };
         let (home, standby) = self.homes(slot);
         if home != Some(from) && standby != Some(from) {
-            return None;
+            return Vec::new();
         }
         let t = &mut self.targets[slot as usize];
         let TargetReport { state, limit, running, queued, mut holds, .. } =
@@ -479,39 +479,39 @@
             _ => None,
         };
         if !reindex {
-            return None;
+            return Vec::new();
         }
         self.holdings[slot as usize] = holds;
         self.index_target(slot, true);
-        self.note_newest_snapshot(slot)
+        self.update_newest_snapshots(slot)
     }
 
-    /// Updates the newest snapshots of a target's routes. If one has changed,
-    /// returns it and the targets of the routes that it is new to.
-    fn note_newest_snapshot(
+    /// Updates the newest snapshots of a target's routes, and returns what
+    /// `report` does.
+    fn update_newest_snapshots(
         &mut self,
         slot: u32,
-    ) -> Option<(Snapshot, Vec<TargetId>)> {
-        let holds = &self.holdings[slot as usize];
-        let newest = holds.iter().map(|h| h.snapshot).max()?;
+    ) -> Vec<(TargetId, Option<Snapshot>)> {
         let service = self.targets[slot as usize].service;
         let mut changed = Vec::new();
         for &r in &self.service_routes[service as usize] {
             let route = &mut self.routes[r as usize];
-            if route.newest_snapshot < Some(newest) {
-                route.newest_snapshot = Some(newest);
+            let newest = route.index.snapshots.first().map(|x| x.snapshot);
+            if route.newest_snapshot != newest {
+                route.newest_snapshot = newest;
                 changed.push(r);
             }
         }
         if changed.is_empty() {
-            return None;
+            return Vec::new();
         }
-        let is_affected = |t: &&TargetEntry| {
+        let newest_for = |t: &TargetEntry| {
             let routes = &self.service_routes[t.service as usize];
-            routes.iter().any(|r| changed.contains(r))
+            let newest = |r: &u32| self.routes[*r as usize].newest_snapshot;
+            let is_affected = routes.iter().any(|r| changed.contains(r));
+            is_affected.then(|| (t.id, routes.iter().filter_map(newest).max()))
         };
-        let affected = self.targets.iter().filter(is_affected);
-        Some((newest, affected.map(|t| t.id).collect()))
+        self.targets.iter().filter_map(newest_for).collect()
     }
 
     /// Adds a target to the indexes of its routes or removes it. Targets in a
--- a/crates/core/src/target/entry.rs
+++ b/crates/core/src/target/entry.rs
@@ -33,7 +33,7 @@
     pub(crate) conn_counter: &'a mut u64,
     /// When the request was sent on the latest connection that was found
     /// silent in this step.
-    pub(crate) silent_since: Option<Time>,
+    pub(crate) silent_sent_at: Option<Time>,
     pub(crate) out: &'a mut O,
 }
 
--- a/crates/core/src/target/exchange.rs
+++ b/crates/core/src/target/exchange.rs
@@ -401,7 +401,7 @@
                 (self.silence_doublings + 1).min(MAX_SILENCE_DOUBLINGS);
             // Whatever dropped the state of this connection has probably
             // dropped that of connections that were idle for as long.
-            cx.silent_since = Some(sent.sent_at);
+            cx.silent_sent_at = Some(sent.sent_at);
             self.close_idle_since(cx, sent.sent_at);
             i = 0;
         }
--- a/crates/core/src/target/health.rs
+++ b/crates/core/src/target/health.rs
@@ -118,9 +118,8 @@
         } else {
             options.probe_interval_other
         };
-        let known_at = self.holds_answered_at.max(Some(self.probed_at));
-        known_at
-            .map_or(self.next_probe, |at| self.next_probe.min(at + interval))
+        let answered_at = self.holds_answered_at.unwrap_or(self.probed_at);
+        self.next_probe.min(answered_at.max(self.probed_at) + interval)
     }
 
     /// Marks the target cold unless recent good answers contradict the health
--- a/crates/core/src/target/reducer.rs
+++ b/crates/core/src/target/reducer.rs
@@ -137,12 +137,11 @@
                     self.apply(now, key, out, |t, cx| t.health(cx, report));
                 }
             }
-            TargetEvent::SnapshotAppeared(snapshot, targets) => {
-                for target in targets {
+            TargetEvent::NewestSnapshots(newest) => {
+                for (target, snapshot) in newest {
                     let Some(key) = self.key_of(target) else { continue };
                     self.apply(now, key, out, |t, _| {
-                        t.newest_snapshot =
-                            t.newest_snapshot.max(Some(snapshot));
+                        t.newest_snapshot = snapshot;
                     });
                 }
             }
@@ -298,7 +297,7 @@
             rng: &mut self.rng,
             jobs: &mut self.jobs,
             conn_counter: &mut self.conn_counter,
-            silent_since: None,
+            silent_sent_at: None,
             out,
         };
         target.expire(&cx);
@@ -307,7 +306,7 @@
         target.confirm_revocation(&mut cx);
         target.dispatch(&mut cx);
         target.publish_report(&mut cx);
-        let silent_since = cx.silent_since;
+        let silent_sent_at = cx.silent_sent_at;
         let due = target.next_deadline(&self.options);
         let previous = std::mem::replace(&mut target.scheduled_tick, due);
         if previous != due {
@@ -321,7 +320,7 @@
         if target.is_removable() {
             self.remove(key);
         }
-        if let Some(at) = silent_since {
+        if let Some(at) = silent_sent_at {
             self.connection_silent(now, key, at, out);
         }
     }
--- a/crates/core/src/target/types.rs
+++ b/crates/core/src/target/types.rs
@@ -228,9 +228,9 @@
     ConnClosed(ConnId, CloseReason),
     /// A health probe ended; `None` if it got no valid answer.
     Health(TargetId, Option<HealthReport>),
-    /// A snapshot appeared that is newer than all others of a route. Contains
-    /// the targets of the route, of which some may be unknown here.
-    SnapshotAppeared(Snapshot, Vec<TargetId>),
+    /// The newest snapshot that any target of the same routes holds, for
+    /// targets of which some may be unknown here.
+    NewestSnapshots(Vec<(TargetId, Option<Snapshot>)>),
     /// Whether the platform's list names the target as leaving.
     PlatformLeaving(TargetId, bool),
     /// The home of a target allows this instance to send to it, or no longer.
--- a/crates/core/tests/node.rs
+++ b/crates/core/tests/node.rs
@@ -276,6 +276,13 @@
     probes(7_000, [2, 2]);
     let steady = probes(8_000, [2, 2]);
     assert!(steady.iter().all(|n| (1..=2).contains(n)), "{steady:?}");
+    // One takes the new snapshot back, then both do.
+    probes(9_000, [1, 2]);
+    let behind = probes(10_000, [1, 2]);
+    assert!(behind[0] >= 4 && behind[1] <= 2, "{behind:?}");
+    probes(11_000, [1, 1]);
+    let steady = probes(12_000, [1, 1]);
+    assert!(steady.iter().all(|n| (1..=2).contains(n)), "{steady:?}");
 }
 
 // Guards against a limit that is not passed to the shared limits, tokens that
--- a/crates/core/tests/query_properties.rs
+++ b/crates/core/tests/query_properties.rs
@@ -445,7 +445,7 @@
                     assert!(verdict > Verdict::NotRun || !entry.ran);
                 }
                 QueryEffect::Send(..)
-                | QueryEffect::SnapshotAppeared(..)
+                | QueryEffect::NewestSnapshots(_)
                 | QueryEffect::Log(_) => {}
             }
         }
