--- a/review/standin-3/searcher.rs
+++ b/review/standin-3/searcher.rs
@@ -5,7 +5,7 @@
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::Duration,
@@ -33,6 +33,8 @@
     pub zone: String,
     pub slots: u32,
     pub state: &'static str,
+    /// Set when the searcher has ended.
+    pub ended: Arc<AtomicBool>,
 }
 
 /// The platform with its searchers.
@@ -43,6 +45,9 @@
     pub listed: Arc<Mutex<Vec<Listed>>>,
     pub runs: Arc<Mutex<Vec<Run>>>,
     pub record: Record,
+    /// Bytes that stand in the list as an entry of another writer; none if it
+    /// is empty.
+    pub other_entry: Arc<Mutex<String>>,
     stamps: Arc<AtomicU64>,
 }
 
@@ -97,6 +102,7 @@
             listed: Arc::default(),
             runs: Arc::default(),
             record,
+            other_entry: Arc::default(),
             stamps: Arc::default(),
         };
         let serving = platform.clone();
@@ -116,7 +122,7 @@
         let mut reader = BufReader::new(stream);
         while read_message(&mut reader).is_some() {
             let listed = self.listed.lock().expect("the list").clone();
-            let entries: Vec<String> = listed
+            let mut entries: Vec<String> = listed
                 .iter()
                 .map(|l| {
                     format!(
@@ -127,6 +133,10 @@
                     )
                 })
                 .collect();
+            let other = self.other_entry.lock().expect("the list").clone();
+            if !other.is_empty() {
+                entries.insert(entries.len() / 2, other);
+            }
             let body = format!(
                 "{{\"Instances\":[{}],\"NextToken\":null}}",
                 entries.join(",")
@@ -142,6 +152,24 @@
         }
     }
 
+    /// Changes what the list shows of a searcher.
+    pub fn relist(&self, id: &str, change: impl FnOnce(&mut Listed)) {
+        let mut listed = self.listed.lock().expect("the list");
+        if let Some(found) = listed.iter_mut().find(|l| l.id == id) {
+            change(found);
+        }
+    }
+
+    /// Ends a searcher and takes it from the list.
+    pub fn end_searcher(&self, id: &str) {
+        let mut listed = self.listed.lock().expect("the list");
+        listed
+            .iter()
+            .filter(|l| l.id == id)
+            .for_each(|l| l.ended.store(true, Ordering::Relaxed));
+        listed.retain(|l| l.id != id);
+    }
+
     /// Starts and lists a searcher that works for `work` on each request.
     pub fn add_searcher(
         &self,
@@ -152,6 +180,7 @@
     ) {
         let listener =
             TcpListener::bind((self.net.ip(200), 0)).expect("a searcher");
+        let ended = Arc::<AtomicBool>::default();
         self.listed.lock().expect("the list").push(Listed {
             id: id.to_owned(),
             service: service.to_owned(),
@@ -159,17 +188,30 @@
             zone: zone.to_owned(),
             slots: 8,
             state: "ready",
+            ended: Arc::clone(&ended),
         });
         let (platform, id) = (self.clone(), id.to_owned());
         let service = service.to_owned();
+        listener.set_nonblocking(true).expect("a searcher");
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+            let mut open: Vec<TcpStream> = Vec::new();
+            while !ended.load(Ordering::Relaxed) {
+                let Ok((stream, _)) = listener.accept() else {
+                    thread::sleep(Duration::from_millis(2));
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
+                open.extend(stream.try_clone());
                 let (platform, id) = (platform.clone(), id.clone());
                 let service = service.clone();
                 thread::spawn(move || {
                     platform.serve_searcher(stream, &id, &service, work);
                 });
             }
+            // The process ends, and its connections with it.
+            for stream in open {
+                let _ = stream.shutdown(std::net::Shutdown::Both);
+            }
         });
     }
 
