Count majorities of the fleet by a roster in the replicated log

Cause: a leader accepts a change if it hears from a majority of its fleet, and an instance without the control group renews its lease by a majority of its own. Both counted the members heard of since their start. The restarted replicas counted four of four, the others five of nine. In the first two seconds of a cut the same two decisions passed without a restart, because an instance that the leader hears from need not hold the change.

Change: the instances that count are a roster in the replicated log. A change is acknowledged once a majority of the roster reports that it holds it, so each majority that would renew a lease for an older version has a member that denies it; config_sync/roster.rs gives the argument, also for restarts and changes of the roster. Restarted replicas seek the fleet at the addresses of the roster. The leader logs when it does not reach the fleet or holds a reply.

Ruled out: cuts or lost messages (none), a lease beyond its confirmation, the interval of 5 s between attempts to rejoin (it sets how long this lasts).

--- a/crates/core/src/config_sync/lease.rs
+++ b/crates/core/src/config_sync/lease.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use crate::{
-    config_sync::{Confirmation, SyncOptions},
+    config_sync::{Confirmation, Roster, RosterStatus, SyncOptions},
     id::{ConfigVersion, InstanceId},
-    membership::{Member, MemberState},
+    membership::Member,
     time::Time,
 };
 
@@ -19,6 +19,7 @@
     pub(crate) members_index: u64,
     pub(crate) control_group: u64,
     pub(crate) confirmed: Option<Confirmation>,
+    pub(crate) roster: RosterStatus,
 }
 
 /// One round of confirmation requests.
@@ -100,105 +101,48 @@
         self.answers.iter().any(newer)
     }
 
-    /// Returns the number of fleet members that answered with a
-    /// configuration not newer than `version`.
+    /// Returns the number of instances of the roster that have adopted it and
+    /// answered with a configuration not newer than `version`.
     pub(crate) fn fleet_agreeing(
         &self,
-        fleet: &Fleet,
+        roster: &Roster,
         version: ConfigVersion,
     ) -> usize {
         let agrees = |x: &&Answer| {
             x.version > ConfigVersion(0)
                 && x.version <= version
-                && fleet.contains(x.from)
+                && x.roster.confirmed
+                && x.roster.index == roster.index
+                && roster.contains(x.from)
         };
         self.answers.iter().filter(agrees).count()
     }
 }
 
-/// The last known fleet: members that are not leaving, and dead members.
-///
-/// Dead members are dropped after a retention time, but only while this
-/// instance holds its lease, that is, while the remaining members are a
-/// majority. A minority therefore never shrinks the fleet to itself.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Fleet {
-    /// Members sorted by identifier. The time is that at which the member
-    /// was lost; `None` while it is present.
-    entries: Vec<(InstanceId, Option<Time>)>,
-}
-
-impl Fleet {
-    fn contains(&self, id: InstanceId) -> bool {
-        self.entries.binary_search_by_key(&id, |x| x.0).is_ok()
-    }
-
-    pub(crate) fn ids(&self) -> impl Iterator<Item = InstanceId> {
-        self.entries.iter().map(|x| x.0)
-    }
-
-    pub(crate) fn len(&self) -> usize {
-        self.entries.len()
-    }
-
-    pub(crate) fn present_count(&self) -> usize {
-        self.entries.iter().filter(|x| x.1.is_none()).count()
-    }
-
-    /// Updates the fleet from a list of the members that are not dead.
-    pub(crate) fn update(&mut self, now: Time, members: &[Member]) {
-        let find = |id| {
-            members.binary_search_by_key(&id, |x| x.id).map(|at| &members[at])
-        };
-        self.entries.retain(|x| {
-            find(x.0).is_ok_and(|x| x.state != MemberState::Leaving)
-                || find(x.0).is_err()
-        });
-        for entry in &mut self.entries {
-            if find(entry.0).is_ok() {
-                entry.1 = None;
-            } else {
-                entry.1.get_or_insert(now);
-            }
-        }
-        for member in members {
-            if member.state != MemberState::Leaving
-                && let Err(at) =
-                    self.entries.binary_search_by_key(&member.id, |x| x.0)
-            {
-                self.entries.insert(at, (member.id, None));
-            }
-        }
-    }
-
-    /// Drops members that were lost before `limit`.
-    pub(crate) fn drop_lost(&mut self, limit: Time) {
-        self.entries.retain(|x| x.1.is_none_or(|lost| lost >= limit));
-    }
-}
-
-/// Whether more than half of the last known fleet agreed by the end of a
-/// round.
+/// Whether a majority of the roster agreed by the end of a round.
 ///
 /// In fleets above `max_direct_members` only a sample is asked, which keeps
 /// the cost constant. More than half of the sample must agree, and more than
-/// half of the fleet must not be dead. The second condition is exact once the
-/// failure detector has noticed a partition; until then the first one gives a
-/// statistical guarantee.
+/// half of the roster must be among the members that are not dead. The second
+/// condition is exact once the failure detector has noticed a partition; until
+/// then the first one gives a statistical guarantee.
 pub(crate) fn fleet_confirms(
     round: &Round,
-    fleet: &Fleet,
+    roster: &Roster,
+    own_id: InstanceId,
     version: ConfigVersion,
+    members: &[Member],
     options: &SyncOptions,
 ) -> bool {
     if round.fleet_queried == 0 {
         return false;
     }
-    let agreeing = 1 + round.fleet_agreeing(fleet, version);
-    if fleet.len() <= options.max_direct_members {
-        agreeing * 2 > fleet.len()
-    } else {
-        agreeing * 2 > round.fleet_queried
-            && fleet.present_count() * 2 > fleet.len()
+    let own = usize::from(roster.contains(own_id));
+    let agreeing = own + round.fleet_agreeing(roster, version);
+    if roster.entries.len() <= options.max_direct_members {
+        return agreeing * 2 > roster.entries.len();
     }
+    let present =
+        |id| members.binary_search_by_key(&id, |x: &Member| x.id).is_ok();
+    agreeing * 2 > round.fleet_queried && roster.has_majority(present)
 }
--- a/crates/core/src/config_sync/mod.rs
+++ b/crates/core/src/config_sync/mod.rs
@@ -11,6 +11,7 @@
 mod lease;
 mod options;
 mod reducer;
+mod roster;
 mod rounds;
 mod spread;
 mod tree;
@@ -28,6 +29,7 @@
 
 pub use options::{LEASE, OUTDATED_BOUND, SyncOptions};
 pub use reducer::ConfigSync;
+pub use roster::{Roster, RosterEntry, RosterStatus, Rosters};
 
 /// A committed configuration.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -63,6 +65,9 @@
         sequence: u64,
         /// Version in force at the sender.
         version: ConfigVersion,
+        /// What the sender knows of the roster.
+        #[serde(default)]
+        roster: RosterStatus,
     },
     /// Reply to `Compare`.
     Compared {
@@ -86,6 +91,9 @@
         /// Log index of the list of members that `voters` was taken from.
         #[serde(default)]
         members_index: u64,
+        /// What the sender knows of the roster.
+        #[serde(default)]
+        roster: RosterStatus,
     },
     /// Requests the document if it is newer than this version.
     Pull {
@@ -94,6 +102,13 @@
     },
     /// A committed configuration.
     Push(Arc<ConfigRecord>),
+    /// Requests the roster if it is newer than the one at this index.
+    PullRoster {
+        /// Log index of the roster at the sender.
+        index: u64,
+    },
+    /// A committed roster.
+    Roster(Arc<Roster>),
 }
 
 /// Input of the reducer.
@@ -116,7 +131,11 @@
         logged: ConfigVersion,
         /// Log index of the last membership change.
         members_index: u64,
+        /// Log index of the newest roster in its log, committed or not.
+        logged_roster: u64,
     },
+    /// The control replica on this instance applied a roster.
+    Roster(Arc<Roster>),
     /// A timer may be due.
     Tick,
 }
--- a/crates/core/src/config_sync/options.rs
+++ b/crates/core/src/config_sync/options.rs
@@ -10,14 +10,14 @@
 ///
 /// An instance sends no new work under a configuration for longer than this
 /// after a newer one was accepted, as long as its lease comes from a control
-/// quorum. This holds in every partition in which it reaches, directly or
-/// through others, a control quorum or no majority of the fleet.
+/// quorum, directly or through others.
 ///
 /// The reason is that a confirmation asks a majority of the voters after the
 /// moment from which the lease counts, whereas an acceptance needs a majority
 /// that logged the change before. The two majorities share a voter, which
-/// denies the confirmation. The one exception is the fallback on a majority
-/// of the fleet, see [`ConfigSync`](super::ConfigSync).
+/// denies the confirmation. Where a majority of the fleet renews the lease, the
+/// bound counts from the acknowledgement of the newer configuration; see
+/// [`Roster`](super::Roster).
 pub const OUTDATED_BOUND: Duration = LEASE;
 
 /// Options of the configuration sync.
@@ -44,8 +44,10 @@
     /// In fleets above `max_direct_members`, one in so many comparisons is
     /// with a member of another zone.
     pub compare_across: u32,
-    /// Time for which a dead member still counts as part of the fleet.
-    pub dead_member_retention: Duration,
+    /// Time without a confirmation by a control quorum after which the fleet
+    /// no longer renews the lease. After that, a leader that reaches no
+    /// majority of the roster may leave out the instances it does not reach.
+    pub fallback_limit: Duration,
     /// Number of members asked in one fallback round in fleets above
     /// `max_direct_members`, which keeps the cost constant.
     pub fleet_sample_size: usize,
@@ -63,7 +65,7 @@
             confirm_fan_out: 32,
             // Every zone still asks others several times a second.
             compare_across: 8,
-            dead_member_retention: Duration::from_secs(60),
+            fallback_limit: Duration::from_secs(3_600),
             fleet_sample_size: 32,
         }
     }
--- a/crates/core/src/config_sync/reducer.rs
+++ b/crates/core/src/config_sync/reducer.rs
@@ -8,7 +8,8 @@
 use crate::{
     config_sync::{
         ConfigRecord, Message, SyncEffect, SyncEvent, SyncOptions,
-        lease::{Answer, Fleet, Round},
+        lease::{Answer, Round},
+        roster::{Report, Roster},
         tree::ZoneTree,
     },
     event::{EventKind, LogEvent, config as kinds},
@@ -30,6 +31,7 @@
     pub(super) voters: u32,
     pub(super) logged: ConfigVersion,
     pub(super) members_index: u64,
+    pub(super) logged_roster: u64,
 }
 
 /// Distribution of the configuration, and the lease to serve.
@@ -37,37 +39,36 @@
 /// The lease is confirmed by a majority of the voters of the control group.
 /// An instance that does not reach such a majority, and most instances of a
 /// large fleet, use a confirmation relayed by another instance, which carries
-/// its age. If there is none, the lease falls back to a majority of the fleet
-/// under these conditions:
+/// its age. If there is none, the lease falls back to a majority of the
+/// [roster](super::Roster) under these conditions:
 ///
-/// - The instance was confirmed by a control quorum before.
+/// - A control quorum has confirmed, since this process started, that the
+///   instance knows the newest roster and version.
 /// - No control replica that answers has logged a newer version, and no member
 ///   that answers holds one.
-/// - More than half of the last known fleet, this instance included, hold a
-///   configuration. Members that announced
-///   that they leave do not count. Dead members count for at least
-///   [`dead_member_retention`], a minute by default, and for as long as this
-///   instance has no lease, so that a minority cannot shrink the fleet to
-///   itself.
+/// - More than half of the roster, this instance included if it is part of it,
+///   hold a configuration that is not newer, have adopted the same roster and
+///   fulfil the first condition as well. Members that are dead or leave count
+///   until the control group removes them from the roster.
+/// - The last confirmation is younger than
+///   [`fallback_limit`](SyncOptions::fallback_limit).
 ///
-/// A minority of the fleet without a control quorum therefore stops serving
-/// within the lease. The fallback is unsafe in one case: all members of a
-/// control quorum are alive but partitioned off together with a minority of
-/// the fleet, and they accept a change. The majority cannot learn of it and
-/// keeps its version until the partition heals, without a time bound. With
-/// [`reaches_fleet_majority`] a control leader refuses changes in that
-/// position, so that only changes accepted within one lease after the
-/// partition are affected.
-///
-/// [`dead_member_retention`]: SyncOptions::dead_member_retention
-/// [`reaches_fleet_majority`]: ConfigSync::reaches_fleet_majority
+/// A change is acknowledged only once a majority of the roster holds it; see
+/// the module `roster` for why the two majorities exclude each other.
 #[derive(Clone, Debug)]
 pub struct ConfigSync {
     pub(super) own_id: InstanceId,
     pub(super) options: SyncOptions,
     pub(super) rng: Pcg32,
     pub(super) members: Vec<Member>,
-    pub(super) fleet: Fleet,
+    /// The newest roster that this instance has adopted.
+    pub(super) roster: Arc<Roster>,
+    /// The roster that the control replica on this instance has applied last.
+    pub(super) committed_roster: Arc<Roster>,
+    /// Whether a control quorum has confirmed, since the start, that this
+    /// instance knows the newest roster and version.
+    pub(super) roster_confirmed: bool,
+    pub(super) roster_pull_deadline: Time,
     /// Cached tree along which confirmations are relayed; reset when the
     /// members change. Sorting the members for each request costs too much.
     pub(super) confirmation_tree: Option<ZoneTree>,
@@ -99,8 +100,8 @@
     pub(super) last_step: Option<Time>,
     pub(super) next_compare: Time,
     pub(super) next_round: Time,
-    /// When each other member was last heard from, sorted by identifier.
-    pub(super) last_heard: Vec<(InstanceId, Time)>,
+    /// What the other members last reported, sorted by identifier.
+    pub(super) reports: Vec<Report>,
     pub(super) effects: Vec<SyncEffect>,
 }
 
@@ -116,7 +117,10 @@
             own_id,
             options,
             members: Vec::new(),
-            fleet: Fleet::default(),
+            roster: Arc::default(),
+            committed_roster: Arc::default(),
+            roster_confirmed: false,
+            roster_pull_deadline: Time::ZERO,
             confirmation_tree: None,
             own_replica: None,
             current: None,
@@ -137,7 +141,7 @@
             last_step: None,
             next_compare: Time::ZERO,
             next_round: Time::ZERO,
-            last_heard: Vec::new(),
+            reports: Vec::new(),
             effects: Vec::new(),
             rng,
         }
@@ -171,20 +175,6 @@
         [self.next_compare, self.next_round].into_iter().chain(lease).min()
     }
 
-    /// Whether a majority of the last known fleet was heard from within one
-    /// lease. A control leader without such contact must not accept changes.
-    pub fn reaches_fleet_majority(&self, now: Time) -> bool {
-        let fresh = |id: &InstanceId| {
-            let at = self.last_heard.binary_search_by_key(id, |x| x.0);
-            at.is_ok_and(|at| {
-                now.since(self.last_heard[at].1) <= self.options.lease
-            })
-        };
-        let others = self.fleet.ids().filter(|x| *x != self.own_id);
-        let heard = 1 + others.filter(fresh).count();
-        heard * 2 > self.fleet.len()
-    }
-
     /// Handles one event.
     ///
     /// The lease is checked against `now` before the event is handled, so a
@@ -199,11 +189,10 @@
         self.update_serving(now);
         match event {
             SyncEvent::Members(members) => {
-                self.fleet.update(now, &members);
                 let known = |id: InstanceId| {
                     members.binary_search_by_key(&id, |x| x.id).is_ok()
                 };
-                self.last_heard.retain(|x| known(x.0));
+                self.reports.retain(|x| known(x.id));
                 self.members = members;
                 self.confirmation_tree = None;
             }
@@ -213,11 +202,26 @@
             SyncEvent::Committed(record) => {
                 self.install(now, Arc::new(record), None);
             }
-            SyncEvent::Replica { voter, voters, logged, members_index } => {
-                self.own_replica =
-                    Some(OwnReplica { voter, voters, logged, members_index });
+            SyncEvent::Replica {
+                voter,
+                voters,
+                logged,
+                members_index,
+                logged_roster,
+            } => {
+                self.own_replica = Some(OwnReplica {
+                    voter,
+                    voters,
+                    logged,
+                    members_index,
+                    logged_roster,
+                });
                 self.evaluate_round(now);
             }
+            SyncEvent::Roster(roster) => {
+                self.committed_roster = roster;
+                self.adopt_committed_roster(now);
+            }
             SyncEvent::Tick => self.on_tick(now),
         }
         self.update_serving(now);
@@ -306,15 +310,9 @@
         from: InstanceId,
         message: Message,
     ) {
-        match self.last_heard.binary_search_by_key(&from, |x| x.0) {
-            Ok(at) => self.last_heard[at].1 = now,
-            Err(at) if self.member(from).is_some() => {
-                self.last_heard.insert(at, (from, now));
-            }
-            Err(_) => {}
-        }
+        self.record_report(now, from, &message);
         match message {
-            Message::Compare { sequence, version } => {
+            Message::Compare { sequence, version, roster } => {
                 let answer = self.own_answer(now);
                 self.send(
                     from,
@@ -326,9 +324,11 @@
                         control_group: answer.control_group,
                         confirmed: answer.confirmed,
                         members_index: answer.members_index,
+                        roster: answer.roster,
                     },
                 );
                 self.pull_if_newer(now, from, version);
+                self.pull_roster_if_newer(now, from, roster);
             }
             Message::Compared {
                 sequence,
@@ -338,12 +338,14 @@
                 control_group,
                 confirmed,
                 members_index,
+                roster,
             } => {
                 let found = self
                     .rounds
                     .binary_search_by_key(&sequence, |x| x.sequence);
                 if let Ok(at) = found {
                     self.rounds[at].add_answer(Answer {
+                        roster,
                         members_index,
                         from,
                         version,
@@ -355,6 +357,18 @@
                     self.evaluate_round(now);
                 }
                 self.pull_if_newer(now, from, version);
+                self.pull_roster_if_newer(now, from, roster);
+            }
+            Message::PullRoster { index } => {
+                if self.roster.index > index {
+                    let roster = Message::Roster(Arc::clone(&self.roster));
+                    self.send(from, roster);
+                }
+            }
+            Message::Roster(roster) => {
+                if self.adopt_roster(&roster) {
+                    self.evaluate_round(now);
+                }
             }
             Message::Pull { version } => {
                 if let Some(record) = &self.current
--- a/crates/core/src/config_sync/rounds.rs
+++ b/crates/core/src/config_sync/rounds.rs
@@ -59,7 +59,10 @@
         if is_overdue {
             self.ask_control_until = now + self.options.lease;
         }
-        let relayed_only = relays && now >= self.ask_control_until;
+        // Only a quorum that is asked directly confirms the roster.
+        let asks_for_roster = self.roster.index > 0 && !self.roster_confirmed;
+        let relayed_only =
+            relays && now >= self.ask_control_until && !asks_for_roster;
         if !relayed_only {
             let control = self.members.iter().filter(|x| {
                 x.replica.is_some()
@@ -68,7 +71,7 @@
             targets.extend(control.map(|x| x.id));
         }
         let mut fleet_queried = 0;
-        if is_overdue && self.group.is_some() && self.fleet_query_due(now) {
+        if is_overdue && self.may_fall_back(now) && self.fleet_query_due(now) {
             let sample = self.fleet_sample();
             fleet_queried = sample.len();
             targets.extend(sample);
@@ -79,10 +82,10 @@
         targets.dedup();
         self.last_sequence += 1;
         let sequence = self.last_sequence;
-        let version = self.version();
+        let (version, roster) = (self.version(), self.roster_status());
         for id in targets {
             if id != self.own_id {
-                self.send(id, Message::Compare { sequence, version });
+                self.send(id, Message::Compare { sequence, version, roster });
             }
         }
         // Answers to an older round no longer extend the lease.
@@ -109,15 +112,25 @@
         }
     }
 
-    /// Returns the members that are asked in the fallback: all of them, or a
-    /// sample of a large fleet. This instance is always among them, because it
+    /// Whether a majority of the fleet may renew the lease.
+    fn may_fall_back(&self, now: Time) -> bool {
+        let limit = self.options.fallback_limit;
+        self.roster_confirmed
+            && self.confirmation_age(now).is_some_and(|age| age < limit)
+    }
+
+    /// Returns the instances that are asked in the fallback: all of the
+    /// roster, or a sample of a large one. This instance is always among them, because it
     /// is counted as agreeing.
     fn fleet_sample(&mut self) -> Vec<InstanceId> {
-        let mut sample: Vec<InstanceId> = self.fleet.ids().collect();
+        let mut sample: Vec<InstanceId> =
+            self.roster.entries.iter().map(|x| x.id).collect();
         if sample.len() > self.options.max_direct_members {
             sample.shuffle(&mut self.rng);
             sample.truncate(self.options.fleet_sample_size);
-            if !sample.contains(&self.own_id) {
+            if self.roster.contains(self.own_id)
+                && !sample.contains(&self.own_id)
+            {
                 sample.pop();
                 sample.push(self.own_id);
             }
@@ -164,7 +177,15 @@
         let own = Some(self.own_answer(now));
         let mut newest = None;
         let mut newest_direct = None;
+        let roster = self.roster.index;
+        let knows_roster = |x: &Answer| {
+            x.logged <= Some(version) && x.roster.logged <= roster
+        };
         for round in &mut self.rounds {
+            if roster > 0 && !self.roster_confirmed {
+                let voters = round.confirmed_voters(group, own, knows_roster);
+                self.roster_confirmed = voters.is_some();
+            }
             let voters = round.confirmed_voters(group, own, |_| true);
             if let Some((index, voters)) = voters {
                 let confirmed_at = round.started;
@@ -205,7 +226,7 @@
         {
             self.progress = Some((confirmed_at, now));
         }
-        self.renew_lease(now, confirmed_at + self.options.lease, false);
+        self.renew_lease(confirmed_at + self.options.lease, false);
         if self.group.is_none() {
             self.group = Some(group);
             self.log_event(
@@ -231,37 +252,42 @@
             return;
         }
         // A newer version is pulled, so this one needs no longer lease.
-        if self.rounds.iter().any(|x| x.denies(version)) {
+        if !self.may_fall_back(now)
+            || self.rounds.iter().any(|x| x.denies(version))
+        {
             return;
         }
         let fleet_confirms = |round: &&Round| {
             !round.quorum_confirmed
-                && fleet_confirms(round, &self.fleet, version, &self.options)
+                && fleet_confirms(
+                    round,
+                    &self.roster,
+                    self.own_id,
+                    version,
+                    &self.members,
+                    &self.options,
+                )
         };
         let newest = self.rounds.iter().rev().find(fleet_confirms);
         if let Some(started) = newest.map(|x| x.started) {
-            self.renew_lease(now, started + self.options.lease, true);
+            self.renew_lease(started + self.options.lease, true);
         }
     }
 
-    pub(super) fn renew_lease(
-        &mut self,
-        now: Time,
-        until: Time,
-        fallback: bool,
-    ) {
+    pub(super) fn renew_lease(&mut self, until: Time, fallback: bool) {
         self.lease_until = self.lease_until.max(until);
-        if now < self.lease_until {
-            self.fleet.drop_lost(now - self.options.dead_member_retention);
-        }
         if self.fallback != fallback {
             self.fallback = fallback;
-            let present = self.fleet.present_count();
-            let fleet = self.fleet.len();
-            self.log_event(
-                &kinds::FLEET_FALLBACK,
-                format!("fallback={fallback} present={present} of={fleet}"),
+            let entries = self.roster.entries.iter();
+            let present =
+                entries.filter(|x| self.member(x.id).is_some()).count();
+            let roster = self.roster.entries.len();
+            let index = self.roster.index;
+            let detail = format!(
+                "fallback={fallback} present={present} of={roster} \
+                 roster={index}"
             );
+            self.log_event(&kinds::FLEET_FALLBACK, detail);
         }
     }
 
@@ -309,6 +335,7 @@
             members_index: replica.map_or(0, |x| x.members_index),
             control_group: own_member.map_or(0, |x| x.control_group),
             confirmed: self.confirmation(now),
+            roster: self.roster_status(),
         }
     }
 }
--- a/crates/core/src/config_sync/spread.rs
+++ b/crates/core/src/config_sync/spread.rs
@@ -68,6 +68,7 @@
             ),
         );
         self.push_to_children(&record, from);
+        self.adopt_committed_roster(now);
         self.evaluate_round(now);
         if !self.serving && now >= self.lease_until {
             self.next_round = now;
@@ -124,7 +125,7 @@
         let Some(to) = drawn.map(|x| x.id) else { return };
         self.last_sequence += 1;
         let sequence = self.last_sequence;
-        let version = self.version();
-        self.send(to, Message::Compare { sequence, version });
+        let (version, roster) = (self.version(), self.roster_status());
+        self.send(to, Message::Compare { sequence, version, roster });
     }
 }
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -9,6 +9,7 @@
 pub mod client;
 mod pending;
 pub mod repair;
+pub mod roster;
 pub mod service;
 mod state;
 mod types;
--- a/crates/core/src/control/service.rs
+++ b/crates/core/src/control/service.rs
@@ -280,7 +280,9 @@
             Applied::Rollout { reply, changed: false } => {
                 (&kinds::ROLLOUT_UNCHANGED, describe_rollout(reply))
             }
-            Applied::Settled | Applied::RolloutsMarked => return,
+            Applied::Settled
+            | Applied::RolloutsMarked
+            | Applied::Roster { .. } => return,
         };
         log_event(kind, detail, out);
     }
--- a/crates/core/src/control/state.rs
+++ b/crates/core/src/control/state.rs
@@ -1,6 +1,9 @@
 //! The replicated state and the effect of each command on it.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+};
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -8,11 +11,11 @@
 
 use super::{
     Change, ChangeOutcome, Claim, Command, ControlReply, Read, RolloutReply,
-    Settle, TableRevision, ZoneStateChange,
+    RosterChange, Settle, TableRevision, ZoneStateChange,
 };
 use crate::{
     config::{AvailabilityZone, Configuration, ZoneState},
-    config_sync::ConfigRecord,
+    config_sync::{ConfigRecord, Roster, Rosters},
     id::{ConfigVersion, QueryId},
     query::ClaimResult,
     rollout::{
@@ -81,6 +84,11 @@
     },
     /// The times since the orders of running roll-outs were recorded.
     RolloutsMarked,
+    /// The roster was replaced, or another one came first.
+    Roster {
+        /// Whether the command changed the roster.
+        changed: bool,
+    },
     /// The command cannot be decoded and has no effect.
     Malformed,
 }
@@ -133,6 +141,13 @@
     /// Times since the orders of the running roll-outs, sorted by service.
     #[serde(default)]
     rollout_clocks: Vec<RolloutClock>,
+    /// The roster in force.
+    #[serde(default)]
+    roster: Arc<Roster>,
+    /// The roster before it, by which instances may still count; empty once
+    /// no majority does.
+    #[serde(default)]
+    previous_roster: Arc<Roster>,
 }
 
 impl Command {
@@ -175,6 +190,14 @@
                 }
                 Applied::RolloutsMarked
             }
+            Some(Command::SetRoster(change)) => self.set_roster(change),
+            Some(Command::EndPreviousRoster(index)) => {
+                let changed = index == self.roster.index;
+                if changed {
+                    self.previous_roster = Arc::default();
+                }
+                Applied::Roster { changed }
+            }
             None => Applied::Malformed,
         }
     }
@@ -251,6 +274,30 @@
         ConfigVersion(self.record.version.0 + changes as u64)
     }
 
+    /// Returns the roster in force and the one before it.
+    pub fn rosters(&self) -> Rosters<'_> {
+        Rosters { current: &self.roster, previous: &self.previous_roster }
+    }
+
+    /// Returns the roster in force.
+    pub fn roster(&self) -> &Arc<Roster> {
+        &self.roster
+    }
+
+    /// Returns an upper bound of the index of the newest roster in the log.
+    pub fn logged_roster<'a>(
+        &self,
+        mut unapplied: impl Iterator<Item = &'a Bytes>,
+    ) -> u64 {
+        let sets_roster = |c: &Bytes| {
+            matches!(Command::decode(c), Some(Command::SetRoster(_)))
+        };
+        match unapplied.any(sets_roster) {
+            true => u64::MAX,
+            false => self.roster.index,
+        }
+    }
+
     /// Returns the outcome of a change, if it is still kept.
     pub fn outcome(&self, change_id: &str) -> Option<&ChangeOutcome> {
         self.outcomes.get(change_id)
@@ -266,6 +313,21 @@
         self.claims.len()
     }
 
+    fn set_roster(&mut self, change: RosterChange) -> Applied {
+        let RosterChange { after, entries, abandons_previous } = change;
+        if after != self.roster.index {
+            return Applied::Roster { changed: false };
+        }
+        let (index, version) = (self.index, self.version());
+        let next = Arc::new(Roster { index, version, entries });
+        let previous = std::mem::replace(&mut self.roster, next);
+        self.previous_roster = match abandons_previous {
+            true => Arc::default(),
+            false => previous,
+        };
+        Applied::Roster { changed: true }
+    }
+
     fn change(&mut self, change: Change) -> Applied {
         let Change { change_id, expected_version, document } = change;
         if let Some(outcome) = self.outcomes.get(&change_id) {
--- a/crates/core/src/control/types.rs
+++ b/crates/core/src/control/types.rs
@@ -5,6 +5,7 @@
 
 use crate::{
     config::ZoneState,
+    config_sync::RosterEntry,
     consensus::Replica,
     id::{ConfigVersion, InstanceId, QueryId},
     query::ClaimResult,
@@ -42,6 +43,24 @@
     MoveRollout(RolloutMove),
     /// Records the time since the orders of running roll-outs.
     MarkRollouts(Vec<RolloutClock>),
+    /// Replaces the roster.
+    SetRoster(RosterChange),
+    /// No majority counts any more by the roster before the one at this index
+    /// of the log.
+    EndPreviousRoster(u64),
+}
+
+/// A change of the roster.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RosterChange {
+    /// Index of the roster that it replaces. The command has no effect if
+    /// another one is in force.
+    pub after: u64,
+    /// The new instances, sorted by identifier.
+    pub entries: Vec<RosterEntry>,
+    /// Whether no instance counts by the replaced roster any more, although
+    /// its majority was not heard from.
+    pub abandons_previous: bool,
 }
 
 /// A change of the configuration.
--- a/crates/core/src/event/config.rs
+++ b/crates/core/src/event/config.rs
@@ -9,5 +9,6 @@
     FLEET_FALLBACK = (504, Warn, "The lease is renewed by a majority of the fleet because no quorum of the control group answers, or this has ended.");
     GROUP_CHOSEN = (505, Info, "A quorum of a control group confirmed the configuration for the first time. Other control groups are ignored until restart.");
     CONFIG_CONFLICT = (506, Error, "Two different configurations have the same version. Check for a second control group.");
+    ROSTER_ADOPTED = (507, Info, "This instance counts majorities of the fleet by a new roster.");
     CONFIG_REJECTED = (520, Error, "A committed configuration cannot be decoded by this release and was not applied. Update the instance.");
 }
--- a/crates/core/src/event/control.rs
+++ b/crates/core/src/event/control.rs
@@ -38,5 +38,8 @@
     COMMITS_RESUMED = (436, Info, "The control leader commits entries again.");
     WRITE_WAITS = (437, Warn, "A write of the control replica has waited for its disk for a second or more. Nothing that it holds is acknowledged meanwhile.");
     STRAY_MESSAGE = (438, Warn, "A consensus message for another replica was dropped, such as one to a former replica of this instance whose disk was lost. Logged once for each sender.");
+    ROSTER_PROPOSED = (439, Info, "The control leader proposes a new roster: the instances whose majority renews leases and accepts changes.");
+    FLEET_NOT_REACHED = (440, Warn, "The control leader refuses changes, because it does not reach a majority of the roster. The instances that it does not reach may renew their lease for an older configuration.");
+    CHANGE_HELD = (441, Warn, "A change was committed, but not acknowledged within a second, because no majority of the roster reported that it holds the new version.");
     COMMAND_MALFORMED = (428, Error, "A committed command cannot be decoded and has no effect. The replicas run different releases; update the older ones.");
 }
--- a/crates/core/src/membership/options.rs
+++ b/crates/core/src/membership/options.rs
@@ -58,6 +58,11 @@
     /// Interval between probes of seed addresses and dead members that may be
     /// reachable again.
     pub rejoin_interval: Duration,
+    /// Time after the start in which all of these addresses are tried as often
+    /// as while no other live member is known. The instances that restart
+    /// together find each other first, and the rest of the fleet may not seek
+    /// them for a whole `rejoin_interval`.
+    pub eager_rejoin: Duration,
     /// Time after which a dead member is removed from the table.
     pub forget_after: Duration,
     /// How long the platform's list is ignored for a member that has refuted
@@ -93,6 +98,7 @@
             max_buckets: 4,
             join_interval: Duration::from_millis(500),
             rejoin_interval: Duration::from_secs(5),
+            eager_rejoin: Duration::from_secs(10),
             forget_after: Duration::from_secs(3600),
             platform_hint_hold_off: Duration::from_secs(600),
             max_members: 16_384,
--- a/crates/core/src/membership/reducer.rs
+++ b/crates/core/src/membership/reducer.rs
@@ -58,6 +58,8 @@
     pub(super) next_probe: Time,
     pub(super) next_digest: Time,
     pub(super) next_rejoin: Time,
+    /// Until when addresses without a known member are tried often.
+    pub(super) eager_rejoin_until: Time,
     /// Immediate pushes that are still allowed until `push_refill`.
     pub(super) push_tokens: u32,
     pub(super) push_refill: Time,
@@ -96,6 +98,7 @@
             next_probe: Time::ZERO,
             next_digest: Time::ZERO,
             next_rejoin: Time::ZERO,
+            eager_rejoin_until: Time::ZERO,
             push_tokens: options.pushes_per_second,
             push_refill: Time::ZERO,
             changed_ids: Vec::new(),
@@ -221,6 +224,7 @@
         self.next_probe = now + offset(self.options.probe_interval);
         self.next_digest = now + offset(self.options.digest_interval);
         self.next_rejoin = now + self.options.join_interval;
+        self.eager_rejoin_until = now + self.options.eager_rejoin;
         self.push_refill = now;
     }
 
@@ -313,7 +317,7 @@
             }
         }
         if now >= self.next_rejoin {
-            if self.is_alone() {
+            if self.is_alone() || now < self.eager_rejoin_until {
                 self.join();
                 self.next_rejoin = now + self.options.join_interval;
             } else {
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -71,6 +71,8 @@
                 Sync::Compared { .. } => "compared",
                 Sync::Pull { .. } => "pull",
                 Sync::Push(_) => "push",
+                Sync::PullRoster { .. } => "pull_roster",
+                Sync::Roster(_) => "roster",
             },
             PeerMessage::Directory(message) => match message {
                 List::Wanted { .. } => "wanted",
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -18,6 +18,7 @@
 mod reports;
 mod roles;
 mod rollouts;
+mod roster;
 mod shared_limits;
 mod types;
 mod view;
@@ -30,7 +31,8 @@
 };
 use self::{
     auto_bootstrap::AutoBootstrap, forwarding::ForwardFleet, home::HomeJobs,
-    lifecycle::Lifecycle, replica::ControlReplica, shared_limits::ShareInputs,
+    lifecycle::Lifecycle, replica::ControlReplica, roster::HeldReplies,
+    shared_limits::ShareInputs,
 };
 use crate::{
     config::Configuration,
@@ -80,6 +82,7 @@
     home_jobs: HomeJobs,
     client: Client,
     replica: Option<ControlReplica>,
+    held_replies: HeldReplies,
     configuration: Option<(ConfigVersion, Arc<Configuration>)>,
     /// Home and standby of each bundle in the configuration.
     placement: Placement,
@@ -159,6 +162,7 @@
             home_jobs: HomeJobs::default(),
             client: Client::new(seed ^ 5),
             replica: None,
+            held_replies: HeldReplies::default(),
             configuration: None,
             placement: Placement::default(),
             candidates: Vec::new(),
@@ -253,6 +257,7 @@
             self.auto_bootstrap_deadline(),
             self.client.next_deadline(),
             self.replica.as_ref().and_then(ControlReplica::next_deadline),
+            self.held_replies.next_deadline(),
             self.flush_reports_at,
             Some(self.refresh_reports_at),
             self.lifecycle.next_deadline(),
@@ -295,6 +300,8 @@
         self.forward_fleet_tick(now);
         self.auto_bootstrap_tick(now, out);
         self.replica_tick(now, out);
+        self.roster_tick(now, out);
+        self.held_replies_tick(now, out);
         self.supervisor_tick(now, out);
         self.expire_unreachable(now);
         self.flush_reports(now, out);
@@ -378,6 +385,7 @@
             }
         }
         self.voter_list_changed();
+        self.release_replies(now, out);
         // Queued after the configuration that was confirmed.
         let confirmed_at = self.sync.confirmed_at();
         if let Some(at) = confirmed_at.filter(|_| confirmed_at != confirmed) {
--- a/crates/core/src/node/replica.rs
+++ b/crates/core/src/node/replica.rs
@@ -16,6 +16,7 @@
         repair::{
             Repair, RepairEffect, RepairEvent, RepairOptions, tolerates_losses,
         },
+        roster::{RosterOptions, RosterUpkeep},
         service::{Origin, Service, ServiceEffect, ServiceEvent},
     },
     event::{LogEvent, control as kinds},
@@ -43,6 +44,10 @@
 /// passed to the component that made the proposal.
 const FIRST_REPAIR_TOKEN: u64 = 1 << 62;
 
+/// First token of the upkeep of the roster, between those of the control
+/// service and of the repair.
+const FIRST_ROSTER_TOKEN: u64 = 1 << 61;
+
 /// The consensus replica, its state machine and the reducers that use them.
 pub(super) struct ControlReplica {
     pub(super) id: ReplicaId,
@@ -50,6 +55,7 @@
     pub(super) state: ControlState,
     pub(super) service: Service,
     pub(super) repair: Repair,
+    pub(super) roster: RosterUpkeep,
     pub(super) supervisor: Supervisor,
     pub(super) status: Status,
     /// When the next request to join a group may be sent.
@@ -57,9 +63,9 @@
     /// Time at which the leader was lost, while none is known.
     pub(super) leaderless_since: Option<Time>,
     /// Last values sent to the configuration sync: whether this replica
-    /// votes, the number of voters, the logged version and the log index of
-    /// the member list.
-    pub(super) last_notified: Option<(bool, u32, ConfigVersion, u64)>,
+    /// votes, the number of voters, the logged version, and the log indexes of
+    /// the member list and of the newest logged roster.
+    pub(super) last_notified: Option<(bool, u32, ConfigVersion, u64, u64)>,
     /// Sender and receiver of the last message for another replica, so that
     /// repeated ones are not logged again.
     pub(super) last_stray: Option<(ReplicaId, ReplicaId)>,
@@ -74,12 +80,19 @@
             self.consensus.next_deadline(),
             self.repair.next_deadline(),
             self.supervisor.next_deadline(),
+            self.roster_deadline(),
             join,
         ]
         .into_iter()
         .flatten()
         .min()
     }
+
+    /// Returns when the roster is checked next; `None` unless this replica
+    /// leads.
+    pub(super) fn roster_deadline(&self) -> Option<Time> {
+        (self.status.role == Role::Leader).then(|| self.roster.next_deadline())
+    }
 }
 
 impl Node {
@@ -97,12 +110,18 @@
             group_size: self.options.control_group_size as usize,
             replace_after: self.options.replace_voter_after,
         };
+        let roster = RosterOptions {
+            abandon_after: self.options.sync.fallback_limit
+                + 2 * self.options.sync.lease,
+            ..RosterOptions::default()
+        };
         self.replica = Some(ControlReplica {
             id,
             consensus,
             state: ControlState::default(),
             service: Service::new(1),
             repair: Repair::new(repair, FIRST_REPAIR_TOKEN),
+            roster: RosterUpkeep::new(roster, FIRST_ROSTER_TOKEN),
             supervisor: Supervisor::new(SupervisorOptions::default()),
             status: Status::default(),
             join_at: now + JOIN_INTERVAL,
@@ -212,7 +231,7 @@
                     self.send_control(now, from, message, out);
                     return;
                 }
-                if self.refuses_as_isolated_leader(now, &request) {
+                if self.refuses_as_isolated_leader(now, &request, out) {
                     let reply = ControlReply::NotReady(
                         "the control leader does not reach a majority of \
                          the fleet"
@@ -242,29 +261,6 @@
         }
     }
 
-    /// Returns whether to refuse a change because this instance leads the
-    /// control group but cannot reach a majority of the fleet.
-    ///
-    /// Instances on the other side of the partition would keep their
-    /// configuration until it ends, because they cannot detect that the
-    /// control group is still running. In fleets above the size at which
-    /// members compare versions directly, an instance hears from too few
-    /// members to determine this, so no change is refused.
-    fn refuses_as_isolated_leader(
-        &self,
-        now: Time,
-        request: &ControlRequest,
-    ) -> bool {
-        let leads = self
-            .replica
-            .as_ref()
-            .is_some_and(|r| r.status.role == Role::Leader);
-        is_guarded(request)
-            && leads
-            && self.members().len() <= self.options.sync.max_direct_members
-            && !self.sync.reaches_fleet_majority(now)
-    }
-
     /// Returns whether a change has to wait until the control group has more
     /// voters, or no dead one.
     fn waits_for_repair(&self, request: &ControlRequest) -> bool {
@@ -342,7 +338,7 @@
                     self.step_consensus(now, event, out);
                 }
                 ServiceEffect::Send(to, message) => {
-                    self.send_control(now, to, message, out);
+                    self.send_reply(now, to, message, out);
                 }
                 ServiceEffect::Respond(token, reply) => {
                     let reply = OperatorReply::Control(reply);
@@ -443,6 +439,9 @@
         out: &mut impl Extend<Effect>,
     ) {
         let Some(replica) = &mut self.replica else { return };
+        if replica.roster.ends_change(token) {
+            return;
+        }
         if replica.repair.owns(token) {
             let mut effects = Vec::new();
             let event = RepairEvent::Outcome(token, result);
@@ -481,8 +480,12 @@
             let record = replica.state.record();
             self.push(Internal::Sync(SyncEvent::Committed(record)));
         }
+        let roster = applied == Applied::Roster { changed: true };
         let event = ServiceEvent::Applied { index, applied };
         self.step_service(now, event, out);
+        if roster {
+            self.rosters_changed();
+        }
         if rollouts {
             self.supervise_records(now, out);
         }
@@ -498,6 +501,7 @@
             let record = replica.state.record();
             self.push(Internal::Sync(SyncEvent::Committed(record)));
         }
+        self.rosters_changed();
     }
 
     fn take_snapshot(&mut self, now: Time, out: &mut impl Extend<Effect>) {
@@ -530,6 +534,9 @@
             let others = status.members.iter().filter(|m| m.id != id);
             others.map(|m| m.address).collect()
         });
+        if status.role != replica.status.role {
+            replica.roster.reset();
+        }
         replica.status = status.clone();
         let leading = status.role == Role::Leader;
         if let Some(addresses) = addresses {
@@ -557,7 +564,9 @@
         let logged =
             replica.state.logged_version(replica.consensus.unapplied());
         let members_index = replica.status.members_index;
-        let current = (voter, voters, logged, members_index);
+        let logged_roster =
+            replica.state.logged_roster(replica.consensus.unapplied());
+        let current = (voter, voters, logged, members_index, logged_roster);
         if replica.last_notified != Some(current) {
             replica.last_notified = Some(current);
             if !voter {
@@ -568,6 +577,7 @@
                 voters,
                 logged,
                 members_index,
+                logged_roster,
             }));
         }
     }
@@ -576,7 +586,7 @@
 /// Returns whether a request changes the configuration, so that it must
 /// survive losses and reach the fleet. Taking a roll-out back is not held up
 /// by that, because it sends nothing where nothing may go.
-fn is_guarded(request: &ControlRequest) -> bool {
+pub(super) fn is_guarded(request: &ControlRequest) -> bool {
     match request {
         ControlRequest::Change(_)
         | ControlRequest::Revise(_)
--- a/crates/core/tests/config_sync.rs
+++ b/crates/core/tests/config_sync.rs
@@ -7,8 +7,8 @@
 
 use primrosemast_core::{
     config_sync::{
-        ConfigSync, LEASE, Message, OUTDATED_BOUND, SyncEffect, SyncEvent,
-        SyncOptions,
+        ConfigSync, LEASE, Message, OUTDATED_BOUND, RosterStatus, SyncEffect,
+        SyncEvent, SyncOptions,
     },
     id::{ConfigVersion, InstanceId},
     membership::{Member, MembershipOptions},
@@ -19,7 +19,7 @@
     prelude::*,
     test_runner::{Config, RngSeed},
 };
-use support::{GROUP, Net, Replica, member, record};
+use support::{GROUP, Net, Replica, member, record, roster_of};
 
 /// Tolerance for the simulation, which checks the nodes every 5 ms.
 const POLL_MARGIN: Duration = Duration::from_millis(10);
@@ -295,6 +295,7 @@
         control_group,
         confirmed: None,
         members_index: 1,
+        roster: RosterStatus::default(),
     };
     // Sender, newest logged version, voters, group, and the difference of the
     // answer's sequence number from that of the open round.
@@ -341,6 +342,7 @@
                 control_group: GROUP,
                 confirmed: None,
                 members_index: indexes[i],
+                roster: RosterStatus::default(),
             };
             let event = SyncEvent::Message(InstanceId(1 + i as u64), message);
             sync.step(Time::from_millis(3), event, &mut Vec::new());
@@ -439,7 +441,10 @@
     let mut members: Vec<Member> =
         (0..3).map(|x| member(x, replica(GROUP))).collect();
     members.extend((3..10).map(|x| member(x, None)));
+    let roster = roster_of(10);
     let (mut sync, _) = sync_with_open_round(members);
+    let event = SyncEvent::Message(InstanceId(4), Message::Roster(roster));
+    sync.step(Time::from_millis(2), event, &mut Vec::new());
     let mut messages = Vec::new();
     for ms in 2..5_000 {
         let now = Time::from_millis(ms);
@@ -469,6 +474,11 @@
                 control_group: if is_replica { GROUP } else { 0 },
                 confirmed: None,
                 members_index: 1,
+                roster: RosterStatus {
+                    index: 1,
+                    confirmed: true,
+                    logged: u64::from(is_replica),
+                },
             };
             messages.push((to, answer));
         }
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -10,7 +10,8 @@
 use bytes::Bytes;
 use primrosemast_core::{
     config_sync::{
-        self, ConfigRecord, ConfigSync, SyncEffect, SyncEvent, SyncOptions,
+        self, ConfigRecord, ConfigSync, Roster, RosterEntry, SyncEffect,
+        SyncEvent, SyncOptions,
     },
     id::{ConfigVersion, InstanceId, ReplicaId, ZoneId},
     membership::{
@@ -93,6 +94,8 @@
     /// Time spent in the configuration sync reducers, if measured.
     pub sync_time: Duration,
     options: (MembershipOptions, SyncOptions),
+    /// Number of instances, all of which are in the roster.
+    size: usize,
     /// Pairs of sender and receiver whose messages are lost.
     partitioned: HashSet<(usize, usize)>,
     rng: Pcg64,
@@ -144,6 +147,14 @@
     }
 }
 
+/// Returns the roster of the first `count` instances.
+pub fn roster_of(count: usize) -> Arc<Roster> {
+    let entry =
+        |x| RosterEntry { id: InstanceId(x as u64 + 1), address: address(x) };
+    let entries = (0..count).map(entry).collect();
+    Arc::new(Roster { index: 1, version: ConfigVersion(0), entries })
+}
+
 impl Net {
     /// Creates a fleet whose first `replicas` nodes are voters. If `joined`,
     /// all members know each other from the start.
@@ -172,6 +183,7 @@
             membership_time: Duration::ZERO,
             sync_time: Duration::ZERO,
             options,
+            size,
             partitioned: HashSet::new(),
             rng: Pcg64::seed_from_u64(seed),
             queue: BTreeMap::new(),
@@ -335,9 +347,15 @@
         if let Some(Replica { voters, logged, .. }) = self.nodes[index].replica
         {
             let voter = true;
-            let event =
-                SyncEvent::Replica { voter, voters, logged, members_index: 1 };
+            let event = SyncEvent::Replica {
+                voter,
+                voters,
+                logged,
+                members_index: 1,
+                logged_roster: 1,
+            };
             self.step_sync(index, event);
+            self.step_sync(index, SyncEvent::Roster(roster_of(self.size)));
         }
     }
 
