Tell an unclosed array in the target list from the end of the list

Cause: an array that is not closed is read on to the bracket that ends the list. The rest of the document was then searched for entries in vain, and the page failed as a whole. Related: the entries of a second list could be taken for those of the first, and some 15 unclosed entries used up the bound on the work.

Change: an array whose last bracket could end the list is damaged. The bound is 4 MB at least. An object after a comma is an entry if the damaged entry before it has opened no bracket.

--- a/src/list_entries.rs
+++ b/src/list_entries.rs
@@ -12,7 +12,8 @@
 do not match, the list goes on at the next object after a comma from which the
 entries and the rest of the document can be split again. The end of a list
 counts only if the members after it can be split up to the end of the document,
-so that neither an entry nor part of one is taken for that end.
+so that neither an entry nor part of one is taken for that end. Conversely, an
+array whose last bracket could end the list was not closed, and is damaged.
 */
 
 use std::borrow::Cow;
@@ -28,6 +29,10 @@
 /// is unclear adds the entries up to the next such one.
 const MAX_PASSES: usize = 32;
 
+/// Number of bytes that may be examined at least, some 10 ms of work, so that a
+/// short list may have any number of damaged entries.
+const MIN_EXAMINED_BYTES: usize = 4 << 20;
+
 /// Returns the text of a list, with the replacement character in place of
 /// bytes that are no UTF-8.
 pub fn list_text(list: &[u8]) -> Cow<'_, str> {
@@ -55,7 +60,8 @@
         lists: &'a [&'a str],
         values: &'a [&'a str],
     ) -> anyhow::Result<ListDocument<'a>> {
-        let limit = text.len().saturating_mul(MAX_PASSES);
+        let passes = text.len().saturating_mul(MAX_PASSES);
+        let limit = passes.max(MIN_EXAMINED_BYTES);
         let mut splitter =
             Splitter { text, lists, values, examined: 0, limit };
         let mut document = ListDocument::default();
@@ -203,7 +209,7 @@
             return Some(());
         }
         loop {
-            let element = self.element(at).filter(|e| {
+            let element = self.element(at, document).filter(|e| {
                 !e.is_last || self.list_ends(e.separator, document)
             });
             let (end, resumption) = match element {
@@ -246,25 +252,49 @@
         ends
     }
 
+    /// Returns whether the bracket at `at` may end the list, without adding the
+    /// members after it.
+    fn may_end_list(
+        &mut self,
+        at: usize,
+        document: &mut ListDocument<'a>,
+    ) -> bool {
+        let mark = document.mark();
+        let ends = self.list_ends(at, document);
+        document.reset(mark);
+        ends
+    }
+
     /// Finds where a list goes on after the damaged entry at `at`.
     fn resume(
         &mut self,
         mut at: usize,
         document: &mut ListDocument<'a>,
     ) -> Option<Resumption> {
+        // Brackets that the damaged entry has opened. Without one, an object
+        // after a comma cannot be part of it.
+        let mut open = 0_usize;
+        let start = at;
         loop {
             match self.byte(at)? {
                 b']' if self.list_ends(at, document) => {
                     return Some(Resumption::End);
                 }
-                b'{' if self.follows_comma(at) => {
+                b']' => open = open.saturating_sub(1),
+                b'[' => open += 1,
+                b'{' if at > start && self.follows_comma(at) => {
+                    if open == 0 {
+                        return Some(Resumption::Entry(at));
+                    }
                     match self.no_entry_before(at, document) {
                         Some(next) => at = next,
                         None => return Some(Resumption::Entry(at)),
                     }
+                    continue;
                 }
-                _ => at += 1,
+                _ => {}
             }
+            at += 1;
         }
     }
 
@@ -278,13 +308,11 @@
     ) -> Option<usize> {
         let mut next = at;
         loop {
-            let Some(element) = self.element(next) else {
+            let Some(element) = self.element(next, document) else {
                 return (next == at).then_some(at + 1);
             };
             if element.is_last {
-                let mark = document.mark();
-                let ends = self.list_ends(element.separator, document);
-                document.reset(mark);
+                let ends = self.may_end_list(element.separator, document);
                 return (!ends).then_some(element.separator);
             }
             next = self.skip_space(element.separator + 1);
@@ -297,9 +325,16 @@
         self.text[..at].trim_end_matches(is_space).ends_with(',')
     }
 
-    /// Returns the entry at `at`.
-    fn element(&mut self, at: usize) -> Option<Element> {
+    /// Returns the entry at `at`, unless it is damaged.
+    fn element(
+        &mut self,
+        at: usize,
+        document: &mut ListDocument<'a>,
+    ) -> Option<Element> {
         let end = self.value_end(at)?;
+        if self.byte(at)? == b'[' && self.may_end_list(end - 1, document) {
+            return None;
+        }
         let separator = self.skip_space(end);
         let is_last = match self.byte(separator)? {
             b',' => false,
--- a/tests/list_entries.rs
+++ b/tests/list_entries.rs
@@ -24,7 +24,7 @@
 // the other list.
 #[test]
 fn a_damaged_entry_hides_neither_list() {
-    let odd: [&[u8]; 8] = [
+    let odd: [&[u8]; 14] = [
         b"{\"name\":\"\x01\"}",
         b"{\"name\":\"\xff\"}",
         b"\x01",
@@ -32,6 +32,12 @@
         b"{\"name\":\"odd\"",
         b"\"name\":\"odd\"}",
         b"{\"name\":\"odd\"]",
+        b"[",
+        b"[\"odd\"",
+        b"[\"odd\",[1",
+        b"[{\"name\":\"odd\"}",
+        b"{\"name\":[\"odd\"",
+        b"{\"name\":[{\"name\":\"odd\"}",
         b"",
     ];
     let good = |name: &str| format!("{{\"name\":\"{name}\"}}").into_bytes();
@@ -93,6 +99,24 @@
     }
 }
 
+// Guards against a list that is given up because many of its entries are
+// damaged, each of which is examined up to the end of the document.
+#[test]
+fn many_damaged_entries_cost_only_themselves() {
+    for odd in ["[", "[1", "[{\"a\":1}", "{\"a\":[1", "{\"a\":1", "\"a", "1]"]
+    {
+        let good = |n| format!("{{\"name\":\"{n}\"}}");
+        let entries: Vec<String> =
+            (0..100).map(|n| format!("{odd},{}", good(n))).collect();
+        let document =
+            format!(r#"{{"instances":[{}],"next":1}}"#, entries.join(","));
+        let [found, _] = names(document.as_bytes())
+            .unwrap_or_else(|e| panic!("{odd}: {e:#}"));
+        let expected: Vec<String> = (0..100).map(|n| n.to_string()).collect();
+        assert_eq!(found, expected, "{odd}");
+    }
+}
+
 // Guards against hostile bytes that keep an instance busy for the square of
 // their length.
 #[test]
