Keep to the attempts of a route when a delegate is silent

Cause: a root that gets no acknowledgement of a delegated task in time takes its shards back and sends them, without comparing the attempts that may run with the limit of the route, as retries and hedges do. The delegate had sent its own attempt if only the acknowledgement was late.

Change: with a limit of one the shards are left to the delegate, whose answer is used; if the connection breaks, shards without attempts left have failed.

--- a/crates/core/src/forward/delegate.rs
+++ b/crates/core/src/forward/delegate.rs
@@ -348,6 +348,17 @@
                 &kinds::DELEGATE_SILENT,
                 format!("request={request_id} delegate={to}"),
             );
+            // If the route allows no second attempt, the shards are left to
+            // the delegate, whose acknowledgement may only be late.
+            let Some(request) = self.request_mut(token) else { return };
+            if request.route.route.max_attempts <= 1 {
+                for delegation in &mut request.delegations {
+                    if delegation.to == to {
+                        delegation.ack_deadline = None;
+                    }
+                }
+                continue;
+            }
             // This instance sends the shards again, so the delegate must
             // abort its attempts.
             self.send_cancel(token, to, true);
@@ -355,7 +366,8 @@
         }
     }
 
-    /// Takes the shards of a delegate back and sends them to targets.
+    /// Takes the shards of a delegate back and sends them to targets, unless
+    /// the attempt of the delegate may be the last that the route allows.
     fn reclaim_shards(
         &mut self,
         now: Time,
@@ -365,6 +377,7 @@
     ) {
         let Some(request) = self.request_mut(token) else { return };
         request.delegations.retain(|d| d.to != from);
+        let max_attempts = request.route.route.max_attempts.max(1);
         let mut reclaimed = Vec::new();
         for (i, shard) in request.shards.iter_mut().enumerate() {
             if shard.progress == Progress::Delegated(from) {
@@ -373,7 +386,11 @@
                 // If the delegate may have sent the shard, further attempts
                 // are charged to the budget for extra requests.
                 shard.delegate_may_have_sent |= may_have_sent;
-                reclaimed.push(i);
+                if shard.may_run() < max_attempts {
+                    reclaimed.push(i);
+                } else {
+                    shard.progress = Progress::Failed;
+                }
             }
         }
         for shard in reclaimed {
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -689,6 +689,47 @@
     assert_eq!(take_tasks(&mut harness), Vec::new());
 }
 
+// Guards against shards that run on more targets than the route allows: on one
+// of a delegate whose acknowledgement is late, and on one of the root.
+#[test]
+fn shards_of_a_silent_delegate_are_not_sent_again_beyond_the_limit() {
+    let harness = || {
+        add_remote_shards(|forwarding| {
+            let mut forwarding = forwarding.clone();
+            forwarding.routes[0].max_attempts = 1;
+            Harness::new(&forwarding, 2)
+        })
+    };
+    let remote = |harness: &mut Harness| {
+        let sent = harness.take_sent();
+        sent.iter().filter(|s| s.name.ends_with("/1")).count()
+    };
+    // The acknowledgement is late, and the answer is used.
+    let mut late = harness();
+    let token = late.submit("q");
+    let number = late.forwarder.task_number(token);
+    late.take_sent();
+    take_tasks(&mut late);
+    late.advance(ms(60));
+    assert_eq!(remote(&mut late), 0);
+    late.effects.clear();
+    late.receive_shared(9, IncomingMessage::Accepted(number));
+    late.receive_shared(9, partial_result(number, &[1, 3, 5], true));
+    let stored =
+        |e: &ForwardEffect| matches!(e, ForwardEffect::StoreAnswer { .. });
+    assert!(late.effects.iter().any(stored));
+    // The connection breaks before or after the time for the acknowledgement.
+    for wait in [10, 60] {
+        let mut broken = harness();
+        broken.submit("q");
+        broken.take_sent();
+        broken.advance(ms(wait));
+        broken.step(ForwardEvent::Unreachable(InstanceId(9)));
+        broken.advance(ms(60));
+        assert_eq!(remote(&mut broken), 0, "after {wait} ms");
+    }
+}
+
 // Guards against using the records of shards that two instances have answered.
 // Merged records cannot be separated by shard.
 #[test]
