Ask what instances hold without offering them a version

Cause: the question that a leader sends 10 ms after a commit held its version, and instances that lacked it pulled it at once.

Change: the question holds no version.

--- a/crates/core/src/config_sync/roster.rs
+++ b/crates/core/src/config_sync/roster.rs
@@ -284,7 +284,10 @@
         ids.retain(lacks);
         self.last_sequence += 1;
         let (sequence, roster) = (self.last_sequence, self.roster_status());
-        let version = self.version();
+        // Without a version, so that nobody pulls it because of the question.
+        // All instances would otherwise bring each version of a series into
+        // force at the same moment, and with it targets that are still cold.
+        let version = ConfigVersion(0);
         let message = Message::Compare { sequence, version, roster };
         ids.into_iter().map(|id| (id, message.clone())).collect()
     }
