--- a/crates/core/src/forward/directory.rs
+++ b/crates/core/src/forward/directory.rs
@@ -422,14 +422,7 @@
             let at = (rank + self.turn) % self.relay_count();
             return self.zone_peers.get(at).copied();
         }
-        // If none of them answers, those that fetch the list at the age of the
-        // fallback have a new one first.
-        let silent = self.unanswered as usize >= CANDIDATE_READERS;
-        let most = match silent && !self.is_large() {
-            true => MAX_FALLBACK_READERS + 1,
-            false => CANDIDATE_READERS,
-        };
-        let readers = self.peers.len().clamp(1, most);
+        let readers = self.peers.len().clamp(1, CANDIDATE_READERS);
         let at = self.turn % readers;
         self.peers.get(at.min(self.peers.len().saturating_sub(1))).copied()
     }
@@ -604,12 +597,7 @@
         }
         self.pending = None;
         let age = Duration::from_micros(age_us);
-        let pages = PAGE_READ_TIME * self.page_count();
-        let limit = match self.is_large() {
-            true => self.options.fallback,
-            false => self.options.takeover + pages,
-        };
-        if age >= limit {
+        if age >= self.options.fallback {
             // The sender gets no new list itself, so another one is asked.
             self.next_source();
             self.next_at = now + self.retry_pause(self.unanswered);
