Make the fallback's majority a method, and share a check of two tests

Six arguments of fleet_confirms were fields of its only caller. The accessor ConfigSync::roster was not used. Two tests of fleet_majority had the same steps; their assertions stay.

--- a/crates/core/src/config_sync/lease.rs
+++ b/crates/core/src/config_sync/lease.rs
@@ -3,9 +3,8 @@
 use std::time::Duration;
 
 use crate::{
-    config_sync::{Confirmation, Roster, RosterStatus, SyncOptions},
+    config_sync::{Confirmation, Roster, RosterStatus},
     id::{ConfigVersion, InstanceId},
-    membership::Member,
     time::Time,
 };
 
@@ -118,31 +117,3 @@
         self.answers.iter().filter(agrees).count()
     }
 }
-
-/// Whether a majority of the roster agreed by the end of a round.
-///
-/// In fleets above `max_direct_members` only a sample is asked, which keeps
-/// the cost constant. More than half of the sample must agree, and more than
-/// half of the roster must be among the members that are not dead. The second
-/// condition is exact once the failure detector has noticed a partition; until
-/// then the first one gives a statistical guarantee.
-pub(crate) fn fleet_confirms(
-    round: &Round,
-    roster: &Roster,
-    own_id: InstanceId,
-    version: ConfigVersion,
-    members: &[Member],
-    options: &SyncOptions,
-) -> bool {
-    if round.fleet_queried == 0 {
-        return false;
-    }
-    let own = usize::from(roster.contains(own_id));
-    let agreeing = own + round.fleet_agreeing(roster, version);
-    if roster.entries.len() <= options.max_direct_members {
-        return agreeing * 2 > roster.entries.len();
-    }
-    let present =
-        |id| members.binary_search_by_key(&id, |x: &Member| x.id).is_ok();
-    agreeing * 2 > round.fleet_queried && roster.has_majority(present)
-}
--- a/crates/core/src/config_sync/roster.rs
+++ b/crates/core/src/config_sync/roster.rs
@@ -107,11 +107,6 @@
 }
 
 impl ConfigSync {
-    /// Returns the roster that this instance has adopted.
-    pub fn roster(&self) -> &Arc<Roster> {
-        &self.roster
-    }
-
     pub(super) fn roster_status(&self) -> RosterStatus {
         let replica = self.own_replica.filter(|x| x.voter);
         RosterStatus {
--- a/crates/core/src/config_sync/rounds.rs
+++ b/crates/core/src/config_sync/rounds.rs
@@ -8,7 +8,7 @@
 use crate::{
     config_sync::{
         Confirmation, Message, SyncOptions,
-        lease::{Answer, Round, fleet_confirms},
+        lease::{Answer, Round},
         tree::ZoneTree,
     },
     event::config as kinds,
@@ -120,8 +120,8 @@
     }
 
     /// Returns the instances that are asked in the fallback: all of the
-    /// roster, or a sample of a large one. This instance is always among them, because it
-    /// is counted as agreeing.
+    /// roster, or a sample of a large one. This instance, which counts as
+    /// agreeing, is among them if it is part of the roster.
     fn fleet_sample(&mut self) -> Vec<InstanceId> {
         let mut sample: Vec<InstanceId> =
             self.roster.entries.iter().map(|x| x.id).collect();
@@ -258,15 +258,7 @@
             return;
         }
         let fleet_confirms = |round: &&Round| {
-            !round.quorum_confirmed
-                && fleet_confirms(
-                    round,
-                    &self.roster,
-                    self.own_id,
-                    version,
-                    &self.members,
-                    &self.options,
-                )
+            !round.quorum_confirmed && self.fleet_confirms(round, version)
         };
         let newest = self.rounds.iter().rev().find(fleet_confirms);
         if let Some(started) = newest.map(|x| x.started) {
@@ -274,6 +266,28 @@
         }
     }
 
+    /// Whether a majority of the roster agreed by the end of a round.
+    ///
+    /// In fleets above `max_direct_members` only a sample is asked, which
+    /// keeps the cost constant. More than half of the sample must agree, and
+    /// more than half of the roster must be among the members that are not
+    /// dead. The second condition is exact once the failure detector has
+    /// noticed a partition; until then the first one gives a statistical
+    /// guarantee.
+    fn fleet_confirms(&self, round: &Round, version: ConfigVersion) -> bool {
+        if round.fleet_queried == 0 {
+            return false;
+        }
+        let roster = &self.roster;
+        let own = usize::from(roster.contains(self.own_id));
+        let agreeing = own + round.fleet_agreeing(roster, version);
+        if roster.entries.len() <= self.options.max_direct_members {
+            return agreeing * 2 > roster.entries.len();
+        }
+        agreeing * 2 > round.fleet_queried
+            && roster.has_majority(|id| self.member(id).is_some())
+    }
+
     pub(super) fn renew_lease(&mut self, until: Time, fallback: bool) {
         self.lease_until = self.lease_until.max(until);
         if self.fallback != fallback {
--- a/crates/core/src/node/roster.rs
+++ b/crates/core/src/node/roster.rs
@@ -3,7 +3,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use super::{Effect, Internal, Node};
+use super::{Effect, Internal, Node, replica::is_guarded};
 use crate::{
     config_sync::SyncEvent,
     consensus::{ConsensusEvent, Role},
@@ -78,7 +78,7 @@
         let Some(replica) = &self.replica else { return false };
         let rosters = replica.state.rosters();
         if replica.status.role != Role::Leader
-            || !super::replica::is_guarded(request)
+            || !is_guarded(request)
             || self.sync.reaches_majority(now, rosters)
         {
             return false;
--- a/crates/core/tests/fleet_majority.rs
+++ b/crates/core/tests/fleet_majority.rs
@@ -33,6 +33,23 @@
     first.parse().expect("a seed")..end.parse().expect("a seed")
 }
 
+/// Starts the four replicas while the others stay cut off, and checks that no
+/// change is acknowledged until the links are back.
+fn assert_waits_for_the_rest(fleet: &mut Fleet, to: usize, changes: usize) {
+    let rest: Vec<usize> = (4..fleet.machines.len()).collect();
+    fleet.cut(&[0, 1, 2, 3], &rest);
+    (0..4).for_each(|x| fleet.start(x));
+    let count = fleet.acknowledged.len();
+    for _ in 0..changes {
+        fleet.send_change(to);
+        fleet.run(Duration::from_millis(500));
+    }
+    assert_eq!(fleet.acknowledged.len(), count, "seed {}", fleet.seed);
+    fleet.heal();
+    fleet.accept_change(RECOVERY);
+    fleet.run(secs(5));
+}
+
 /// Guards against instances that go on with an old version as a majority of
 /// the fleet, while the control group, whose replicas were all restarted and
 /// know only each other, accepts a newer one.
@@ -42,18 +59,7 @@
         let mut fleet = Fleet::serving(seed, 9, 4);
         (0..4).for_each(|x| fleet.kill(x));
         fleet.run(secs(5) + Duration::from_millis(seed * 37));
-        // The others stay cut off, so that the replicas cannot reach them.
-        fleet.cut(&[0, 1, 2, 3], &[4, 5, 6, 7, 8]);
-        (0..4).for_each(|x| fleet.start(x));
-        let count = fleet.acknowledged.len();
-        for _ in 0..20 {
-            fleet.send_change((seed % 4) as usize);
-            fleet.run(Duration::from_millis(500));
-        }
-        assert_eq!(fleet.acknowledged.len(), count, "seed {seed}");
-        fleet.heal();
-        fleet.accept_change(RECOVERY);
-        fleet.run(secs(5));
+        assert_waits_for_the_rest(&mut fleet, (seed % 4) as usize, 20);
     }
 }
 
@@ -128,18 +134,7 @@
         let mut fleet = Fleet::serving(seed, size, 4);
         (0..4).for_each(|x| fleet.kill(x));
         fleet.run(secs(5));
-        let rest: Vec<usize> = (4..size).collect();
-        fleet.cut(&[0, 1, 2, 3], &rest);
-        (0..4).for_each(|x| fleet.start(x));
-        let count = fleet.acknowledged.len();
-        for _ in 0..10 {
-            fleet.send_change(0);
-            fleet.run(Duration::from_millis(500));
-        }
-        assert_eq!(fleet.acknowledged.len(), count, "seed {seed}");
-        fleet.heal();
-        fleet.accept_change(RECOVERY);
-        fleet.run(secs(5));
+        assert_waits_for_the_rest(&mut fleet, 0, 10);
     }
 }
 
